--- /dev/null
+++ b/include/knapweedstream/overloaded.hpp
@@ -0,0 +1,20 @@
+/// Builds one visitor out of several lambdas.
+#ifndef KNAPWEEDSTREAM_OVERLOADED_HPP
+#define KNAPWEEDSTREAM_OVERLOADED_HPP
+
+namespace knapweedstream
+{
+
+/// Overload set for `std::visit`.
+template <class... Fs>
+struct overloaded : Fs...
+{
+    using Fs::operator()...;
+};
+
+template <class... Fs>
+overloaded(Fs...) -> overloaded<Fs...>;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/include/knapweedstream/time.hpp
@@ -0,0 +1,27 @@
+/// Time as the deciding functions see it: always an argument, never read.
+#ifndef KNAPWEEDSTREAM_TIME_HPP
+#define KNAPWEEDSTREAM_TIME_HPP
+
+#include <chrono>
+
+namespace knapweedstream
+{
+
+/// Clock of a node's time line. It has no `now`; adapters supply the time.
+struct node_clock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<node_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using time_point = node_clock::time_point;
+using duration = node_clock::duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/core/booking_entry.cpp
@@ -0,0 +1,155 @@
+#include "core/booking_entry.hpp"
+
+#include "core/entry.hpp"
+#include "core/membership.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto max_key_bytes = std::size_t{200};
+
+auto count_outcome(node_stats const& before, booking_answer const& answer)
+    -> node_stats
+{
+    auto next = before;
+    std::visit(overloaded{[&](booking_done const&) { ++next.bookings_done; },
+                   [&](booking_not_run const&) { ++next.bookings_not_run; },
+                   [&](booking_unknown const&)
+                   {
+                       ++next.bookings_unknown;
+                   }},
+        answer);
+    return next;
+}
+
+auto answer_caller(node_state& s, caller_id caller,
+    booking_answer const& answer, commands& out) -> void
+{
+    s.stats = count_outcome(s.stats, answer);
+    out.push_back(answer_booking{caller, answer});
+}
+
+auto close_booking(node_state& s, query_id id, booking_answer const& answer,
+    commands& out) -> void
+{
+    auto const it = s.bookings.find(id);
+    auto const c = s.customers.find(it->second.customer);
+    if (c != s.customers.end() && c->second.open > 0)
+        --c->second.open;
+    auto const caller = it->second.caller;
+    s.bookings.erase(it);
+    answer_caller(s, caller, answer, out);
+}
+
+auto bad_booking_field(booking_request const& r) -> std::optional<refusal>
+{
+    if (r.key.empty() || r.key.size() > max_key_bytes)
+        return bad_field{"idempotency-key", "1 to 200 bytes"};
+    if (r.item.empty() || r.item.size() > max_key_bytes)
+        return bad_field{"item", "1 to 200 bytes"};
+    return std::nullopt;
+}
+
+auto executor_of(node_state const& s, service_entry const& service,
+    std::string const& item) -> instance_id
+{
+    auto const n = service.shards.size();
+    auto const& shard = service.shards[hash_name(item) % n];
+    for (auto const owner : shard.owners)
+        if (can_work(s, owner))
+            return owner;
+    return {};
+}
+
+/// Sends the booking to the first owner of its shard.
+///
+/// @returns False if there is none, or it has the booking already.
+auto forward(node_state& s, query_id id, std::int64_t wall_s, time_point now)
+    -> bool
+{
+    auto& b = s.bookings.at(id);
+    auto const service = find_service(s, b.request.customer, b.request.service);
+    if (service == service_id{})
+        return false;
+    auto const to = executor_of(s, s.services.at(service), b.request.item);
+    if (to == instance_id{} || to == b.executor)
+        return false;
+    auto next = b;
+    next.executor = to;
+    ++next.forwards;
+    b = next;
+    auto const way_back = duration{s.init.limits.answer_margin};
+    auto const left = std::max(duration{0}, b.deadline - now - way_back);
+    post(s, to, booking_forward{id, b.request, left, wall_s});
+    if (to == s.self)
+        return true;
+    probe_if_quiet(s, to, now);
+    arm(s, now + owner_patience(s, to), forward_due{id});
+    return true;
+}
+
+} // namespace
+
+auto on_caller_booking(node_state& s, caller_booking const& e, time_point now,
+    commands& out) -> void
+{
+    ++s.stats.bookings;
+    auto const& r = e.request;
+    auto reason = admit(s, r.customer, r.service, r.deadline);
+    if (!reason)
+        reason = bad_booking_field(r);
+    if (reason)
+        return answer_caller(s, e.caller, booking_not_run{*reason}, out);
+    auto const service = find_service(s, r.customer, r.service);
+    auto const& info = s.services.at(service).info;
+    auto b = entry_booking{};
+    b.caller = e.caller;
+    b.customer = id_of<customer_id>(r.customer);
+    b.request = r;
+    b.deadline =
+        now + (r.deadline == milliseconds{0} ? info.deadline : r.deadline);
+    auto const id = fresh_id<query_id>(s);
+    ++s.customers.at(b.customer).open;
+    s.bookings.emplace(id, b);
+    arm(s, b.deadline, forward_due{id});
+    if (!forward(s, id, e.wall_s, now))
+        close_booking(s, id, booking_not_run{no_target{}}, out);
+}
+
+auto on_booking_result(node_state& s, booking_result const& m, commands& out)
+    -> void
+{
+    auto const it = s.bookings.find(m.id);
+    if (it == s.bookings.end())
+        return;
+    // "Not run" by one executor says nothing of another that was asked.
+    auto const alone = it->second.forwards == 1;
+    auto const not_run = std::holds_alternative<booking_not_run>(m.answer);
+    close_booking(s, m.id,
+        not_run && !alone ? booking_answer{booking_unknown{}} : m.answer, out);
+}
+
+auto on_forward_due(
+    node_state& s, forward_due const& e, time_point now, commands& out) -> void
+{
+    auto const it = s.bookings.find(e.id);
+    if (it == s.bookings.end())
+        return;
+    if (now >= it->second.deadline)
+        return close_booking(s, e.id, booking_unknown{}, out);
+    if (it->second.executor == s.self)
+        return;
+    if (check_peer(s, it->second.executor, now, out))
+    {
+        arm(s, now + owner_patience(s, it->second.executor), e);
+        return;
+    }
+    forward(s, e.id, 0, now);
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/core/booking_exec.cpp
@@ -0,0 +1,411 @@
+#include "core/booking_exec.hpp"
+
+#include "core/leaf.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto max_booking_attempts = 4u; ///< All but one "not run".
+constexpr auto late_answer = seconds{1};  ///< Wait past the deadline.
+
+auto content_of(booking_request const& r) -> fingerprint
+{
+    return fingerprint{hash_name(r.text, hash_name(r.item))};
+}
+
+auto find_claim(std::vector<claim>& claims, std::string const& key) -> claim*
+{
+    auto const it = std::find_if(claims.begin(), claims.end(),
+        [&](claim const& c) { return c.key == key; });
+    return it == claims.end() ? nullptr : &*it;
+}
+
+auto answer(node_state& s, claim_token token, booking_answer const& a) -> void
+{
+    auto& e = s.executions.at(token);
+    if (e.answered)
+        return;
+    e.answered = true;
+    post(s, e.entry, booking_result{e.id, a});
+}
+
+/// Answers and forgets a booking that holds no claim.
+auto close(node_state& s, claim_token token, booking_answer const& a) -> void
+{
+    answer(s, token, a);
+    s.executions.erase(token);
+}
+
+/// Answers a booking that holds a claim and queues its outcome for storing.
+auto settle(node_state& s, claim_token token, booking_answer const& a,
+    commands& out) -> void;
+
+auto new_claim(executed_booking const& e) -> claim
+{
+    return {
+        e.request.key, e.token, e.content, claim_state::claimed, {}, e.wall_s};
+}
+
+/// Answers a booking whose key is claimed by another.
+///
+/// @returns True if answered; false if its holder is at work here.
+auto answer_from(node_state& s, executed_booking const& e, claim const& held)
+    -> bool
+{
+    if (held.content != e.content)
+        close(s, e.token, booking_not_run{key_reused{}});
+    else if (held.state == claim_state::done)
+        close(s, e.token, booking_done{held.reference});
+    else if (s.executions.contains(held.token))
+        return false;
+    else
+        close(s, e.token, booking_unknown{});
+    return true;
+}
+
+enum class step : std::uint8_t
+{
+    finished, ///< Waits for nothing.
+    waits,    ///< Stays in the list of waiting bookings.
+    writes,   ///< Stays, and has changed the claims.
+};
+
+/// Adds the claim of a booking, or answers from the claim of another.
+auto try_claim(node_state& s, executed_booking const& e,
+    std::vector<claim>& claims) -> step
+{
+    auto* held = find_claim(claims, e.request.key);
+    if (held != nullptr && held->token == e.token)
+        return step::writes;
+    if (held != nullptr && held->state != claim_state::not_run)
+        return answer_from(s, e, *held) ? step::finished : step::waits;
+    if (held != nullptr)
+        *held = new_claim(e);
+    else if (claims.size() < s.init.limits.max_claims_per_bucket)
+        claims.push_back(new_claim(e));
+    else
+    {
+        close(s, e.token, booking_not_run{over_capacity{}});
+        return step::finished;
+    }
+    return step::writes;
+}
+
+/// Writes the outcome into the booking's own claim.
+auto record(executed_booking const& e, std::vector<claim>& claims) -> step
+{
+    auto* held = find_claim(claims, e.request.key);
+    if (held == nullptr || held->token != e.token)
+        return step::finished;
+    auto next = *held;
+    if (auto const* done = std::get_if<booking_done>(&e.outcome))
+    {
+        next.state = claim_state::done;
+        next.reference = done->reference;
+    }
+    else
+        next.state = claim_state::not_run;
+    if (next == *held)
+        return step::finished;
+    *held = next;
+    return step::writes;
+}
+
+auto drop_expired(node_state const& s, std::vector<claim>& claims,
+    std::int64_t wall_s) -> void
+{
+    auto const oldest = wall_s - s.init.limits.claim_expiry.count();
+    if (wall_s > 0)
+        std::erase_if(
+            claims, [&](claim const& it) { return it.claimed_at_s < oldest; });
+}
+
+auto newest_wall(node_state const& s, bucket_entry const& b) -> std::int64_t
+{
+    auto wall = std::int64_t{0};
+    for (auto const token : b.waiting)
+    {
+        auto const it = s.executions.find(token);
+        if (it != s.executions.end())
+            wall = std::max(wall, it->second.wall_s);
+    }
+    return wall;
+}
+
+/// Takes a booking a step further against the claims to be written.
+auto advance(node_state& s, claim_token token, std::vector<claim>& claims)
+    -> step
+{
+    auto const it = s.executions.find(token);
+    if (it == s.executions.end())
+        return step::finished;
+    auto const e = it->second;
+    if (e.state == exec_state::claiming)
+        return try_claim(s, e, claims);
+    if (e.state != exec_state::recording)
+        return step::finished;
+    auto const result = record(e, claims);
+    if (result == step::finished)
+        s.executions.erase(token);
+    return result;
+}
+
+auto mark_claims_sent(node_state& s, std::vector<claim> const& claims) -> void
+{
+    for (auto const& it : claims)
+    {
+        auto const e = s.executions.find(it.token);
+        if (e != s.executions.end())
+            e->second.claim_sent = true;
+    }
+}
+
+/// Commits what waits in the bucket, outcomes before new claims.
+auto pump(node_state& s, claim_bucket id, commands& out) -> void
+{
+    auto& b = s.buckets[id];
+    if (b.in_progress || b.waiting.empty())
+        return;
+    if (!b.loaded)
+    {
+        b.in_progress = true;
+        out.push_back(claims_read{id});
+        return;
+    }
+    auto const is_outcome = [&](claim_token it)
+    {
+        auto const e = s.executions.find(it);
+        return e != s.executions.end() &&
+               e->second.state == exec_state::recording;
+    };
+    std::stable_partition(b.waiting.begin(), b.waiting.end(), is_outcome);
+    auto claims = b.claims;
+    drop_expired(s, claims, newest_wall(s, b));
+    auto waiting = std::vector<claim_token>{};
+    auto writes = 0u;
+    for (auto const token : b.waiting)
+    {
+        auto const full = writes >= s.init.limits.claims_per_write;
+        auto const result = full ? step::waits : advance(s, token, claims);
+        writes += result == step::writes ? 1 : 0;
+        if (result != step::finished)
+            waiting.push_back(token);
+    }
+    b.waiting = waiting;
+    if (writes == 0)
+        return;
+    mark_claims_sent(s, claims);
+    b.in_progress = true;
+    b.writing = claims;
+    ++s.stats.claim_writes;
+    out.push_back(claims_write{id, b.version, std::move(claims)});
+}
+
+auto settle(node_state& s, claim_token token, booking_answer const& a,
+    commands& out) -> void
+{
+    answer(s, token, a);
+    auto& e = s.executions.at(token);
+    e.outcome = a;
+    e.state = exec_state::recording;
+    auto const bucket = e.bucket;
+    auto& waiting = s.buckets[bucket].waiting;
+    if (std::find(waiting.begin(), waiting.end(), token) == waiting.end())
+        waiting.push_back(token);
+    pump(s, bucket, out);
+}
+
+/// The claim is stored: this instance, and no other, may dispatch.
+auto grant(node_state& s, claim_token token, time_point now, commands& out)
+    -> void
+{
+    auto& e = s.executions.at(token);
+    if (e.answered || now >= e.deadline)
+        return settle(s, token, booking_not_run{no_target{}}, out);
+    e.state = exec_state::dispatching;
+    auto* shard = find_shard(s, e.bucket.service, e.bucket.shard);
+    if (shard == nullptr)
+        return settle(s, token, booking_not_run{no_target{}}, out);
+    if (!dispatch_booking(s, *shard, token, now, out))
+        shard->bookings.push_back(token);
+}
+
+/// Grants or finishes the bookings whose write took effect.
+auto after_write(node_state& s, claim_bucket id, time_point now, commands& out)
+    -> void
+{
+    auto& b = s.buckets[id];
+    auto waiting = std::vector<claim_token>{};
+    waiting.swap(b.waiting);
+    auto granted = std::vector<claim_token>{};
+    for (auto const token : waiting)
+    {
+        auto const it = s.executions.find(token);
+        if (it == s.executions.end())
+            continue;
+        auto const* held = find_claim(b.claims, it->second.request.key);
+        auto const own = held != nullptr && held->token == token;
+        if (own && it->second.state == exec_state::claiming)
+            granted.push_back(token);
+        else if (own && held->state != claim_state::claimed)
+            s.executions.erase(it);
+        else
+            b.waiting.push_back(token);
+    }
+    for (auto const token : granted)
+        grant(s, token, now, out);
+    pump(s, id, out);
+}
+
+} // namespace
+
+auto on_booking_forward(node_state& s, instance_id from,
+    booking_forward const& m, time_point now, commands& out) -> void
+{
+    auto const& r = m.request;
+    auto const customer = id_of<customer_id>(r.customer);
+    auto const service = service_id{hash_name(r.service, customer.value)};
+    auto const it = s.services.find(service);
+    if (it == s.services.end())
+    {
+        post(s, from,
+            booking_result{m.id, booking_not_run{unknown_service{r.service}}});
+        return;
+    }
+    auto const n = it->second.shards.size();
+    auto e = executed_booking{};
+    e.entry = from;
+    e.id = m.id;
+    e.request = r;
+    e.bucket = {
+        service, shard_id{static_cast<std::uint32_t>(hash_name(r.item) % n)}};
+    e.content = content_of(r);
+    e.token = fresh_id<claim_token>(s);
+    e.deadline = now + m.time_left;
+    e.wall_s = m.wall_s;
+    s.executions.emplace(e.token, e);
+    s.buckets[e.bucket].waiting.push_back(e.token);
+    arm(s, e.deadline, exec_due{e.token});
+    pump(s, e.bucket, out);
+}
+
+auto dispatch_booking(node_state& s, shard_entry& shard, claim_token token,
+    time_point now, commands& out) -> bool
+{
+    auto const it = s.executions.find(token);
+    if (it == s.executions.end() || it->second.state != exec_state::dispatching)
+        return true;
+    auto const any = [](target const&)
+    {
+        return true;
+    };
+    auto* t = choose_target(s, shard, now, any);
+    if (t == nullptr)
+        return false;
+    auto wanted = attempt{};
+    wanted.kind = attempt_kind::booking;
+    wanted.token = token;
+    wanted.print = it->second.content;
+    auto const a = start_attempt(s, *t, wanted, now);
+    auto& e = it->second;
+    e.state = exec_state::sent;
+    ++e.attempts;
+    out.push_back(leaf_book{a.over, a.id, e.bucket.shard, e.deadline - now,
+        e.request.key, e.request.text});
+    arm(s, e.deadline + late_answer, cancel_due{a.id});
+    return true;
+}
+
+auto on_booking_end(node_state& s, attempt const& a, attempt_end const& end,
+    time_point now, commands& out) -> void
+{
+    auto const it = s.executions.find(a.token);
+    if (it == s.executions.end() || it->second.state != exec_state::sent)
+        return;
+    auto const not_run = [&]
+    {
+        auto const more = it->second.attempts < max_booking_attempts;
+        if (!more || now >= it->second.deadline || it->second.answered)
+            return settle(s, a.token, booking_not_run{no_target{}}, out);
+        it->second.state = exec_state::dispatching;
+        auto* shard =
+            find_shard(s, it->second.bucket.service, it->second.bucket.shard);
+        if (shard != nullptr)
+            shard->bookings.push_back(a.token);
+    };
+    std::visit(overloaded{[&](ended_booked const& r)
+                   { settle(s, a.token, booking_done{r.reference}, out); },
+                   [&](ended_not_run const&) { not_run(); },
+                   [&](auto const&)
+                   {
+                       close(s, a.token, booking_unknown{});
+                   }},
+        end);
+}
+
+auto on_exec_due(node_state& s, exec_due const& e, time_point, commands& out)
+    -> void
+{
+    auto const it = s.executions.find(e.token);
+    if (it == s.executions.end())
+        return;
+    switch (it->second.state)
+    {
+    case exec_state::claiming:
+        if (!it->second.claim_sent)
+            return close(s, e.token, booking_not_run{platform_unavailable{}});
+        return settle(s, e.token, booking_not_run{platform_unavailable{}}, out);
+    case exec_state::dispatching:
+        return settle(s, e.token, booking_not_run{no_target{}}, out);
+    case exec_state::sent:
+        return answer(s, e.token, booking_unknown{});
+    case exec_state::recording:
+        return;
+    }
+}
+
+auto on_bucket_due(node_state& s, bucket_due const& e, commands& out) -> void
+{
+    pump(s, e.bucket, out);
+}
+
+auto on_claims_stored(node_state& s, claims_stored const& e, time_point now,
+    commands& out) -> void
+{
+    auto& b = s.buckets[e.bucket];
+    b.in_progress = false;
+    b.loaded = true;
+    b.version = e.version;
+    b.claims = e.claims;
+    after_write(s, e.bucket, now, out);
+}
+
+auto on_claims_written(node_state& s, claims_written const& e, time_point now,
+    commands& out) -> void
+{
+    auto& b = s.buckets[e.bucket];
+    b.in_progress = false;
+    b.loaded = true;
+    b.version = e.version;
+    b.claims = std::move(b.writing);
+    b.writing.clear();
+    after_write(s, e.bucket, now, out);
+}
+
+auto on_claims_failed(node_state& s, claims_failed const& e, time_point now)
+    -> void
+{
+    auto& b = s.buckets[e.bucket];
+    b.in_progress = false;
+    b.loaded = false;
+    arm(s, now + s.init.limits.claim_retry, bucket_due{e.bucket});
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/core/deadly.cpp
@@ -0,0 +1,98 @@
+#include "core/deadly.hpp"
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+auto ban(node_state& s, fingerprint print, time_point now, commands& out)
+    -> void
+{
+    auto next = s.suspicions[print];
+    next.banned_until = now + s.init.limits.fingerprint_ban;
+    s.suspicions[print] = next;
+    out.push_back(note{request_banned{print}});
+}
+
+auto expire(node_state& s, time_point now) -> void
+{
+    std::erase_if(s.suspicions,
+        [&](auto const& it)
+        {
+            auto const& v = it.second;
+            return !v.running && now > v.banned_until &&
+                   now - v.since > s.init.limits.fingerprint_ban;
+        });
+}
+
+} // namespace
+
+auto is_banned(node_state const& s, fingerprint print, time_point now) -> bool
+{
+    auto const it = s.suspicions.find(print);
+    return it != s.suspicions.end() && now < it->second.banned_until;
+}
+
+auto is_suspected(node_state const& s, fingerprint print) -> bool
+{
+    return !s.suspicions.empty() && s.suspicions.contains(print);
+}
+
+auto suspect_started(node_state& s, target_entry& t, attempt const& a) -> void
+{
+    t.suspect = a.id;
+    auto next = s.suspicions.at(a.print);
+    next.running = true;
+    s.suspicions.at(a.print) = next;
+}
+
+auto suspect_ended(node_state& s, target_entry& t, attempt const& a) -> bool
+{
+    if (t.suspect != a.id)
+        return false;
+    t.suspect = {};
+    auto const it = s.suspicions.find(a.print);
+    if (it != s.suspicions.end())
+        it->second.running = false;
+    return true;
+}
+
+auto register_suspect(node_state& s, fingerprint print, time_point now) -> void
+{
+    if (is_suspected(s, print))
+        return;
+    expire(s, now);
+    s.suspicions.emplace(print, suspicion{1, false, now, {}});
+}
+
+auto on_death(node_state& s, attempt const& a, bool confirming, time_point now,
+    commands& out) -> void
+{
+    if (!is_suspected(s, a.print))
+        return register_suspect(s, a.print, now);
+    if (!confirming || is_banned(s, a.print, now))
+        return;
+    ban(s, a.print, now, out);
+    for (auto const& [peer, m] : s.members)
+        if (m.state == member_state::alive)
+            post(s, peer, deadly_notice{a.print});
+}
+
+auto absolve(node_state& s, fingerprint print) -> void
+{
+    if (s.suspicions.empty())
+        return;
+    auto const it = s.suspicions.find(print);
+    if (it != s.suspicions.end() && it->second.banned_until == time_point{})
+        s.suspicions.erase(it);
+}
+
+auto on_deadly_notice(node_state& s, deadly_notice const& m, time_point now,
+    commands& out) -> void
+{
+    if (!is_banned(s, m.print, now))
+        ban(s, m.print, now, out);
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/core/deadly.hpp
@@ -0,0 +1,48 @@
+/// Requests that kill targets: found by their fingerprint, then refused.
+///
+/// A request that was running on a target when it died is suspected. A
+/// suspected request runs again only through the primary owner, one attempt
+/// at a time, on a target with no other suspected request. If that target
+/// dies too the request is refused everywhere for a time; if it answers, the
+/// suspicion ends.
+#ifndef KNAPWEEDSTREAM_CORE_DEADLY_HPP
+#define KNAPWEEDSTREAM_CORE_DEADLY_HPP
+
+#include "core/state.hpp"
+
+namespace knapweedstream
+{
+
+/// True while the request is refused.
+auto is_banned(node_state const& s, fingerprint print, time_point now) -> bool;
+
+/// True if a target died while it ran the request.
+auto is_suspected(node_state const& s, fingerprint print) -> bool;
+
+/// Notes that a suspected request was sent to the target.
+auto suspect_started(node_state& s, target_entry& t, attempt const& a) -> void;
+
+/// Notes that an attempt left the target.
+///
+/// @returns True if it was the attempt of a suspected request.
+auto suspect_ended(node_state& s, target_entry& t, attempt const& a) -> bool;
+
+/// Holds a first death against the request.
+auto register_suspect(node_state& s, fingerprint print, time_point now) -> void;
+
+/// A target died while it ran the attempt.
+///
+/// @param[in] confirming The request was suspected when it was sent.
+auto on_death(node_state& s, attempt const& a, bool confirming, time_point now,
+    commands& out) -> void;
+
+/// The request ran without harm.
+auto absolve(node_state& s, fingerprint print) -> void;
+
+/// A peer found a deadly request.
+auto on_deadly_notice(node_state& s, deadly_notice const& m, time_point now,
+    commands& out) -> void;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/core/entry.hpp
@@ -0,0 +1,42 @@
+/// The entry's side of a query: admission, snapshot, owners, coverage, merge.
+#ifndef KNAPWEEDSTREAM_CORE_ENTRY_HPP
+#define KNAPWEEDSTREAM_CORE_ENTRY_HPP
+
+#include "core/state.hpp"
+
+namespace knapweedstream
+{
+
+/// Service of a customer by name; 0 if there is none.
+auto find_service(node_state const& s, std::string_view customer,
+    std::string_view service) -> service_id;
+
+/// First checks of every caller request.
+///
+/// @returns A refusal, or nothing if the request may go on.
+auto admit(node_state const& s, std::string const& customer,
+    std::string const& service, milliseconds deadline)
+    -> std::optional<refusal>;
+
+auto on_caller_query(node_state& s, caller_query const& e, time_point now,
+    commands& out) -> void;
+auto on_caller_gone(
+    node_state& s, caller_gone const& e, time_point now, commands& out) -> void;
+auto on_sub_answer(node_state& s, instance_id from, sub_answer const& m,
+    time_point now, commands& out) -> void;
+
+/// Looks whether an asked owner is still there.
+auto on_owner_due(
+    node_state& s, owner_due const& e, time_point now, commands& out) -> void;
+
+/// The canary shard has been slow: asks the others as well.
+auto on_canary_due(
+    node_state& s, canary_due const& e, time_point now, commands& out) -> void;
+
+/// Time to answer with what there is.
+auto on_query_due(
+    node_state& s, query_due const& e, time_point now, commands& out) -> void;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/core/leaf.cpp
@@ -0,0 +1,521 @@
+#include "core/leaf.hpp"
+
+#include "core/booking_exec.hpp"
+#include "core/deadly.hpp"
+#include "core/owner.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+auto alive_replicas(node_state const& s, shard_entry const& shard,
+    time_point now) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(shard.replicas.begin(),
+        shard.replicas.end(),
+        [&](target_id it) { return !is_out(s.targets.at(it).value, now); }));
+}
+
+auto record_failure(
+    node_state& s, target_entry& t, time_point now, commands& out) -> void
+{
+    auto const* shard = find_shard(s, t.value.service, t.value.shard);
+    auto const spare = shard != nullptr && alive_replicas(s, *shard, now) > 1;
+    auto const before = t.value.ejected_until;
+    t.value = with_failure(
+        t.value, s.init.limits, s.init.policy.ejection && spare, now);
+    if (t.value.ejected_until != before)
+        out.push_back(note{target_ejected{t.value.id}});
+}
+
+/// Learns from what the target says of itself.
+auto apply_report(node_state& s, target_entry& t, target_report const& report,
+    commands& out) -> void
+{
+    auto const before = t.value;
+    t.value = with_report(before, report);
+    auto const restarted =
+        before.boot != boot_id{} && before.boot != report.boot;
+    if (restarted)
+    {
+        out.push_back(note{target_restarted{t.value.id, report.boot}});
+        tell_warmth(s, t.value);
+    }
+    if (before.versions != report.versions ||
+        before.draining != report.draining)
+        refresh_view(s, t.value.service, t.value.shard);
+}
+
+auto release(node_state& s, target_entry& t, attempt const& a, time_point now)
+    -> void
+{
+    t.value.in_flight -= t.value.in_flight > 0 ? 1 : 0;
+    suspect_ended(s, t, a);
+    auto const it = s.connections.find(a.over);
+    if (it != s.connections.end())
+    {
+        auto next = it->second;
+        next.state = connection_state::idle;
+        next.attempt = {};
+        next.last_heard = now;
+        it->second = next;
+        t.idle.push_back(next.id);
+    }
+    s.attempts.erase(a.id);
+}
+
+/// Removes a connection from the tables.
+auto forget(node_state& s, target_entry& t, connection const& c) -> void
+{
+    t.connections -= t.connections > 0 ? 1 : 0;
+    if (c.state == connection_state::opening)
+        t.opening -= t.opening > 0 ? 1 : 0;
+    std::erase(t.idle, c.id);
+    s.connections.erase(c.id);
+}
+
+/// Closes idle connections that have been silent since `since`.
+auto condemn_cohort(
+    node_state& s, target_entry& t, time_point since, commands& out) -> void
+{
+    auto const idle = t.idle;
+    for (auto const id : idle)
+    {
+        auto const c = s.connections.at(id);
+        if (c.last_heard > since)
+            continue;
+        forget(s, t, c);
+        out.push_back(leaf_close{id});
+        ++s.stats.condemned;
+    }
+}
+
+/// Ends an attempt whose connection is of no further use.
+auto drop_connection(
+    node_state& s, target_entry& t, connection const& c, commands& out) -> void
+{
+    if (c.state == connection_state::busy)
+    {
+        t.value.in_flight -= t.value.in_flight > 0 ? 1 : 0;
+        auto const it = s.attempts.find(c.attempt);
+        if (it != s.attempts.end())
+        {
+            suspect_ended(s, t, it->second);
+            s.attempts.erase(it);
+        }
+    }
+    forget(s, t, c);
+    out.push_back(leaf_close{c.id});
+}
+
+auto is_owned(node_state& s, target const& t) -> bool
+{
+    auto const* shard = find_shard(s, t.service, t.shard);
+    return shard != nullptr && shard->owned;
+}
+
+auto is_booking(attempt const& a) -> bool
+{
+    return a.kind == attempt_kind::booking;
+}
+
+/// Hands an outcome to whoever made the attempt.
+auto deliver(node_state& s, attempt const& a, attempt_end const& end,
+    time_point now, commands& out) -> void
+{
+    if (is_booking(a))
+        on_booking_end(s, a, end, now, out);
+    else
+        on_attempt_end(s, a, end, now, out);
+}
+
+/// An answer on a connection that owed another one, or none.
+auto poison(node_state& s, target_entry& t, connection const& c, time_point now,
+    commands& out) -> void
+{
+    ++s.stats.stale_answers;
+    auto const it = s.attempts.find(c.attempt);
+    if (it == s.attempts.end())
+    {
+        drop_connection(s, t, c, out);
+        return;
+    }
+    auto const a = it->second;
+    drop_connection(s, t, c, out);
+    deliver(s, a, ended_broken{}, now, out);
+}
+
+auto is_ours(node_state const& s, attempt const& a, leaf_rows const& rows)
+    -> bool
+{
+    auto const it = s.owned.find(a.part.sub);
+    if (it == s.owned.end())
+        return true;
+    auto const& parts = it->second.parts;
+    return a.part.index < parts.size() &&
+           parts[a.part.index].shard == rows.rows.shard;
+}
+
+auto latency_of(attempt const& a, time_point now) -> double
+{
+    return static_cast<double>((now - a.sent_at).count());
+}
+
+auto record_success(node_state& s, target_entry& t, attempt const& a,
+    time_point now, commands& out) -> void
+{
+    auto const was_warm = std::holds_alternative<warm>(t.value.heat);
+    auto const latency = latency_of(a, now);
+    t.value = with_success(t.value, latency, now);
+    auto const is_warm = std::holds_alternative<warm>(t.value.heat);
+    if (is_warm && !was_warm)
+    {
+        out.push_back(note{target_warmed{t.value.id}});
+        tell_warmth(s, t.value);
+    }
+    auto const it = s.services.find(t.value.service);
+    if (it != s.services.end() && !is_booking(a))
+        it->second.latency = observe(it->second.latency, latency);
+}
+
+auto record_shed(node_state& s, target_entry& t, time_point now) -> void
+{
+    ++s.stats.sheds;
+    auto const was_warm = std::holds_alternative<warm>(t.value.heat);
+    t.value = with_shed(t.value, now);
+    if (was_warm && !std::holds_alternative<warm>(t.value.heat))
+        tell_warmth(s, t.value);
+}
+
+/// Updates the target from an outcome and names the attempt's end.
+auto judge(node_state& s, target_entry& t, attempt const& a,
+    leaf_outcome const& outcome, time_point now, commands& out) -> attempt_end
+{
+    return std::visit(overloaded{[&](leaf_rows const& it) -> attempt_end
+                          {
+                              record_success(s, t, a, now, out);
+                              return ended_rows{it.rows};
+                          },
+                          [&](leaf_booked const& it) -> attempt_end
+                          {
+                              record_success(s, t, a, now, out);
+                              return ended_booked{it.reference};
+                          },
+                          [&](leaf_shed const&) -> attempt_end
+                          {
+                              record_shed(s, t, now);
+                              return ended_not_run{};
+                          },
+                          [&](leaf_wrong_snapshot const&) -> attempt_end
+                          { return ended_wrong_snapshot{}; },
+                          [&](leaf_cancelled const&) -> attempt_end
+                          { return ended_cancelled{}; },
+                          [&](leaf_failed const&) -> attempt_end
+                          {
+                              record_failure(s, t, now, out);
+                              return ended_broken{};
+                          }},
+        outcome);
+}
+
+} // namespace
+
+auto find_shard(node_state& s, service_id service, shard_id shard)
+    -> shard_entry*
+{
+    auto const it = s.services.find(service);
+    if (it == s.services.end() || shard.value >= it->second.shards.size())
+        return nullptr;
+    return &it->second.shards[shard.value];
+}
+
+auto limit_of(node_state const& s, target const& t, shard_entry const& shard,
+    time_point now) -> std::uint32_t
+{
+    if (!s.init.policy.slow_start)
+        return shard.share.concurrency;
+    return concurrency_limit(t, shard.share, now);
+}
+
+auto has_room(node_state const& s, target_entry const& t,
+    shard_entry const& shard, time_point now) -> bool
+{
+    return !t.idle.empty() && !is_out(t.value, now) &&
+           t.value.in_flight < limit_of(s, t.value, shard, now);
+}
+
+auto open_connections(
+    node_state& s, target_id id, time_point now, commands& out) -> void
+{
+    auto const found = s.targets.find(id);
+    if (found == s.targets.end())
+        return;
+    auto& t = found->second;
+    auto const* shard = find_shard(s, t.value.service, t.value.shard);
+    if (shard == nullptr || !shard->owned || t.value.zone_out ||
+        t.value.removed)
+        return;
+    auto const wanted = shard->share.concurrency + 1;
+    if (t.connections >= wanted || t.opening > 0)
+        return;
+    if (now < t.value.open_after)
+    {
+        arm(s, t.value.open_after, reopen_due{id});
+        return;
+    }
+    auto const c = connection{
+        fresh_id<connection_id>(s), id, connection_state::opening, {}, now};
+    s.connections.emplace(c.id, c);
+    ++t.connections;
+    ++t.opening;
+    ++s.stats.connects;
+    out.push_back(leaf_open{c.id, t.value.address});
+    arm(s, now + s.init.limits.connect_timeout, open_due{c.id});
+}
+
+auto close_connections(node_state& s, target_id id, commands& out) -> void
+{
+    auto mine = std::vector<connection>{};
+    for (auto const& [key, c] : s.connections)
+        if (c.to == id && c.state != connection_state::busy)
+            mine.push_back(c);
+    std::sort(mine.begin(), mine.end());
+    auto& t = s.targets.at(id);
+    for (auto const& c : mine)
+        drop_connection(s, t, c, out);
+}
+
+auto start_attempt(node_state& s, target_entry& t, attempt const& wanted,
+    time_point now) -> attempt
+{
+    auto a = wanted;
+    a.id = fresh_id<attempt_id>(s);
+    a.to = t.value.id;
+    a.over = t.idle.back();
+    a.sent_at = now;
+    t.idle.pop_back();
+    ++t.value.in_flight;
+    auto& c = s.connections.at(a.over);
+    c = connection{c.id, c.to, connection_state::busy, a.id, c.last_heard};
+    s.attempts.emplace(a.id, a);
+    ++s.stats.leaf_sent;
+    return a;
+}
+
+auto cancel_attempt(node_state& s, attempt_id id, time_point now, commands& out)
+    -> void
+{
+    auto const it = s.attempts.find(id);
+    if (it == s.attempts.end() || it->second.cancelled)
+        return;
+    it->second.cancelled = true;
+    out.push_back(leaf_cancel{s.targets.at(it->second.to).value.address, id});
+    arm(s, now + s.init.limits.cancel_grace, cancel_due{id});
+}
+
+auto on_leaf_opened(
+    node_state& s, leaf_opened const& e, time_point now, commands& out) -> void
+{
+    auto const it = s.connections.find(e.connection);
+    if (it == s.connections.end())
+    {
+        out.push_back(leaf_close{e.connection});
+        return;
+    }
+    auto next = it->second;
+    next.state = connection_state::idle;
+    next.last_heard = now;
+    it->second = next;
+    auto& t = s.targets.at(next.to);
+    t.opening -= t.opening > 0 ? 1 : 0;
+    t.idle.push_back(next.id);
+    apply_report(s, t, e.report, out);
+    if (auto* shard = find_shard(s, t.value.service, t.value.shard))
+        serve_queue(s, *shard, now, out);
+    open_connections(s, next.to, now, out);
+}
+
+auto on_leaf_closed(
+    node_state& s, leaf_closed const& e, time_point now, commands& out) -> void
+{
+    auto const it = s.connections.find(e.connection);
+    if (it == s.connections.end())
+        return;
+    auto const c = it->second;
+    auto& t = s.targets.at(c.to);
+    auto const lost = s.attempts.find(c.attempt);
+    auto const a = lost == s.attempts.end()
+                       ? std::optional<attempt>{}
+                       : std::optional<attempt>{lost->second};
+    auto const confirming = a && suspect_ended(s, t, *a);
+    if (a)
+    {
+        t.value.in_flight -= t.value.in_flight > 0 ? 1 : 0;
+        s.attempts.erase(a->id);
+    }
+    forget(s, t, c);
+    if (c.state == connection_state::opening)
+        t.value.open_after = now + s.init.limits.connect_backoff;
+    else if (a)
+    {
+        record_failure(s, t, now, out);
+        t.value = with_restart(t.value);
+        tell_warmth(s, t.value);
+    }
+    if (t.connections == 0)
+        t.value.versions.clear();
+    refresh_view(s, t.value.service, t.value.shard);
+    if (a && !e.refused)
+        on_death(s, *a, confirming, now, out);
+    if (a)
+        deliver(s, *a, e.refused ? attempt_end{ended_not_run{}} : ended_lost{},
+            now, out);
+    if (auto* shard = find_shard(s, t.value.service, t.value.shard))
+        review_queue(s, *shard, now, out);
+    open_connections(s, c.to, now, out);
+}
+
+auto on_leaf_answered(node_state& s, leaf_answered const& e, time_point now,
+    commands& out) -> void
+{
+    auto const it = s.connections.find(e.connection);
+    if (it == s.connections.end())
+    {
+        ++s.stats.stale_answers;
+        return;
+    }
+    auto const c = it->second;
+    auto& t = s.targets.at(c.to);
+    apply_report(s, t, e.report, out);
+    auto const found = s.attempts.find(c.attempt);
+    auto const* rows = std::get_if<leaf_rows>(&e.outcome);
+    if (found == s.attempts.end() || e.attempt != c.attempt ||
+        (rows != nullptr && !is_ours(s, found->second, *rows)))
+    {
+        poison(s, t, c, now, out);
+        open_connections(s, c.to, now, out);
+        return;
+    }
+    auto const a = found->second;
+    auto const end = judge(s, t, a, e.outcome, now, out);
+    release(s, t, a, now);
+    if (std::holds_alternative<ended_rows>(end))
+        absolve(s, a.print);
+    deliver(s, a, end, now, out);
+    if (auto* shard = find_shard(s, t.value.service, t.value.shard))
+        serve_queue(s, *shard, now, out);
+    if (!is_owned(s, t.value) || t.value.zone_out || t.value.removed)
+        close_connections(s, t.value.id, out);
+}
+
+auto on_cancel_due(
+    node_state& s, cancel_due const& e, time_point now, commands& out) -> void
+{
+    auto const it = s.attempts.find(e.attempt);
+    if (it == s.attempts.end())
+        return;
+    auto const a = it->second;
+    auto& t = s.targets.at(a.to);
+    auto const c = s.connections.at(a.over);
+    auto const others_work = std::any_of(t.idle.begin(), t.idle.end(),
+        [&](connection_id id)
+        { return s.connections.at(id).last_heard > a.sent_at; });
+    drop_connection(s, t, c, out);
+    ++s.stats.condemned;
+    out.push_back(note{connection_condemned{a.to}});
+    condemn_cohort(s, t, a.sent_at, out);
+    if (!others_work)
+        record_failure(s, t, now, out);
+    if (is_booking(a))
+        deliver(s, a, ended_lost{}, now, out);
+    open_connections(s, a.to, now, out);
+}
+
+auto on_open_due(
+    node_state& s, open_due const& e, time_point now, commands& out) -> void
+{
+    auto const it = s.connections.find(e.connection);
+    if (it == s.connections.end() ||
+        it->second.state != connection_state::opening)
+        return;
+    out.push_back(leaf_close{e.connection});
+    on_leaf_closed(s, {e.connection, true}, now, out);
+}
+
+auto on_warmth(node_state& s, target_warmth const& m, time_point now,
+    commands& out) -> void
+{
+    auto const it = s.targets.find(m.target);
+    if (it == s.targets.end())
+        return;
+    auto& t = it->second;
+    t.value = with_warmth(t.value, m.boot, m.warm);
+    if (auto* shard = find_shard(s, t.value.service, t.value.shard))
+        serve_queue(s, *shard, now, out);
+}
+
+auto tell_warmth(node_state& s, target const& t) -> void
+{
+    auto const* shard = find_shard(s, t.service, t.shard);
+    if (shard == nullptr || !shard->owned)
+        return;
+    auto const is_warm = std::holds_alternative<warm>(t.heat);
+    for (auto const owner : shard->owners)
+        if (owner != s.self)
+            post(s, owner, target_warmth{t.id, t.boot, is_warm});
+}
+
+auto refresh_view(node_state& s, service_id service, shard_id id) -> void
+{
+    auto* shard = find_shard(s, service, id);
+    if (shard == nullptr || !shard->owned)
+        return;
+    auto versions = std::vector<std::uint64_t>{};
+    for (auto const it : shard->replicas)
+    {
+        auto const& t = s.targets.at(it).value;
+        if (!t.zone_out && !t.draining)
+            versions.insert(
+                versions.end(), t.versions.begin(), t.versions.end());
+    }
+    std::sort(versions.begin(), versions.end());
+    versions.erase(
+        std::unique(versions.begin(), versions.end()), versions.end());
+    if (versions == shard->told)
+        return;
+    shard->told = versions;
+    shard->views[s.self] = versions;
+    auto const epoch = s.services.at(service).info.epoch;
+    auto const view = shard_view{service, id, epoch, versions};
+    for (auto const& [peer, m] : s.members)
+        if (m.state == member_state::alive)
+            post(s, peer, shard_views{{view}});
+}
+
+auto serve_queue(
+    node_state& s, shard_entry& shard, time_point now, commands& out) -> void
+{
+    while (!shard.bookings.empty() &&
+           dispatch_booking(s, shard, shard.bookings.front(), now, out))
+        shard.bookings.pop_front();
+    auto skipped = std::deque<part_key>{};
+    while (!shard.queue.empty())
+    {
+        auto const key = shard.queue.front();
+        shard.queue.pop_front();
+        if (dispatch_queued(s, key, now, out))
+            continue;
+        skipped.push_back(key);
+        if (!waits_as_suspect(s, key))
+            break;
+    }
+    shard.queue.insert(shard.queue.begin(), skipped.begin(), skipped.end());
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,372 @@
+#include "core/membership.hpp"
+
+#include "core/config_store.hpp"
+#include "core/leaf.hpp"
+#include "core/owner.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto rtt_multiple = 4.0; ///< Patience in round trips.
+constexpr auto min_share = 2u;     ///< Concurrency worth an owner.
+constexpr auto watchers = 3u;      ///< Instances that watch.
+constexpr auto watch_key = std::uint64_t{0x77617463};
+
+auto make_heartbeat(node_state& s, bool reply, std::uint64_t sequence)
+    -> heartbeat
+{
+    auto self = s.init.self;
+    self.leaving = s.leaving;
+    return {self, s.init.incarnation, sequence, reply, config_digest(s)};
+}
+
+auto probe(node_state& s, instance_id id, time_point now) -> void
+{
+    auto& m = s.members.at(id);
+    m = with_probe(m, now);
+    ++s.stats.heartbeats;
+    post(s, id, make_heartbeat(s, false, ++s.heartbeat_sequence));
+}
+
+auto zone_is_out(node_state const& s, std::string const& zone) -> bool
+{
+    return std::any_of(s.customers.begin(), s.customers.end(),
+        [&](auto const& it)
+        {
+            auto const& out = it.second.config.zones_out;
+            return std::find(out.begin(), out.end(), zone) != out.end();
+        });
+}
+
+/// Instances that may own shards.
+auto owner_candidates(node_state const& s) -> std::vector<rendezvous_node>
+{
+    auto all = std::vector<rendezvous_node>{};
+    auto staying = std::vector<rendezvous_node>{};
+    auto const add = [&](instance_id id, std::string const& zone)
+    {
+        auto const it = rendezvous_node{id, id_of<zone_id>(zone)};
+        all.push_back(it);
+        if (!zone_is_out(s, zone))
+            staying.push_back(it);
+    };
+    add(s.self, s.init.self.zone);
+    for (auto const& [id, m] : s.members)
+        if (takes_work(m))
+            add(id, m.info.zone);
+    return staying.empty() ? all : staying;
+}
+
+/// In-flight requests that all owners together may have on one target.
+auto total_concurrency(target_limits const& limits, node_limits const& node)
+    -> std::uint32_t
+{
+    auto const by_slots = limits.slots * node.queue_depth_per_slot;
+    auto const by_connections = std::max(1u, limits.connections / 4);
+    return std::max(1u, std::min(by_slots, by_connections));
+}
+
+auto owner_count(std::uint32_t total, std::size_t live, node_limits const& node)
+    -> std::uint32_t
+{
+    auto const wanted = std::max(2u, total / min_share);
+    auto const most = std::min<std::size_t>(node.max_owners, live);
+    auto const n = std::min<std::size_t>({wanted, most, total});
+    return static_cast<std::uint32_t>(std::max<std::size_t>(1, n));
+}
+
+auto assign(node_state& s, service_id id, service_entry& service,
+    std::vector<rendezvous_node> const& live, commands& out) -> void
+{
+    auto const total = total_concurrency(service.info.limits, s.init.limits);
+    auto const n = owner_count(total, live.size(), s.init.limits);
+    for (std::uint32_t i = 0; i < service.shards.size(); ++i)
+    {
+        auto& shard = service.shards[i];
+        auto const before = shard.owned;
+        shard.owners = rendezvous(hash_name("shard", id.value + i), live, n);
+        shard.owned = std::find(shard.owners.begin(), shard.owners.end(),
+                          s.self) != shard.owners.end();
+        shard.share.primary = shard.owned && shard.owners.front() == s.self;
+        shard.share.concurrency = std::max(
+            1u, total / static_cast<std::uint32_t>(shard.owners.size()));
+        if (!before || shard.owned)
+            continue;
+        shard.told.clear();
+        for (auto const it : shard.replicas)
+            close_connections(s, it, out);
+    }
+}
+
+auto serve_shards(node_state& s, service_id id, time_point now, commands& out)
+    -> void
+{
+    auto const n = s.services.at(id).shards.size();
+    for (std::uint32_t i = 0; i < n; ++i)
+    {
+        auto& shard = s.services.at(id).shards[i];
+        for (auto const it : shard.replicas)
+            open_connections(s, it, now, out);
+        refresh_view(s, id, shard_id{i});
+        review_queue(s, shard, now, out);
+    }
+}
+
+auto choose_watchers(node_state& s, commands& out) -> void
+{
+    auto const chosen = rendezvous(watch_key, owner_candidates(s), watchers);
+    auto const on =
+        std::find(chosen.begin(), chosen.end(), s.self) != chosen.end();
+    if (on == s.watching)
+        return;
+    s.watching = on;
+    out.push_back(watch_config{on});
+}
+
+/// Brings a peer that has just appeared up to date.
+auto welcome(node_state& s, instance_id id) -> void
+{
+    auto views = shard_views{};
+    for (auto const& [service, entry] : s.services)
+        for (std::uint32_t i = 0; i < entry.shards.size(); ++i)
+        {
+            auto const& shard = entry.shards[i];
+            if (shard.owned && !shard.told.empty())
+                views.views.push_back(
+                    {service, shard_id{i}, entry.info.epoch, shard.told});
+        }
+    std::sort(views.views.begin(), views.views.end());
+    if (!views.views.empty())
+        post(s, id, std::move(views));
+    auto warm_targets = std::vector<target_warmth>{};
+    for (auto const& [key, t] : s.targets)
+        if (std::holds_alternative<warm>(t.value.heat))
+            warm_targets.push_back({key, t.value.boot, true});
+    std::sort(warm_targets.begin(), warm_targets.end());
+    for (auto const& it : warm_targets)
+        post(s, id, it);
+}
+
+auto add_member(node_state& s, instance_info const& info, time_point now,
+    commands& out) -> void
+{
+    auto const id = id_of<instance_id>(info.name);
+    auto m = member{};
+    m.info = info;
+    m.listed_at = now;
+    s.members.emplace(id, m);
+    out.push_back(peer_dial{id, info.peer_address});
+}
+
+auto suspect_member(
+    node_state& s, instance_id id, time_point now, commands& out) -> void
+{
+    auto& m = s.members.at(id);
+    if (m.state == member_state::suspected)
+        return;
+    m = with_silence(m);
+    out.push_back(note{peer_suspected{m.info.name}});
+    rebuild_ownership(s, now, out);
+}
+
+/// Members to probe in this round, least recently probed first.
+auto due_for_probe(node_state const& s) -> std::vector<instance_id>
+{
+    auto ids = std::vector<instance_id>{};
+    for (auto const& [id, m] : s.members)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end(),
+        [&](instance_id a, instance_id b)
+        {
+            auto const& ma = s.members.at(a);
+            auto const& mb = s.members.at(b);
+            return ma.last_probed != mb.last_probed
+                       ? ma.last_probed < mb.last_probed
+                       : a < b;
+        });
+    auto const n =
+        std::min<std::size_t>(ids.size(), s.init.limits.heartbeat_fanout);
+    ids.resize(n);
+    return ids;
+}
+
+} // namespace
+
+auto can_work(node_state const& s, instance_id id) -> bool
+{
+    if (id == s.self)
+        return true;
+    auto const it = s.members.find(id);
+    return it != s.members.end() && takes_work(it->second);
+}
+
+auto in_own_zone(node_state const& s, instance_id id) -> bool
+{
+    auto const it = s.members.find(id);
+    return it != s.members.end() && it->second.info.zone == s.init.self.zone;
+}
+
+auto owner_patience(node_state const& s, instance_id id) -> duration
+{
+    auto const it = s.members.find(id);
+    auto const rtt = it == s.members.end() ? 0.0 : it->second.rtt_us;
+    auto const by_rtt =
+        duration{static_cast<duration::rep>(rtt * rtt_multiple)};
+    return std::max<duration>(s.init.limits.owner_check, by_rtt);
+}
+
+auto probe_if_quiet(node_state& s, instance_id id, time_point now) -> void
+{
+    auto const it = s.members.find(id);
+    if (it == s.members.end())
+        return;
+    auto const& m = it->second;
+    auto const patience = owner_patience(s, id);
+    if (now - m.last_heard > patience && now - m.last_probed > patience)
+        probe(s, id, now);
+}
+
+auto check_peer(node_state& s, instance_id id, time_point now, commands& out)
+    -> bool
+{
+    auto const it = s.members.find(id);
+    if (it == s.members.end() || it->second.state != member_state::alive)
+        return false;
+    auto const patience = owner_patience(s, id);
+    if (is_silent(it->second, patience, now))
+    {
+        suspect_member(s, id, now, out);
+        return false;
+    }
+    if (now - it->second.last_heard > patience)
+        probe_if_quiet(s, id, now);
+    return true;
+}
+
+auto heard_from(node_state& s, instance_id from, time_point now, commands& out)
+    -> void
+{
+    auto const it = s.members.find(from);
+    if (it == s.members.end())
+        return;
+    auto const joined = it->second.state != member_state::alive;
+    it->second = with_heard(it->second, now);
+    if (!joined)
+        return;
+    out.push_back(note{peer_joined{it->second.info.name}});
+    rebuild_ownership(s, now, out);
+    welcome(s, from);
+}
+
+auto on_heartbeat(node_state& s, instance_id from, heartbeat const& m,
+    time_point now, commands& out) -> void
+{
+    if (!s.members.contains(from))
+        add_member(s, m.self, now, out);
+    auto& it = s.members.at(from);
+    auto const restarted =
+        it.incarnation != 0 && it.incarnation != m.incarnation;
+    auto const left = it.info.leaving != m.self.leaving;
+    if (it.info.peer_address != m.self.peer_address)
+        out.push_back(peer_dial{from, m.self.peer_address});
+    if (m.reply)
+        it = with_rtt(it, it.last_probed, now);
+    it.info = m.self;
+    it.incarnation = m.incarnation;
+    heard_from(s, from, now, out);
+    if (left)
+        rebuild_ownership(s, now, out);
+    if (restarted)
+        welcome(s, from);
+    if (!m.reply)
+        post(s, from, make_heartbeat(s, true, m.sequence));
+    if (m.config_digest != config_digest(s))
+        post(s, from, known_configs(s));
+}
+
+auto on_heartbeat_due(node_state& s, time_point now, commands& out) -> void
+{
+    arm(s, now + s.init.limits.heartbeat, heartbeat_due{});
+    auto silent = std::vector<instance_id>{};
+    for (auto const& [id, m] : s.members)
+        if (m.state == member_state::alive &&
+            is_silent(m, s.init.limits.peer_timeout, now))
+            silent.push_back(id);
+    for (auto const id : silent)
+        suspect_member(s, id, now, out);
+    for (auto const id : due_for_probe(s))
+        probe(s, id, now);
+    choose_watchers(s, out);
+}
+
+auto on_instances_listed(node_state& s, instances_listed const& e,
+    time_point now, commands& out) -> void
+{
+    for (auto const& it : e.instances)
+    {
+        auto const id = id_of<instance_id>(it.name);
+        if (id == s.self || it.leaving)
+            continue;
+        auto const known = s.members.find(id);
+        if (known != s.members.end())
+        {
+            known->second.listed_at = now;
+            continue;
+        }
+        add_member(s, it, now, out);
+        probe(s, id, now);
+    }
+    auto const forget_after = seconds{60};
+    auto gone = std::vector<instance_id>{};
+    for (auto const& [id, m] : s.members)
+        if (m.state != member_state::alive &&
+            now - m.listed_at > forget_after &&
+            now - m.last_heard > forget_after)
+            gone.push_back(id);
+    for (auto const id : gone)
+    {
+        s.members.erase(id);
+        s.outbox.erase(id);
+        out.push_back(peer_drop{id});
+    }
+}
+
+auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
+    -> void
+{
+    for (auto const& it : m.views)
+    {
+        auto const found = s.services.find(it.service);
+        if (found == s.services.end() || found->second.info.epoch != it.epoch ||
+            it.shard.value >= found->second.shards.size())
+            continue;
+        found->second.shards[it.shard.value].views[from] = it.versions;
+    }
+}
+
+auto forgive_silence(node_state& s, time_point now) -> void
+{
+    for (auto& [id, m] : s.members)
+        if (m.unanswered_since != time_point{})
+            m.unanswered_since = now;
+}
+
+auto rebuild_ownership(node_state& s, time_point now, commands& out) -> void
+{
+    auto const live = owner_candidates(s);
+    auto ids = std::vector<service_id>{};
+    for (auto& [id, service] : s.services)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    for (auto const id : ids)
+        assign(s, id, s.services.at(id), live, out);
+    for (auto const id : ids)
+        serve_shards(s, id, now, out);
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/core/membership.hpp
@@ -0,0 +1,48 @@
+/// Which instances exist, which of them take work, and who owns what.
+#ifndef KNAPWEEDSTREAM_CORE_MEMBERSHIP_HPP
+#define KNAPWEEDSTREAM_CORE_MEMBERSHIP_HPP
+
+#include "core/state.hpp"
+
+namespace knapweedstream
+{
+
+/// True if the instance may be given new work.
+auto can_work(node_state const& s, instance_id id) -> bool;
+
+/// True if the instance is in this node's availability zone.
+auto in_own_zone(node_state const& s, instance_id id) -> bool;
+
+/// Time an owner gets before it is looked after.
+auto owner_patience(node_state const& s, instance_id id) -> duration;
+
+/// Probes a peer that has not been heard lately.
+auto probe_if_quiet(node_state& s, instance_id id, time_point now) -> void;
+
+/// Looks whether a peer is there; probes it if that is not known.
+///
+/// @returns False if the peer is suspected.
+auto check_peer(node_state& s, instance_id id, time_point now, commands& out)
+    -> bool;
+
+auto on_heartbeat(node_state& s, instance_id from, heartbeat const& m,
+    time_point now, commands& out) -> void;
+auto on_heartbeat_due(node_state& s, time_point now, commands& out) -> void;
+auto on_instances_listed(node_state& s, instances_listed const& e,
+    time_point now, commands& out) -> void;
+auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
+    -> void;
+
+/// Notes that the instance sent something.
+auto heard_from(node_state& s, instance_id from, time_point now, commands& out)
+    -> void;
+
+/// The process was stopped for a while: nobody else is to blame.
+auto forgive_silence(node_state& s, time_point now) -> void;
+
+/// Assigns shards to owners anew after a change of members or configuration.
+auto rebuild_ownership(node_state& s, time_point now, commands& out) -> void;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/core/state.hpp
@@ -0,0 +1,432 @@
+/// The tables of a node. Each entry is a value that its successor replaces.
+#ifndef KNAPWEEDSTREAM_CORE_STATE_HPP
+#define KNAPWEEDSTREAM_CORE_STATE_HPP
+
+#include "core/budget.hpp"
+#include "core/member.hpp"
+#include "core/merge.hpp"
+#include "core/node.hpp"
+#include "core/quantile.hpp"
+#include "core/rendezvous.hpp"
+#include "core/selector.hpp"
+#include "core/target.hpp"
+#include "port/command.hpp"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+namespace knapweedstream
+{
+
+/// Names a sub-query at its owner: run ids are unique within an entry.
+struct sub_key
+{
+    instance_id entry;
+    run_id id;
+
+    auto operator<=>(sub_key const&) const = default;
+};
+
+/// Names a shard of a sub-query by its position.
+struct part_key
+{
+    sub_key sub;
+    std::uint32_t index = 0;
+
+    auto operator<=>(part_key const&) const = default;
+};
+
+} // namespace knapweedstream
+
+template <>
+struct std::hash<knapweedstream::sub_key>
+{
+    auto operator()(knapweedstream::sub_key const& it) const noexcept
+        -> std::size_t
+    {
+        return std::hash<knapweedstream::run_id>{}(it.id) * 31 +
+               std::hash<std::uint64_t>{}(it.entry.value);
+    }
+};
+
+namespace knapweedstream
+{
+
+// What a timer is for. A timer that has become pointless does nothing.
+struct hedge_due
+{
+    part_key part;
+    auto operator<=>(hedge_due const&) const = default;
+};
+struct sub_due
+{
+    sub_key sub;
+    auto operator<=>(sub_due const&) const = default;
+};
+struct cancel_due
+{
+    attempt_id attempt;
+    auto operator<=>(cancel_due const&) const = default;
+};
+struct open_due
+{
+    connection_id connection;
+    auto operator<=>(open_due const&) const = default;
+};
+struct reopen_due
+{
+    target_id target;
+    auto operator<=>(reopen_due const&) const = default;
+};
+struct owner_due
+{
+    run_id run;
+    instance_id owner;
+    auto operator<=>(owner_due const&) const = default;
+};
+struct canary_due
+{
+    run_id run;
+    auto operator<=>(canary_due const&) const = default;
+};
+struct query_due
+{
+    query_id query;
+    auto operator<=>(query_due const&) const = default;
+};
+struct forward_due
+{
+    query_id id;
+    auto operator<=>(forward_due const&) const = default;
+};
+struct exec_due
+{
+    claim_token token;
+    auto operator<=>(exec_due const&) const = default;
+};
+struct bucket_due
+{
+    claim_bucket bucket;
+    auto operator<=>(bucket_due const&) const = default;
+};
+struct heartbeat_due
+{
+    auto operator<=>(heartbeat_due const&) const = default;
+};
+struct drain_due
+{
+    auto operator<=>(drain_due const&) const = default;
+};
+
+using timer = std::variant<hedge_due, sub_due, cancel_due, open_due, reopen_due,
+    owner_due, canary_due, query_due, forward_due, exec_due, bucket_due,
+    heartbeat_due, drain_due>;
+
+/// A timer with its time; `order` keeps equal times in arming order.
+struct timed
+{
+    time_point when;
+    std::uint64_t order = 0;
+    timer what;
+
+    auto operator>(timed const& it) const -> bool
+    {
+        return when != it.when ? when > it.when : order > it.order;
+    }
+};
+
+/// State of a connection to a target.
+enum class connection_state : std::uint8_t
+{
+    opening,
+    idle,
+    busy,
+};
+
+/// A connection to a target.
+struct connection
+{
+    connection_id id;
+    target_id to;
+    connection_state state = connection_state::opening;
+    attempt_id attempt;    ///< If busy.
+    time_point last_heard; ///< Last answer on it.
+
+    auto operator<=>(connection const&) const = default;
+};
+
+/// Why an attempt was made.
+enum class attempt_kind : std::uint8_t
+{
+    primary,
+    hedge,
+    retry,
+    booking,
+};
+
+/// One request to a target.
+struct attempt
+{
+    attempt_id id;
+    part_key part; ///< For a booking: entry and query id.
+    target_id to;
+    connection_id over;
+    attempt_kind kind = attempt_kind::primary;
+    fingerprint print;
+    claim_token token; ///< Of a booking.
+    time_point sent_at;
+    bool cancelled = false;
+
+    auto operator<=>(attempt const&) const = default;
+};
+
+/// How far a shard of a sub-query has come.
+enum class part_state : std::uint8_t
+{
+    queued,  ///< Waits for a connection.
+    running, ///< At least one attempt is out.
+    ended,   ///< Answered or given up.
+};
+
+/// One shard of a sub-query.
+struct part
+{
+    shard_id shard;
+    part_state state = part_state::queued;
+    std::uint32_t attempts = 0;          ///< Made so far.
+    std::array<attempt_id, 2> running{}; ///< Attempts that are out.
+    std::array<target_id, 4> tried{};    ///< Targets asked.
+
+    auto operator<=>(part const&) const = default;
+};
+
+/// A sub-query at its owner.
+struct owned_query
+{
+    sub_query request;
+    time_point deadline;
+    std::uint32_t open_parts = 0;
+    sub_answer pending; ///< Goes out when the turn ends.
+
+    auto operator<=>(owned_query const&) const = default;
+};
+
+/// Table entry of a sub-query: the value, and its parts one by one.
+struct owned_entry
+{
+    owned_query value;
+    std::vector<part> parts;
+    bool flush = false; ///< Stands in the list of answers to send.
+};
+
+/// Shards of a run that one owner was asked for.
+struct assignment
+{
+    instance_id owner;
+    time_point sent_at;
+    std::uint32_t open = 0; ///< Shards not yet answered by this owner.
+
+    auto operator<=>(assignment const&) const = default;
+};
+
+/// One shard of a query at its entry.
+struct entry_shard
+{
+    shard_slot slot;
+    instance_id owner;       ///< Asked now; 0 if nobody is.
+    std::uint32_t asked = 0; ///< Owners asked in this run, as a bit set.
+
+    auto operator<=>(entry_shard const&) const = default;
+};
+
+/// A query at its entry.
+struct entry_query
+{
+    caller_id caller;
+    customer_id customer;
+    service_id service;
+    query_request request;
+    fingerprint print;
+    time_point started;
+    time_point deadline;
+    run_id id;
+    snapshot at;
+    bool canary = false; ///< Only the canary shard has been asked.
+    std::uint32_t canary_tries = 0;
+    std::uint32_t open = 0; ///< Shards neither answered nor given up.
+
+    auto operator<=>(entry_query const&) const = default;
+};
+
+/// Table entry of a query: the value, its shards and the answers so far.
+struct query_entry
+{
+    entry_query value;
+    std::vector<entry_shard> shards;
+    std::vector<assignment> assignments;
+    std::vector<shard_rows> answers;
+};
+
+/// A booking at the instance that the caller reached.
+struct entry_booking
+{
+    caller_id caller;
+    customer_id customer;
+    booking_request request;
+    time_point deadline;
+    instance_id executor;
+    std::uint32_t forwards = 0; ///< Executors that may have it.
+
+    auto operator<=>(entry_booking const&) const = default;
+};
+
+/// How far the executor of a booking has come.
+enum class exec_state : std::uint8_t
+{
+    claiming,    ///< Waits for its claim to be stored.
+    dispatching, ///< Claim stored; waits for a connection.
+    sent,        ///< At a target; never sent again unless told "not run".
+    recording,   ///< Outcome known; waits to be stored.
+};
+
+/// A booking at its executor.
+struct executed_booking
+{
+    instance_id entry;
+    query_id id;
+    booking_request request;
+    claim_bucket bucket;
+    fingerprint content;
+    claim_token token;
+    time_point deadline;
+    std::int64_t wall_s = 0;
+    exec_state state = exec_state::claiming;
+    bool answered = false;   ///< The entry has its answer.
+    bool claim_sent = false; ///< A write with its claim was sent.
+    std::uint32_t attempts = 0;
+    booking_answer outcome; ///< Once known.
+
+    auto operator<=>(executed_booking const&) const = default;
+};
+
+/// Claims of one shard as this executor knows them.
+struct bucket_entry
+{
+    bool loaded = false;      ///< `claims` matches the platform at `version`.
+    bool in_progress = false; ///< A read or write is out.
+    std::uint64_t version = 0;
+    std::vector<claim> claims;
+    std::vector<claim> writing;       ///< Content of the write that is out.
+    std::vector<claim_token> waiting; ///< Bookings that need a commit.
+};
+
+/// A shard of a service as this node sees it.
+struct shard_entry
+{
+    std::vector<target_id> replicas;
+    std::vector<instance_id> owners; ///< By rank; the first is the primary.
+    bool owned = false;              ///< This node is one of them.
+    target_share share;
+    /// Servable index versions, as told by each owner.
+    std::map<instance_id, std::vector<std::uint64_t>> views;
+    std::vector<std::uint64_t> told;  ///< Last told to peers by this node.
+    std::deque<part_key> queue;       ///< Parts waiting for a connection.
+    std::deque<claim_token> bookings; ///< Bookings waiting likewise.
+    selector pick;
+};
+
+/// A service as this node sees it.
+struct service_entry
+{
+    customer_id customer;
+    service_info info;
+    std::vector<shard_entry> shards;
+    quantile_estimate latency;
+    retry_budget budget;
+};
+
+/// A customer and its requests in flight.
+struct customer_entry
+{
+    customer_config config;
+    std::uint32_t open = 0;
+};
+
+/// What is held against a request that targets died with.
+struct suspicion
+{
+    std::uint32_t deaths = 0;
+    bool running = false; ///< One attempt at a time while suspected.
+    time_point since;     ///< First death.
+    time_point banned_until;
+
+    auto operator<=>(suspicion const&) const = default;
+};
+
+/// Connections of one target at this owner.
+struct target_entry
+{
+    target value;
+    std::vector<connection_id> idle;
+    std::uint32_t connections = 0; ///< Opening, idle or busy.
+    std::uint32_t opening = 0;
+    attempt_id suspect; ///< Attempt of a suspected request that runs here.
+};
+
+/// All tables of a node.
+struct node_state
+{
+    node_init init;
+    node_stats stats;
+    random_state random;
+    std::uint64_t next_id = 1;
+    instance_id self;
+    bool leaving = false;
+    bool watching = false;
+    time_point quiet_since;
+    std::uint64_t heartbeat_sequence = 0;
+    time_point armed; ///< Earliest tick asked for.
+
+    std::priority_queue<timed, std::vector<timed>, std::greater<>> timers;
+    std::uint64_t timer_order = 0;
+
+    std::map<instance_id, member> members;
+    std::map<customer_id, customer_entry> customers;
+    std::unordered_map<service_id, service_entry> services;
+    std::unordered_map<target_id, target_entry> targets;
+    std::unordered_map<connection_id, connection> connections;
+    std::unordered_map<attempt_id, attempt> attempts;
+    std::unordered_map<sub_key, owned_entry> owned;
+    std::vector<sub_key> to_flush;
+    std::unordered_map<query_id, query_entry> queries;
+    std::unordered_map<query_id, entry_booking> bookings;
+    std::unordered_map<claim_token, executed_booking> executions;
+    std::unordered_map<claim_bucket, bucket_entry> buckets;
+    std::unordered_map<fingerprint, suspicion> suspicions;
+    std::unordered_map<fingerprint, bool> harmless; ///< Ran before.
+    std::deque<fingerprint> harmless_order;         ///< Oldest first.
+    std::map<instance_id, std::vector<message>> outbox;
+    std::deque<message> loopback; ///< Messages of this node to itself.
+};
+
+/// Arms a timer.
+auto arm(node_state& s, time_point when, timer what) -> void;
+
+/// Queues a message; it goes out when the turn ends.
+auto post(node_state& s, instance_id to, message m) -> void;
+
+/// A handle that no process has used: incarnation and counter, hashed.
+template <class Handle>
+auto fresh_id(node_state& s) -> Handle
+{
+    return Handle{draw_below(s.random, ~std::uint64_t{0} - 1) + 1};
+}
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/port/command.hpp
@@ -0,0 +1,214 @@
+/// What a node asks its adapters to do.
+#ifndef KNAPWEEDSTREAM_PORT_COMMAND_HPP
+#define KNAPWEEDSTREAM_PORT_COMMAND_HPP
+
+#include "port/message.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace knapweedstream
+{
+
+/// Sends a merged answer to its caller.
+struct answer_query
+{
+    caller_id caller;
+    query_answer answer;
+    auto operator<=>(answer_query const&) const = default;
+};
+
+/// Refuses a query; it was not run.
+struct refuse_query
+{
+    caller_id caller;
+    refusal reason;
+    auto operator<=>(refuse_query const&) const = default;
+};
+
+/// Sends the outcome of a booking to its caller.
+struct answer_booking
+{
+    caller_id caller;
+    booking_answer answer;
+    auto operator<=>(answer_booking const&) const = default;
+};
+
+/// Opens and greets a connection to a target.
+struct leaf_open
+{
+    connection_id connection;
+    std::string address;
+    auto operator<=>(leaf_open const&) const = default;
+};
+
+/// Closes a connection.
+struct leaf_close
+{
+    connection_id connection;
+    auto operator<=>(leaf_close const&) const = default;
+};
+
+/// Sends a search to a target on an idle connection.
+struct leaf_search
+{
+    connection_id connection;
+    attempt_id attempt;
+    shard_id shard;
+    snapshot at;
+    duration time_left{0};
+    std::string text;
+    auto operator<=>(leaf_search const&) const = default;
+};
+
+/// Sends a booking to a target on an idle connection.
+struct leaf_book
+{
+    connection_id connection;
+    attempt_id attempt;
+    shard_id shard;
+    duration time_left{0};
+    std::string key;
+    std::string text;
+    auto operator<=>(leaf_book const&) const = default;
+};
+
+/// Asks a target to give up an attempt.
+struct leaf_cancel
+{
+    std::string address;
+    attempt_id attempt;
+    auto operator<=>(leaf_cancel const&) const = default;
+};
+
+/// Sends a batch of messages to another instance.
+struct peer_send
+{
+    instance_id to;
+    std::vector<message> messages;
+    auto operator<=>(peer_send const&) const = default;
+};
+
+/// Makes an instance reachable for `peer_send`.
+struct peer_dial
+{
+    instance_id peer;
+    std::string address;
+    auto operator<=>(peer_dial const&) const = default;
+};
+
+/// Releases what `peer_dial` set up.
+struct peer_drop
+{
+    instance_id peer;
+    auto operator<=>(peer_drop const&) const = default;
+};
+
+/// Reads the claims of a bucket.
+struct claims_read
+{
+    claim_bucket bucket;
+    auto operator<=>(claims_read const&) const = default;
+};
+
+/// Writes the claims of a bucket if its version is still the same.
+struct claims_write
+{
+    claim_bucket bucket;
+    std::uint64_t if_version = 0; ///< 0: only if it does not exist.
+    std::vector<claim> claims;
+    auto operator<=>(claims_write const&) const = default;
+};
+
+/// Starts or ends watching the platform's configuration.
+struct watch_config
+{
+    bool on = false;
+    auto operator<=>(watch_config const&) const = default;
+};
+
+/// Announces that this instance takes no new work.
+struct announce_leaving
+{
+    auto operator<=>(announce_leaving const&) const = default;
+};
+
+/// The instance has finished all its work and may exit.
+struct exit_now
+{
+    auto operator<=>(exit_now const&) const = default;
+};
+
+/// A `tick` is wanted at this time.
+struct wake_at
+{
+    time_point when;
+    auto operator<=>(wake_at const&) const = default;
+};
+
+/// Facts worth a log line.
+struct target_ejected
+{
+    target_id target;
+    auto operator<=>(target_ejected const&) const = default;
+};
+struct target_restarted
+{
+    target_id target;
+    boot_id boot;
+    auto operator<=>(target_restarted const&) const = default;
+};
+struct target_warmed
+{
+    target_id target;
+    auto operator<=>(target_warmed const&) const = default;
+};
+struct connection_condemned
+{
+    target_id target;
+    auto operator<=>(connection_condemned const&) const = default;
+};
+struct peer_joined
+{
+    std::string name;
+    auto operator<=>(peer_joined const&) const = default;
+};
+struct peer_suspected
+{
+    std::string name;
+    auto operator<=>(peer_suspected const&) const = default;
+};
+struct config_accepted
+{
+    std::string customer;
+    std::uint64_t version = 0;
+    auto operator<=>(config_accepted const&) const = default;
+};
+struct request_banned
+{
+    fingerprint print;
+    auto operator<=>(request_banned const&) const = default;
+};
+
+using fact = std::variant<target_ejected, target_restarted, target_warmed,
+    connection_condemned, peer_joined, peer_suspected, config_accepted,
+    request_banned>;
+
+/// Reports a fact to the log.
+struct note
+{
+    fact what;
+    auto operator<=>(note const&) const = default;
+};
+
+using command = std::variant<answer_query, refuse_query, answer_booking,
+    leaf_open, leaf_close, leaf_search, leaf_book, leaf_cancel, peer_send,
+    peer_dial, peer_drop, claims_read, claims_write, watch_config,
+    announce_leaving, exit_now, wake_at, note>;
+
+using commands = std::vector<command>;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/port/event.hpp
@@ -0,0 +1,187 @@
+/// What can happen to a node.
+#ifndef KNAPWEEDSTREAM_PORT_EVENT_HPP
+#define KNAPWEEDSTREAM_PORT_EVENT_HPP
+
+#include "port/message.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace knapweedstream
+{
+
+/// A caller sent a query.
+struct caller_query
+{
+    caller_id caller;
+    query_request request;
+    auto operator<=>(caller_query const&) const = default;
+};
+
+/// A caller sent a booking.
+struct caller_booking
+{
+    caller_id caller;
+    booking_request request;
+    std::int64_t wall_s = 0; ///< Wall clock, seconds since 1970.
+    auto operator<=>(caller_booking const&) const = default;
+};
+
+/// A caller hung up before its answer.
+struct caller_gone
+{
+    caller_id caller;
+    auto operator<=>(caller_gone const&) const = default;
+};
+
+/// What a target says about itself with each answer.
+struct target_report
+{
+    boot_id boot;
+    std::vector<std::uint64_t> versions; ///< Index versions it serves.
+    bool draining = false;
+    auto operator<=>(target_report const&) const = default;
+};
+
+/// A connection to a target stands and was greeted.
+struct leaf_opened
+{
+    connection_id connection;
+    target_report report;
+    auto operator<=>(leaf_opened const&) const = default;
+};
+
+/// A connection was closed, or could not be opened.
+struct leaf_closed
+{
+    connection_id connection;
+    bool refused = false; ///< Nothing had been written to it.
+    auto operator<=>(leaf_closed const&) const = default;
+};
+
+/// Rows of the shard and snapshot stated by the leaf.
+struct leaf_rows
+{
+    shard_rows rows;
+    auto operator<=>(leaf_rows const&) const = default;
+};
+
+/// The leaf ran the booking.
+struct leaf_booked
+{
+    std::string reference;
+    auto operator<=>(leaf_booked const&) const = default;
+};
+
+/// The leaf is overloaded and did not run the request.
+struct leaf_shed
+{
+    auto operator<=>(leaf_shed const&) const = default;
+};
+
+/// The leaf does not serve the wanted snapshot; not run.
+struct leaf_wrong_snapshot
+{
+    auto operator<=>(leaf_wrong_snapshot const&) const = default;
+};
+
+/// The leaf gave up the request because it was cancelled or late.
+struct leaf_cancelled
+{
+    auto operator<=>(leaf_cancelled const&) const = default;
+};
+
+/// The leaf failed; it may have run the request.
+struct leaf_failed
+{
+    std::uint32_t status = 0; ///< HTTP status; 0 if unreadable.
+    auto operator<=>(leaf_failed const&) const = default;
+};
+
+using leaf_outcome = std::variant<leaf_rows, leaf_booked, leaf_shed,
+    leaf_wrong_snapshot, leaf_cancelled, leaf_failed>;
+
+/// A leaf answered on a connection.
+struct leaf_answered
+{
+    connection_id connection;
+    attempt_id attempt; ///< As echoed by the leaf.
+    target_report report;
+    leaf_outcome outcome;
+    auto operator<=>(leaf_answered const&) const = default;
+};
+
+/// A batch of messages from another instance.
+struct peer_received
+{
+    instance_id from;
+    std::vector<message> messages;
+    auto operator<=>(peer_received const&) const = default;
+};
+
+/// A configuration was read from the platform.
+struct config_read
+{
+    customer_config config;
+    auto operator<=>(config_read const&) const = default;
+};
+
+/// The platform's lagging list of instances.
+struct instances_listed
+{
+    std::vector<instance_info> instances;
+    auto operator<=>(instances_listed const&) const = default;
+};
+
+/// The claims of a bucket, as now stored.
+struct claims_stored
+{
+    claim_bucket bucket;
+    std::uint64_t version = 0; ///< 0 if the object does not exist.
+    std::vector<claim> claims;
+    auto operator<=>(claims_stored const&) const = default;
+};
+
+/// A conditional write of claims took effect.
+struct claims_written
+{
+    claim_bucket bucket;
+    std::uint64_t version = 0;
+    auto operator<=>(claims_written const&) const = default;
+};
+
+/// A read or write of claims failed, or its answer was lost.
+struct claims_failed
+{
+    claim_bucket bucket;
+    auto operator<=>(claims_failed const&) const = default;
+};
+
+/// The time asked for by `wake_at` has come.
+struct tick
+{
+    auto operator<=>(tick const&) const = default;
+};
+
+/// All events that were ready have been handled; batches may go out.
+struct turn_ended
+{
+    auto operator<=>(turn_ended const&) const = default;
+};
+
+/// The operator or the platform asks for a graceful stop.
+struct stop_requested
+{
+    auto operator<=>(stop_requested const&) const = default;
+};
+
+using event = std::variant<caller_query, caller_booking, caller_gone,
+    leaf_opened, leaf_closed, leaf_answered, peer_received, config_read,
+    instances_listed, claims_stored, claims_written, claims_failed, tick,
+    turn_ended, stop_requested>;
+
+} // namespace knapweedstream
+
+#endif
