--- /dev/null
+++ b/src/adapter/caller_server.hpp
@@ -0,0 +1,64 @@
+/// HTTP front end for callers, the balancer and operators (libevhtp).
+#ifndef KNAPWEEDSTREAM_ADAPTER_CALLER_SERVER_HPP
+#define KNAPWEEDSTREAM_ADAPTER_CALLER_SERVER_HPP
+
+#include "adapter/json_api.hpp"
+#include "adapter/leaf_client.hpp"
+
+#include <knapweedstream/limits.hpp>
+
+#include <evhtp.h>
+
+#include <unordered_map>
+
+namespace knapweedstream
+{
+
+/// Answers for `/health`, `/metrics` and `/v1/status`.
+struct operator_pages
+{
+    std::function<http_answer()> health;
+    std::function<http_answer()> metrics;
+    std::function<http_answer()> status;
+};
+
+/// Takes caller requests in and their answers out.
+class caller_server
+{
+public:
+    caller_server(event_base* base, node_limits const& limits,
+        event_sink sink, operator_pages pages);
+    ~caller_server();
+    caller_server(caller_server const&) = delete;
+    auto operator=(caller_server const&) -> caller_server& = delete;
+
+    auto start(std::string const& address) -> leaf::result<void>;
+
+    auto run(answer_query const& c) -> void;
+    auto run(refuse_query const& c) -> void;
+    auto run(answer_booking const& c) -> void;
+
+    /// Requests that wait for their answer.
+    auto open() const -> std::size_t { return open_.size(); }
+
+private:
+    static auto on_request(evhtp_request_t* r, void* arg) -> void;
+    static auto on_gone(evhtp_request_t* r, void* arg) -> evhtp_res;
+    auto take(evhtp_request_t* r) -> void;
+    auto take_query(evhtp_request_t* r, std::string_view body) -> void;
+    auto take_booking(evhtp_request_t* r, std::string_view body) -> void;
+    auto hold(evhtp_request_t* r) -> caller_id;
+    auto reply(caller_id id, http_answer const& a) -> void;
+
+    evhtp_t* http_;
+    node_limits limits_;
+    event_sink sink_;
+    operator_pages pages_;
+    std::unordered_map<caller_id, evhtp_request_t*> open_;
+    std::unordered_map<evhtp_request_t*, caller_id> ids_;
+    std::uint64_t next_ = 1;
+};
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/adapter/event_loop.cpp
@@ -0,0 +1,73 @@
+#include "adapter/event_loop.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+auto run(evutil_socket_t, short, void* arg) -> void
+{
+    (*static_cast<loop_event::callback*>(arg))();
+}
+
+} // namespace
+
+auto make_event_base() -> event_base_ptr
+{
+    auto* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    auto base = event_base_ptr{event_base_new_with_config(config)};
+    event_config_free(config);
+    return base;
+}
+
+loop_event::loop_event(event_base* base, callback f)
+    : f_(std::move(f)), event_(event_new(base, -1, 0, run, &f_))
+{
+}
+
+loop_event::loop_event(
+    event_base* base, int fd_or_signal, short what, callback f)
+    : f_(std::move(f)),
+      event_(event_new(base, fd_or_signal,
+          static_cast<short>(what | EV_PERSIST), run, &f_))
+{
+    event_add(event_.get(), nullptr);
+}
+
+auto loop_event::after(duration wait) -> void
+{
+    auto const us = std::max<duration::rep>(0, wait.count());
+    auto const tv = timeval{us / 1'000'000, us % 1'000'000};
+    event_add(event_.get(), &tv);
+}
+
+auto loop_event::soon() -> void { event_active(event_.get(), 0, 0); }
+
+auto present() -> time_point
+{
+    auto const t = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point{std::chrono::duration_cast<duration>(t)};
+}
+
+auto wall_seconds() -> std::int64_t
+{
+    auto const t = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(t).count();
+}
+
+auto split_address(std::string const& address) -> host_port
+{
+    auto const colon = std::min(address.rfind(':'), address.size());
+    auto it = host_port{address.substr(0, colon), 0};
+    if (colon < address.size())
+        std::from_chars(address.data() + colon + 1,
+            address.data() + address.size(), it.port);
+    return it;
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/adapter/json_api.cpp
@@ -0,0 +1,436 @@
+#include "adapter/json_api.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <boost/json.hpp>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+auto parse_object_text(std::string_view text) -> json::object
+{
+    auto ec = json::error_code{};
+    auto v = json::parse(json::string_view{text.data(), text.size()}, ec);
+    return !ec && v.is_object() ? std::move(v.get_object()) : json::object{};
+}
+
+auto text_of(json::object const& o, char const* key) -> std::string
+{
+    auto const* v = o.if_contains(key);
+    return v != nullptr && v->is_string() ? std::string(v->get_string())
+                                          : std::string{};
+}
+
+/// Reads a number if it is there.
+///
+/// @returns False if it is there and not a number in range.
+template <class T>
+auto number_of(json::object const& o, char const* key, T& out) -> bool
+{
+    auto const* v = o.if_contains(key);
+    if (v == nullptr)
+        return true;
+    auto ec = json::error_code{};
+    auto const n = v->to_number<T>(ec);
+    if (ec)
+        return false;
+    out = n;
+    return true;
+}
+
+auto millis_of(json::object const& o, char const* key, milliseconds& out)
+    -> bool
+{
+    auto n = std::int64_t{out.count()};
+    auto const good = number_of(o, key, n) && n >= 0 && n < 1'000'000'000;
+    out = milliseconds{n};
+    return good;
+}
+
+auto list_of(json::object const& o, char const* key) -> json::array
+{
+    auto const* v = o.if_contains(key);
+    return v != nullptr && v->is_array() ? v->get_array() : json::array{};
+}
+
+auto object_of(json::value const& v) -> json::object
+{
+    return v.is_object() ? v.get_object() : json::object{};
+}
+
+auto reason_name(shard_failure it) -> char const*
+{
+    switch (it)
+    {
+    case shard_failure::deadline:
+        return "deadline";
+    case shard_failure::no_replica:
+        return "no_replica";
+    case shard_failure::snapshot:
+        return "snapshot";
+    case shard_failure::failed:
+        return "failed";
+    case shard_failure::refused:
+        return "refused";
+    case shard_failure::not_owner:
+        return "not_owner";
+    case shard_failure::suspected:
+        return "suspected";
+    }
+    return "failed";
+}
+
+auto error_answer(std::uint32_t status, std::string_view code,
+    std::string_view detail) -> http_answer
+{
+    return {status, error_body(code, detail)};
+}
+
+auto limits_to_json(target_limits const& it) -> json::object
+{
+    return {{"slots", it.slots}, {"connections", it.connections},
+        {"cold_concurrency", it.cold_concurrency},
+        {"warmup_ms", it.warmup.count()}};
+}
+
+auto service_to_json(service_info const& it) -> json::object
+{
+    auto targets = json::array{};
+    for (auto const& t : it.targets)
+        targets.push_back(json::object{{"name", t.name},
+            {"address", t.address}, {"zone", t.zone},
+            {"shard", t.shard.value}});
+    return {{"name", it.name}, {"epoch", it.epoch}, {"shards", it.shards},
+        {"deadline_ms", it.deadline.count()},
+        {"limits", limits_to_json(it.limits)},
+        {"targets", std::move(targets)}};
+}
+
+auto parse_target(json::object const& o, target_info& out) -> bool
+{
+    out.name = text_of(o, "name");
+    out.address = text_of(o, "address");
+    out.zone = text_of(o, "zone");
+    return number_of(o, "shard", out.shard.value) && !out.name.empty();
+}
+
+auto parse_limits(json::object const& o, target_limits& out) -> bool
+{
+    return number_of(o, "slots", out.slots) &&
+           number_of(o, "connections", out.connections) &&
+           number_of(o, "cold_concurrency", out.cold_concurrency) &&
+           millis_of(o, "warmup_ms", out.warmup);
+}
+
+auto parse_service(json::object const& o, service_info& out) -> bool
+{
+    constexpr auto max_shards = 100'000u;
+    out.name = text_of(o, "name");
+    auto const* limits = o.if_contains("limits");
+    auto good = !out.name.empty() && number_of(o, "epoch", out.epoch) &&
+                number_of(o, "shards", out.shards) &&
+                millis_of(o, "deadline_ms", out.deadline) &&
+                (limits == nullptr ||
+                    parse_limits(object_of(*limits), out.limits));
+    for (auto const& it : list_of(o, "targets"))
+    {
+        auto t = target_info{};
+        good = good && parse_target(object_of(it), t) &&
+               t.shard.value < out.shards;
+        out.targets.push_back(std::move(t));
+    }
+    return good && out.shards > 0 && out.shards <= max_shards;
+}
+
+auto claim_to_json(claim const& it) -> json::array
+{
+    return {it.key, it.token.value, it.content.value,
+        static_cast<std::uint32_t>(it.state), it.reference, it.claimed_at_s};
+}
+
+auto parse_claim(json::value const& v, claim& out) -> bool
+{
+    auto const* a = v.if_array();
+    if (a == nullptr || a->size() != 6 || !(*a)[0].is_string() ||
+        !(*a)[4].is_string())
+        return false;
+    auto ec = json::error_code{};
+    out.key = std::string((*a)[0].get_string());
+    out.token = {(*a)[1].to_number<std::uint64_t>(ec)};
+    auto bad = ec.failed();
+    out.content = {(*a)[2].to_number<std::uint64_t>(ec)};
+    bad = bad || ec.failed();
+    auto const state = (*a)[3].to_number<std::uint8_t>(ec);
+    bad = bad || ec.failed() || state > 2;
+    out.state = static_cast<claim_state>(state);
+    out.reference = std::string((*a)[4].get_string());
+    out.claimed_at_s = (*a)[5].to_number<std::int64_t>(ec);
+    return !bad && !ec.failed();
+}
+
+auto object_from(json::object const& o, platform_object& out) -> bool
+{
+    out.name = text_of(o, "name");
+    out.value = text_of(o, "value");
+    return number_of(o, "version", out.version) && !out.name.empty();
+}
+
+} // namespace
+
+auto error_body(std::string_view code, std::string_view detail) -> std::string
+{
+    return json::serialize(json::object{
+        {"error", json::string_view{code.data(), code.size()}},
+        {"detail", json::string_view{detail.data(), detail.size()}},
+        {"not_run", true}});
+}
+
+auto parse_query(std::string_view body) -> leaf::result<query_request>
+{
+    auto const o = parse_object_text(body);
+    auto q = query_request{};
+    q.customer = text_of(o, "customer");
+    q.service = text_of(o, "service");
+    q.text = text_of(o, "query");
+    if (o.empty() || !millis_of(o, "deadline_ms", q.deadline) ||
+        !number_of(o, "max_rows", q.max_rows))
+        return leaf::new_error(decode_error{"query"});
+    return q;
+}
+
+auto parse_booking(std::string_view body, std::string_view key)
+    -> leaf::result<booking_request>
+{
+    auto const o = parse_object_text(body);
+    auto r = booking_request{};
+    r.customer = text_of(o, "customer");
+    r.service = text_of(o, "service");
+    r.item = text_of(o, "item");
+    r.text = text_of(o, "text");
+    r.key = std::string(key);
+    if (o.empty() || !millis_of(o, "deadline_ms", r.deadline))
+        return leaf::new_error(decode_error{"booking"});
+    return r;
+}
+
+auto to_http(query_answer const& it) -> http_answer
+{
+    auto missing = json::array{};
+    for (auto const& m : it.covered.missing)
+        missing.push_back(json::object{
+            {"shard", m.shard.value}, {"reason", reason_name(m.reason)}});
+    auto rows = json::array{};
+    for (auto const& r : it.rows)
+        rows.push_back(json::object{{"key", r.key}, {"score", r.score}});
+    auto const body = json::object{
+        {"complete", it.covered.missing.empty()},
+        {"snapshot", json::object{{"epoch", it.at.epoch},
+                         {"index_version", it.at.index_version}}},
+        {"coverage",
+            json::object{{"total", it.covered.total},
+                {"answered", it.covered.answered},
+                {"missing", std::move(missing)}}},
+        {"rows", std::move(rows)}, {"elapsed_us", it.elapsed.count()}};
+    auto const empty = it.covered.answered == 0 && it.covered.total > 0;
+    return {empty ? 504u : 200u, json::serialize(body)};
+}
+
+auto to_http(refusal const& it) -> http_answer
+{
+    return std::visit(
+        overloaded{
+            [](unknown_customer const& e)
+            { return error_answer(404, "unknown_customer", e.name); },
+            [](unknown_service const& e)
+            { return error_answer(404, "unknown_service", e.name); },
+            [](bad_field const& e)
+            {
+                return error_answer(
+                    400, "bad_field", e.field + ": wanted " + e.wanted);
+            },
+            [](over_admission const& e)
+            {
+                return error_answer(429, "over_admission",
+                    "at most " + std::to_string(e.limit) + " at once");
+            },
+            [](over_capacity const&)
+            { return error_answer(503, "over_capacity", "try again"); },
+            [](deadly_request const&)
+            {
+                return error_answer(422, "deadly_request",
+                    "targets died while they ran this request");
+            },
+            [](platform_unavailable const&)
+            {
+                return error_answer(503, "platform_unavailable",
+                    "the claim could not be stored");
+            },
+            [](no_target const&)
+            {
+                return error_answer(
+                    503, "no_target", "no target could take the request");
+            },
+            [](key_reused const&)
+            {
+                return error_answer(409, "key_reused",
+                    "the key was used with other content");
+            }},
+        it);
+}
+
+auto to_http(booking_answer const& it) -> http_answer
+{
+    return std::visit(
+        overloaded{[](booking_done const& e) -> http_answer
+            {
+                return {200, json::serialize(json::object{{"outcome", "done"},
+                                 {"reference", e.reference}})};
+            },
+            [](booking_not_run const& e) { return to_http(e.reason); },
+            [](booking_unknown const&) -> http_answer
+            {
+                return {202,
+                    json::serialize(json::object{{"outcome", "unknown"},
+                        {"detail", "send the same key again to ask"}})};
+            }},
+        it);
+}
+
+auto parse_rows(std::string_view body) -> leaf::result<std::vector<row>>
+{
+    auto const o = parse_object_text(body);
+    auto rows = std::vector<row>{};
+    auto const* list = o.if_contains("rows");
+    if (list == nullptr || !list->is_array())
+        return leaf::new_error(decode_error{"leaf rows"});
+    rows.reserve(list->get_array().size());
+    for (auto const& v : list->get_array())
+    {
+        auto const* r = v.if_object();
+        auto it = row{};
+        if (r == nullptr || !number_of(*r, "score", it.score))
+            return leaf::new_error(decode_error{"leaf row"});
+        it.key = text_of(*r, "key");
+        rows.push_back(std::move(it));
+    }
+    return rows;
+}
+
+auto to_json(customer_config const& it) -> std::string
+{
+    auto zones = json::array{};
+    for (auto const& z : it.zones_out)
+        zones.push_back(json::string(z));
+    auto services = json::array{};
+    for (auto const& s : it.services)
+        services.push_back(service_to_json(s));
+    return json::serialize(json::object{{"name", it.name},
+        {"max_queries", it.max_queries}, {"zones_out", std::move(zones)},
+        {"services", std::move(services)}});
+}
+
+auto parse_customer(std::string_view value, std::uint64_t version)
+    -> leaf::result<customer_config>
+{
+    auto const o = parse_object_text(value);
+    auto c = customer_config{};
+    c.name = text_of(o, "name");
+    c.version = version;
+    auto good = !c.name.empty() && number_of(o, "max_queries", c.max_queries);
+    for (auto const& z : list_of(o, "zones_out"))
+        if (z.is_string())
+            c.zones_out.emplace_back(z.get_string());
+    for (auto const& s : list_of(o, "services"))
+    {
+        auto it = service_info{};
+        good = good && parse_service(object_of(s), it);
+        c.services.push_back(std::move(it));
+    }
+    if (!good)
+        return leaf::new_error(decode_error{"customer"});
+    return c;
+}
+
+auto to_json(instance_info const& it) -> std::string
+{
+    return json::serialize(json::object{{"name", it.name},
+        {"peer_address", it.peer_address}, {"zone", it.zone},
+        {"leaving", it.leaving}});
+}
+
+auto parse_instances(std::string_view body)
+    -> leaf::result<std::vector<instance_info>>
+{
+    auto const o = parse_object_text(body);
+    auto all = std::vector<instance_info>{};
+    if (!o.contains("instances"))
+        return leaf::new_error(decode_error{"instances"});
+    for (auto const& v : list_of(o, "instances"))
+    {
+        auto const i = object_of(v);
+        auto const* leaving = i.if_contains("leaving");
+        all.push_back({text_of(i, "name"), text_of(i, "peer_address"),
+            text_of(i, "zone"),
+            leaving != nullptr && leaving->is_bool() && leaving->get_bool()});
+        if (all.back().name.empty())
+            return leaf::new_error(decode_error{"instance"});
+    }
+    return all;
+}
+
+auto to_json(std::vector<claim> const& it) -> std::string
+{
+    auto list = json::array{};
+    for (auto const& c : it)
+        list.push_back(claim_to_json(c));
+    return json::serialize(list);
+}
+
+auto parse_claims(std::string_view value) -> leaf::result<std::vector<claim>>
+{
+    auto ec = json::error_code{};
+    auto const v =
+        json::parse(json::string_view{value.data(), value.size()}, ec);
+    if (ec || !v.is_array())
+        return leaf::new_error(decode_error{"claims"});
+    auto all = std::vector<claim>{};
+    for (auto const& it : v.get_array())
+    {
+        auto c = claim{};
+        if (!parse_claim(it, c))
+            return leaf::new_error(decode_error{"claim"});
+        all.push_back(std::move(c));
+    }
+    return all;
+}
+
+auto parse_object(std::string_view body) -> leaf::result<platform_object>
+{
+    auto it = platform_object{};
+    if (!object_from(parse_object_text(body), it))
+        return leaf::new_error(decode_error{"platform object"});
+    return it;
+}
+
+auto parse_changes(std::string_view body) -> leaf::result<platform_changes>
+{
+    auto const o = parse_object_text(body);
+    auto c = platform_changes{};
+    if (!o.contains("revision") || !number_of(o, "revision", c.revision))
+        return leaf::new_error(decode_error{"platform changes"});
+    for (auto const& v : list_of(o, "objects"))
+    {
+        auto it = platform_object{};
+        if (!object_from(object_of(v), it))
+            return leaf::new_error(decode_error{"platform object"});
+        c.objects.push_back(std::move(it));
+    }
+    return c;
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/adapter/leaf_client.hpp
@@ -0,0 +1,49 @@
+/// Connections to targets: the leaf protocol over HTTP.
+#ifndef KNAPWEEDSTREAM_ADAPTER_LEAF_CLIENT_HPP
+#define KNAPWEEDSTREAM_ADAPTER_LEAF_CLIENT_HPP
+
+#include "adapter/http_client.hpp"
+#include "port/command.hpp"
+#include "port/event.hpp"
+
+#include <map>
+#include <unordered_map>
+
+namespace knapweedstream
+{
+
+/// Takes events to the node.
+using event_sink = std::function<void(event)>;
+
+/// Carries out commands that concern targets.
+class leaf_client
+{
+public:
+    leaf_client(event_base* base, event_sink sink);
+
+    auto run(leaf_open const& c) -> void;
+    auto run(leaf_close const& c) -> void;
+    auto run(leaf_search const& c) -> void;
+    auto run(leaf_book const& c) -> void;
+    auto run(leaf_cancel const& c) -> void;
+
+    /// Frees what was closed; not to be called from a connection's callback.
+    auto collect() -> void;
+
+private:
+    auto on_hello(connection_id id, http_reply const& r) -> void;
+    auto on_answer(connection_id id, http_reply const& r, bool booking)
+        -> void;
+    auto close(connection_id id, bool refused) -> void;
+
+    event_base* base_;
+    event_sink sink_;
+    std::unordered_map<connection_id, std::unique_ptr<http_connection>>
+        connections_;
+    std::map<std::string, std::unique_ptr<http_connection>> control_;
+    std::vector<std::unique_ptr<http_connection>> closed_;
+};
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/adapter/log.cpp
@@ -0,0 +1,110 @@
+#include "adapter/log.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <iostream>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+namespace trivial = boost::log::trivial;
+
+auto severity_of(log_level level) -> trivial::severity_level
+{
+    switch (level)
+    {
+    case log_level::debug:
+        return trivial::debug;
+    case log_level::info:
+        return trivial::info;
+    case log_level::warning:
+        return trivial::warning;
+    case log_level::error:
+        return trivial::error;
+    }
+    return trivial::info;
+}
+
+template <class Handle>
+auto hex(Handle it) -> std::string
+{
+    char buf[17];
+    std::snprintf(buf, sizeof buf, "%016llx",
+        static_cast<unsigned long long>(it.value));
+    return buf;
+}
+
+} // namespace
+
+auto start_log(log_level least) -> void
+{
+    boost::log::add_common_attributes();
+    boost::log::add_console_log(std::clog,
+        boost::log::keywords::format = "%TimeStamp% %Severity% %Message%",
+        boost::log::keywords::auto_flush = true);
+    boost::log::core::get()->set_filter(
+        trivial::severity >= severity_of(least));
+}
+
+auto log(log_level level, std::string_view part, std::string_view text) -> void
+{
+    BOOST_LOG_STREAM_WITH_PARAMS(trivial::logger::get(),
+        (boost::log::keywords::severity = severity_of(level)))
+        << part << ": " << text;
+}
+
+auto log_fact(fact const& it) -> void
+{
+    std::visit(
+        overloaded{[](target_ejected const& e)
+            {
+                log(log_level::warning, "leaf",
+                    "Target ejected. target=" + hex(e.target));
+            },
+            [](target_restarted const& e)
+            {
+                log(log_level::info, "leaf",
+                    "Target restarted. target=" + hex(e.target) +
+                        " boot=" + hex(e.boot));
+            },
+            [](target_warmed const& e)
+            {
+                log(log_level::info, "leaf",
+                    "Target warm. target=" + hex(e.target));
+            },
+            [](connection_condemned const& e)
+            {
+                log(log_level::warning, "leaf",
+                    "Silent connection closed. target=" + hex(e.target));
+            },
+            [](peer_joined const& e)
+            { log(log_level::info, "peer", "Peer joined. name=" + e.name); },
+            [](peer_suspected const& e)
+            {
+                log(log_level::warning, "peer",
+                    "Peer suspected. name=" + e.name);
+            },
+            [](config_accepted const& e)
+            {
+                log(log_level::info, "config",
+                    "Configuration in force. customer=" + e.customer +
+                        " version=" + std::to_string(e.version));
+            },
+            [](request_banned const& e)
+            {
+                log(log_level::warning, "node",
+                    "Request banned. fingerprint=" + hex(e.print));
+            }},
+        it);
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/adapter/log.hpp
@@ -0,0 +1,28 @@
+/// Logs: one line an event, a fixed prefix for each part, key=value fields.
+#ifndef KNAPWEEDSTREAM_ADAPTER_LOG_HPP
+#define KNAPWEEDSTREAM_ADAPTER_LOG_HPP
+
+#include "adapter/settings.hpp"
+#include "port/command.hpp"
+
+#include <string_view>
+
+namespace knapweedstream
+{
+
+/// Starts logging to standard error.
+auto start_log(log_level least) -> void;
+
+/// Writes a line.
+///
+/// @param[in] part Prefix: `node`, `leaf`, `peer`, `config`, `platform`.
+/// @param[in] text Short sentence and fields.
+auto log(log_level level, std::string_view part, std::string_view text)
+    -> void;
+
+/// Writes the line of a fact that the node reports.
+auto log_fact(fact const& it) -> void;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/adapter/metrics.cpp
@@ -0,0 +1,135 @@
+#include "adapter/metrics.hpp"
+
+#include <array>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+namespace acc = boost::accumulators;
+
+constexpr auto quantiles = std::array{0.5, 0.9, 0.99, 0.999};
+constexpr auto prefix = "knapweedstream_";
+
+auto line(std::string const& name, std::string const& value) -> std::string
+{
+    return prefix + name + " " + value + "\n";
+}
+
+auto counter(char const* name, std::uint64_t value) -> std::string
+{
+    return "# TYPE " + (prefix + std::string{name}) + " counter\n" +
+           line(name, std::to_string(value));
+}
+
+auto gauge(char const* name, std::uint64_t value) -> std::string
+{
+    return "# TYPE " + (prefix + std::string{name}) + " gauge\n" +
+           line(name, std::to_string(value));
+}
+
+auto node_text(node_stats const& s) -> std::string
+{
+    struct entry
+    {
+        char const* name;
+        std::uint64_t node_stats::*member;
+    };
+    static constexpr auto table = std::array{
+        entry{"queries_total", &node_stats::queries},
+        entry{"queries_complete_total", &node_stats::complete},
+        entry{"queries_partial_total", &node_stats::partial},
+        entry{"queries_refused_total", &node_stats::refused},
+        entry{"query_reruns_total", &node_stats::reruns},
+        entry{"leaf_requests_needed_total", &node_stats::leaf_needed},
+        entry{"leaf_requests_sent_total", &node_stats::leaf_sent},
+        entry{"leaf_hedges_total", &node_stats::hedges},
+        entry{"leaf_retries_total", &node_stats::retries},
+        entry{"leaf_sheds_total", &node_stats::sheds},
+        entry{"leaf_stale_answers_total", &node_stats::stale_answers},
+        entry{"leaf_connections_condemned_total", &node_stats::condemned},
+        entry{"leaf_connects_total", &node_stats::connects},
+        entry{"owner_failovers_total", &node_stats::owner_failovers},
+        entry{"bookings_total", &node_stats::bookings},
+        entry{"bookings_done_total", &node_stats::bookings_done},
+        entry{"bookings_not_run_total", &node_stats::bookings_not_run},
+        entry{"bookings_unknown_total", &node_stats::bookings_unknown},
+        entry{"claim_writes_total", &node_stats::claim_writes},
+        entry{"heartbeats_total", &node_stats::heartbeats},
+        entry{"configs_accepted_total", &node_stats::config_accepted}};
+    auto text = std::string{};
+    for (auto const& it : table)
+        text += counter(it.name, s.*it.member);
+    return text;
+}
+
+auto gauges_text(node_gauges const& g) -> std::string
+{
+    return gauge("queries_open", g.queries_open) +
+           gauge("leaf_connections", g.connections) +
+           gauge("peers_alive", g.peers_alive) +
+           gauge("targets_owned", g.targets_owned) +
+           gauge("targets_warm", g.targets_warm) +
+           gauge("ready", g.ready ? 1 : 0) +
+           gauge("leaving", g.leaving ? 1 : 0);
+}
+
+auto traffic_text(process_figures const& f) -> std::string
+{
+    auto text = std::string{};
+    for (std::size_t i = 0; i < f.peer_sent.size(); ++i)
+    {
+        auto const label =
+            std::string{"{kind=\""} + message_name(i) + "\"}";
+        text += line("peer_messages_sent_total" + label,
+            std::to_string(f.peer_sent[i].messages));
+        text += line("peer_bytes_sent_total" + label,
+            std::to_string(f.peer_sent[i].bytes));
+    }
+    return text;
+}
+
+} // namespace
+
+distribution::distribution()
+    : set_(acc::tag::extended_p_square::probabilities = quantiles)
+{
+}
+
+auto distribution::text(std::string const& name) const -> std::string
+{
+    auto out = "# TYPE " + (prefix + name) + " summary\n";
+    if (acc::count(set_) > 0)
+        for (std::size_t i = 0; i < quantiles.size(); ++i)
+        {
+            auto const q = std::to_string(quantiles[i]);
+            auto const v = acc::extended_p_square(set_)[i];
+            out += line(name + "{quantile=\"" + q.substr(0, 5) + "\"}",
+                std::to_string(v));
+        }
+    out += line(name + "_sum", std::to_string(acc::sum(set_)));
+    out += line(name + "_count", std::to_string(acc::count(set_)));
+    return out;
+}
+
+auto metrics_text(node_stats const& stats, node_gauges const& gauges,
+    process_figures const& figures, distribution const& latency,
+    distribution const& coverage) -> std::string
+{
+    return node_text(stats) + gauges_text(gauges) + traffic_text(figures) +
+           counter("peer_bytes_received_total", figures.peer_received_bytes) +
+           counter("peer_batches_dropped_total", figures.peer_dropped) +
+           counter("platform_calls_total", figures.platform_calls) +
+           line("control_cpu_seconds_total",
+               std::to_string(figures.control_cpu_s)) +
+           line(
+               "data_cpu_seconds_total", std::to_string(figures.data_cpu_s)) +
+           line("process_cpu_seconds_total",
+               std::to_string(figures.process_cpu_s)) +
+           gauge("resident_bytes", figures.resident_bytes) +
+           latency.text("query_latency_us") + coverage.text("query_coverage");
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/adapter/metrics.hpp
@@ -0,0 +1,59 @@
+/// Metrics: counters of the node and latency by Boost.Accumulators, in the
+/// Prometheus text format.
+#ifndef KNAPWEEDSTREAM_ADAPTER_METRICS_HPP
+#define KNAPWEEDSTREAM_ADAPTER_METRICS_HPP
+
+#include "adapter/peer_link.hpp"
+#include "core/node.hpp"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <string>
+
+namespace knapweedstream
+{
+
+/// Distribution of a quantity: count, sum, greatest and quantiles.
+class distribution
+{
+public:
+    distribution();
+
+    auto add(double sample) -> void { set_(sample); }
+
+    /// Lines of a summary in the Prometheus text format.
+    auto text(std::string const& name) const -> std::string;
+
+private:
+    using stats = boost::accumulators::stats<boost::accumulators::tag::count,
+        boost::accumulators::tag::sum, boost::accumulators::tag::max,
+        boost::accumulators::tag::extended_p_square>;
+    boost::accumulators::accumulator_set<double, stats> set_;
+};
+
+/// What the adapters know beside the node.
+struct process_figures
+{
+    peer_traffic_table peer_sent{};
+    std::uint64_t peer_received_bytes = 0;
+    std::uint64_t peer_dropped = 0;
+    std::uint64_t platform_calls = 0;
+    double control_cpu_s = 0;  ///< Time spent on control events.
+    double data_cpu_s = 0;     ///< Time spent on requests.
+    double process_cpu_s = 0;
+    std::uint64_t resident_bytes = 0;
+};
+
+/// Text of the scrape page.
+auto metrics_text(node_stats const& stats, node_gauges const& gauges,
+    process_figures const& figures, distribution const& latency,
+    distribution const& coverage) -> std::string;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/adapter/platform_client.cpp
@@ -0,0 +1,196 @@
+#include "adapter/platform_client.hpp"
+
+#include "adapter/json_api.hpp"
+#include "adapter/log.hpp"
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto call_timeout = seconds{2};
+constexpr auto watch_wait = seconds{10};
+constexpr auto watch_timeout = seconds{15};
+constexpr auto list_interval = seconds{2};
+constexpr auto retry_interval = milliseconds{500};
+constexpr auto claim_connections = std::size_t{4};
+
+} // namespace
+
+auto bucket_name(claim_bucket bucket) -> std::string
+{
+    return std::to_string(bucket.service.value) + "-" +
+           std::to_string(bucket.shard.value);
+}
+
+platform_client::platform_client(event_base* base, std::string const& address,
+    instance_info const& self, event_sink sink)
+    : base_(base), address_(address), self_(self), sink_(std::move(sink)),
+      control_(base, address, call_timeout),
+      watching_(base, address, watch_timeout),
+      list_timer_(base, [this] { list_instances(); }),
+      watch_timer_(base, [this] { watch(); }),
+      announce_timer_(base, [this] { announce(self_.leaving); })
+{
+    for (std::size_t i = 0; i < claim_connections; ++i)
+        claims_.push_back(
+            std::make_unique<http_connection>(base, address, call_timeout));
+}
+
+auto platform_client::start() -> void
+{
+    announce(false);
+    list_instances();
+}
+
+auto platform_client::send(http_connection& over, http_request const& r,
+    http_connection::on_reply f) -> void
+{
+    ++calls_;
+    over.send(r, std::move(f));
+}
+
+auto platform_client::announce(bool leaving) -> void
+{
+    self_.leaving = leaving;
+    auto const done = [this](http_reply const& r)
+    {
+        if (r.status() != 200)
+            announce_timer_.after(retry_interval);
+    };
+    send(control_,
+        {EVHTTP_REQ_PUT, "/v1/instances/" + self_.name, {}, to_json(self_)},
+        done);
+}
+
+auto platform_client::list_instances() -> void
+{
+    auto const done = [this](http_reply const& r)
+    {
+        list_timer_.after(r.status() == 200 ? duration{list_interval}
+                                            : duration{retry_interval});
+        if (r.status() != 200)
+            return;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(all, parse_instances(r.body()));
+                sink_(instances_listed{std::move(all)});
+                return {};
+            },
+            [] {
+                log(log_level::error, "platform",
+                    "Instance list unreadable.");
+            });
+    };
+    if (announced_ && !watch_)
+    {
+        list_timer_.after(list_interval);
+        return;
+    }
+    announced_ = true;
+    send(control_, {EVHTTP_REQ_GET, "/v1/instances", {}, {}}, done);
+}
+
+auto platform_client::run(watch_config const& c) -> void
+{
+    watch_ = c.on;
+    watch();
+}
+
+auto platform_client::watch() -> void
+{
+    if (!watch_ || watch_out_)
+        return;
+    watch_out_ = true;
+    auto const wait = milliseconds{watch_wait}.count();
+    send(watching_,
+        {EVHTTP_REQ_GET,
+            "/v1/objects/customer?since=" + std::to_string(revision_) +
+                "&wait_ms=" + std::to_string(revision_ == 0 ? 0 : wait),
+            {}, {}},
+        [this](http_reply const& r) { on_changes(r); });
+}
+
+auto platform_client::on_changes(http_reply const& r) -> void
+{
+    watch_out_ = false;
+    auto const good = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            if (r.status() != 200)
+                return false;
+            BOOST_LEAF_AUTO(changes, parse_changes(r.body()));
+            for (auto const& it : changes.objects)
+            {
+                BOOST_LEAF_AUTO(c, parse_customer(it.value, it.version));
+                sink_(config_read{std::move(c)});
+            }
+            // A revision that fell back belongs to a platform that lost its
+            // history; all objects are read anew.
+            revision_ = changes.revision < revision_ ? 0 : changes.revision;
+            return true;
+        },
+        []
+        {
+            log(log_level::error, "platform", "Configuration unreadable.");
+            return false;
+        });
+    watch_timer_.after(good ? duration{0} : duration{retry_interval});
+}
+
+auto platform_client::connection_for(claim_bucket bucket) -> http_connection&
+{
+    return *claims_[std::hash<claim_bucket>{}(bucket) % claims_.size()];
+}
+
+auto platform_client::on_claims(claim_bucket bucket, http_reply const& r)
+    -> void
+{
+    if (r.status() == 404)
+        return sink_(claims_stored{bucket, 0, {}});
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(object, parse_object(r.body()));
+            BOOST_LEAF_AUTO(claims, parse_claims(object.value));
+            sink_(claims_stored{bucket, object.version, std::move(claims)});
+            return {};
+        },
+        [&] { sink_(claims_failed{bucket}); });
+}
+
+auto platform_client::run(claims_read const& c) -> void
+{
+    send(connection_for(c.bucket),
+        {EVHTTP_REQ_GET, "/v1/objects/claims/" + bucket_name(c.bucket), {},
+            {}},
+        [this, bucket = c.bucket](http_reply const& r)
+        { on_claims(bucket, r); });
+}
+
+auto platform_client::run(claims_write const& c) -> void
+{
+    auto const done = [this, bucket = c.bucket](http_reply const& r)
+    {
+        if (r.status() == 412)
+            return on_claims(bucket, r);
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(object, parse_object(r.body()));
+                sink_(claims_written{bucket, object.version});
+                return {};
+            },
+            [&] { sink_(claims_failed{bucket}); });
+    };
+    send(connection_for(c.bucket),
+        {EVHTTP_REQ_PUT, "/v1/objects/claims/" + bucket_name(c.bucket),
+            {{"If-Match", std::to_string(c.if_version)}}, to_json(c.claims)},
+        done);
+}
+
+auto platform_client::run(announce_leaving const&) -> void { announce(true); }
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/adapter/platform_client.hpp
@@ -0,0 +1,60 @@
+/// The platform's object API: configuration, instances, booking claims.
+#ifndef KNAPWEEDSTREAM_ADAPTER_PLATFORM_CLIENT_HPP
+#define KNAPWEEDSTREAM_ADAPTER_PLATFORM_CLIENT_HPP
+
+#include "adapter/leaf_client.hpp"
+
+namespace knapweedstream
+{
+
+/// Carries out commands that concern the platform.
+class platform_client
+{
+public:
+    platform_client(event_base* base, std::string const& address,
+        instance_info const& self, event_sink sink);
+
+    /// Announces this instance and reads the list of the others.
+    auto start() -> void;
+
+    auto run(claims_read const& c) -> void;
+    auto run(claims_write const& c) -> void;
+    auto run(watch_config const& c) -> void;
+    auto run(announce_leaving const& c) -> void;
+
+    /// Calls made since the start.
+    auto calls() const -> std::uint64_t { return calls_; }
+
+private:
+    auto send(http_connection& over, http_request const& r,
+        http_connection::on_reply f) -> void;
+    auto announce(bool leaving) -> void;
+    auto list_instances() -> void;
+    auto watch() -> void;
+    auto on_changes(http_reply const& r) -> void;
+    auto on_claims(claim_bucket bucket, http_reply const& r) -> void;
+    auto connection_for(claim_bucket bucket) -> http_connection&;
+
+    event_base* base_;
+    std::string address_;
+    instance_info self_;
+    event_sink sink_;
+    http_connection control_;
+    http_connection watching_;
+    std::vector<std::unique_ptr<http_connection>> claims_;
+    loop_event list_timer_;
+    loop_event watch_timer_;
+    loop_event announce_timer_;
+    bool watch_ = false;
+    bool watch_out_ = false;
+    bool announced_ = false;
+    std::uint64_t revision_ = 0;
+    std::uint64_t calls_ = 0;
+};
+
+/// Name of a bucket's object.
+auto bucket_name(claim_bucket bucket) -> std::string;
+
+} // namespace knapweedstream
+
+#endif
--- /dev/null
+++ b/src/app/cli_config.cpp
@@ -0,0 +1,227 @@
+#include "adapter/ini.hpp"
+#include "adapter/json_api.hpp"
+#include "adapter/settings.hpp"
+#include "app/cli_options.hpp"
+#include "app/http_call.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <thread>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr auto call_timeout = seconds{5};
+constexpr auto poll_interval = milliseconds{200};
+constexpr auto undone = 5; ///< Exit code.
+
+auto object_path(std::string const& customer) -> std::string
+{
+    return "/v1/objects/customer/" + customer;
+}
+
+/// The object in the platform; version 0 if there is none.
+auto stored_object(std::string const& platform, std::string const& customer)
+    -> leaf::result<platform_object>
+{
+    BOOST_LEAF_AUTO(reply,
+        call(platform, {EVHTTP_REQ_GET, object_path(customer), {}, {}},
+            call_timeout));
+    if (reply.status == 404)
+        return platform_object{customer, 0, {}};
+    if (reply.status != 200)
+        return leaf::new_error(status_error{reply.status, reply.body});
+    return parse_object(reply.body);
+}
+
+auto lines_of(std::string const& value) -> std::vector<std::string>
+{
+    auto lines = std::vector<std::string>{};
+    auto depth = std::string{};
+    auto line = std::string{};
+    for (auto const c : value)
+    {
+        line += c;
+        if (c != ',' && c != '{' && c != '[')
+            continue;
+        lines.push_back(line);
+        line.clear();
+    }
+    lines.push_back(line);
+    return lines;
+}
+
+/// Fields that went and came, one a line.
+auto diff(std::string const& before, std::string const& after) -> std::string
+{
+    auto a = lines_of(before);
+    auto b = lines_of(after);
+    std::sort(a.begin(), a.end());
+    std::sort(b.begin(), b.end());
+    auto text = std::string{};
+    auto gone = std::vector<std::string>{};
+    auto come = std::vector<std::string>{};
+    std::set_difference(
+        a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(gone));
+    std::set_difference(
+        b.begin(), b.end(), a.begin(), a.end(), std::back_inserter(come));
+    for (auto const& it : gone)
+        text += "- " + it + "\n";
+    for (auto const& it : come)
+        text += "+ " + it + "\n";
+    return text;
+}
+
+/// Writes the object if its version is still the same.
+///
+/// @remarks A lost answer is settled by reading the object back.
+auto store(std::string const& platform, platform_object const& before,
+    std::string const& value) -> leaf::result<std::uint64_t>
+{
+    auto const request = http_request{EVHTTP_REQ_PUT,
+        object_path(before.name),
+        {{"If-Match", std::to_string(before.version)}}, value};
+    auto const read_back = [&]() -> leaf::result<std::uint64_t>
+    {
+        BOOST_LEAF_AUTO(now, stored_object(platform, before.name));
+        if (now.value == value)
+            return now.version;
+        return leaf::new_error(conflict_error{now.version, now.value});
+    };
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<std::uint64_t>
+        {
+            BOOST_LEAF_AUTO(reply, call(platform, request, call_timeout));
+            if (reply.status == 412)
+                return read_back();
+            if (reply.status != 200)
+                return leaf::new_error(
+                    status_error{reply.status, reply.body});
+            BOOST_LEAF_AUTO(object, parse_object(reply.body));
+            return object.version;
+        },
+        [&](http_error const&) { return read_back(); });
+}
+
+/// Version of the customer's configuration at an instance; 0 if none.
+auto version_at(std::string const& address, std::string const& customer)
+    -> leaf::result<std::uint64_t>
+{
+    BOOST_LEAF_AUTO(reply,
+        call(address, {EVHTTP_REQ_GET, "/v1/status", {}, {}}, call_timeout));
+    auto ec = json::error_code{};
+    auto const page = json::parse(reply.body, ec);
+    auto const* o = page.if_object();
+    auto const* list = o == nullptr ? nullptr : o->if_contains("configs");
+    if (ec || list == nullptr || !list->is_array())
+        return leaf::new_error(decode_error{"status"});
+    for (auto const& it : list->get_array())
+        if (it.at("customer").as_string() == json::string_view{customer})
+            return it.at("version").to_number<std::uint64_t>();
+    return 0;
+}
+
+auto print_page(std::string const& address) -> leaf::result<int>
+{
+    BOOST_LEAF_AUTO(reply,
+        call(address, {EVHTTP_REQ_GET, "/v1/status", {}, {}}, call_timeout));
+    std::cout << reply.body << "\n";
+    return 0;
+}
+
+} // namespace
+
+auto apply_template(arguments const& args) -> leaf::result<int>
+{
+    auto options = po::options_description{"options"};
+    options.add_options()("platform", po::value<std::string>()->required(),
+        "address of the platform")("template",
+        po::value<std::string>()->required(), "customer template (INI)")(
+        "if-version", po::value<std::uint64_t>(),
+        "fail unless this version is in the platform")(
+        "dry-run", "show the difference only");
+    BOOST_LEAF_AUTO(v, parse_options(args, "apply", options, "template"));
+    auto const path = text_option(v, "template");
+    auto const platform = text_option(v, "platform");
+    BOOST_LEAF_AUTO(text, read_file(path));
+    BOOST_LEAF_AUTO(config, parse_template(path, text));
+    auto const value = to_json(config);
+    BOOST_LEAF_AUTO(before, stored_object(platform, config.name));
+    if (v.count("if-version") > 0 &&
+        v["if-version"].as<std::uint64_t>() != before.version)
+        return leaf::new_error(conflict_error{before.version, before.value});
+    if (before.value == value)
+    {
+        std::cout << "unchanged customer=" << config.name
+                  << " version=" << before.version << "\n";
+        return 0;
+    }
+    std::cout << diff(before.value, value);
+    if (v.count("dry-run") > 0)
+        return 0;
+    BOOST_LEAF_AUTO(version, store(platform, before, value));
+    std::cout << "accepted customer=" << config.name << " version=" << version
+              << "\n";
+    return 0;
+}
+
+auto show_status(arguments const& args) -> leaf::result<int>
+{
+    using list = std::vector<std::string>;
+    auto options = po::options_description{"options"};
+    options.add_options()("to", po::value<list>()->required(),
+        "addresses of instances, IP:PORT")(
+        "customer", po::value<std::string>(), "customer waited for")(
+        "version", po::value<std::uint64_t>(), "version waited for")(
+        "wait-ms", po::value<std::int64_t>()->default_value(0),
+        "time to wait until it is in force");
+    BOOST_LEAF_AUTO(v, parse_options(args, "status", options, "to"));
+    auto const& addresses = v["to"].as<list>();
+    if (v.count("customer") == 0 || v.count("version") == 0)
+    {
+        for (auto const& it : addresses)
+            BOOST_LEAF_CHECK(print_page(it));
+        return 0;
+    }
+    auto const customer = text_option(v, "customer");
+    auto const wanted = v["version"].as<std::uint64_t>();
+    auto const end =
+        present() + milliseconds{v["wait-ms"].as<std::int64_t>()};
+    while (true)
+    {
+        auto behind = list{};
+        for (auto const& it : addresses)
+        {
+            auto const version = leaf::try_handle_all(
+                [&] { return version_at(it, customer); },
+                [] { return std::uint64_t{0}; });
+            if (version < wanted)
+                behind.push_back(it);
+        }
+        if (behind.empty())
+        {
+            std::cout << "done customer=" << customer
+                      << " version=" << wanted << "\n";
+            return 0;
+        }
+        if (present() >= end)
+        {
+            std::cout << "undone customer=" << customer
+                      << " version=" << wanted;
+            for (auto const& it : behind)
+                std::cout << " behind=" << it;
+            std::cout << "\n";
+            return undone;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/app/cli_run.cpp
@@ -0,0 +1,75 @@
+#include "adapter/ini.hpp"
+#include "adapter/log.hpp"
+#include "app/cli_options.hpp"
+#include "app/runtime.hpp"
+
+#include <iostream>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+auto load_settings(std::string const& path) -> leaf::result<instance_settings>
+{
+    BOOST_LEAF_AUTO(text, read_file(path));
+    return parse_settings(path, text);
+}
+
+} // namespace
+
+auto run_instance(arguments const& args) -> leaf::result<int>
+{
+    auto options = po::options_description{"options"};
+    options.add_options()("settings", po::value<std::string>()->required(),
+        "settings file (INI)");
+    BOOST_LEAF_AUTO(v, parse_options(args, "run", options, "settings"));
+    BOOST_LEAF_AUTO(settings, load_settings(text_option(v, "settings")));
+    start_log(settings.level);
+    auto instance = runtime{settings};
+    BOOST_LEAF_CHECK(instance.run());
+    return 0;
+}
+
+auto check_files(arguments const& args) -> leaf::result<int>
+{
+    using list = std::vector<std::string>;
+    auto options = po::options_description{"options"};
+    options.add_options()("settings", po::value<list>(), "settings file")(
+        "template", po::value<list>(), "customer template");
+    BOOST_LEAF_AUTO(v, parse_options(args, "check", options));
+    if (v.count("settings") + v.count("template") == 0)
+        return leaf::new_error(usage_error{"check --settings or --template"});
+    auto wrong = ini_errors{};
+    auto const check = [&](char const* name, auto parse) -> leaf::result<void>
+    {
+        if (v.count(name) == 0)
+            return {};
+        for (auto const& path : v[name].template as<list>())
+        {
+            BOOST_LEAF_AUTO(text, read_file(path));
+            BOOST_LEAF_CHECK(leaf::try_handle_some(
+                [&]() -> leaf::result<void>
+                {
+                    BOOST_LEAF_CHECK(parse(path, text));
+                    std::cout << path << ": good\n";
+                    return {};
+                },
+                [&](ini_errors const& e) -> leaf::result<void>
+                {
+                    wrong.list.insert(
+                        wrong.list.end(), e.list.begin(), e.list.end());
+                    return {};
+                }));
+        }
+        return {};
+    };
+    BOOST_LEAF_CHECK(check("settings", parse_settings));
+    BOOST_LEAF_CHECK(check("template", parse_template));
+    if (!wrong.list.empty())
+        return leaf::new_error(wrong);
+    return 0;
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,52 @@
+#include "app/cli.hpp"
+
+#include <algorithm>
+#include <iostream>
+
+namespace ks = knapweedstream;
+
+namespace
+{
+
+auto report(ks::failure const& it) -> int
+{
+    std::cerr << "knapweedstream: " << ks::describe(it) << "\n";
+    return ks::exit_code(it);
+}
+
+auto dispatch(std::string const& name, ks::arguments const& args)
+    -> ks::leaf::result<int>
+{
+    auto const& table = ks::subcommands();
+    auto const it = std::find_if(table.begin(), table.end(),
+        [&](ks::subcommand const& s) { return name == s.name; });
+    if (it == table.end())
+        return ks::leaf::new_error(ks::usage_error{ks::help_text()});
+    return it->run(args);
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    auto const all = ks::arguments(argv + 1, argv + argc);
+    auto const name = all.empty() ? std::string{"help"} : all.front();
+    auto const args = all.empty()
+                          ? ks::arguments{}
+                          : ks::arguments(all.begin() + 1, all.end());
+    return ks::leaf::try_handle_all([&] { return dispatch(name, args); },
+        [](ks::ini_errors const& e) { return report(e); },
+        [](ks::file_error const& e) { return report(e); },
+        [](ks::listen_error const& e) { return report(e); },
+        [](ks::address_error const& e) { return report(e); },
+        [](ks::decode_error const& e) { return report(e); },
+        [](ks::http_error const& e) { return report(e); },
+        [](ks::status_error const& e) { return report(e); },
+        [](ks::conflict_error const& e) { return report(e); },
+        [](ks::usage_error const& e) { return report(e); },
+        []
+        {
+            std::cerr << "knapweedstream: failed\n";
+            return 1;
+        });
+}
--- /dev/null
+++ b/tests/standin/leaf.hpp
@@ -0,0 +1,112 @@
+/// Stand-in of a target: shards, index versions, slots, cold start, faults.
+#ifndef KNAPWEEDSTREAM_STANDIN_LEAF_HPP
+#define KNAPWEEDSTREAM_STANDIN_LEAF_HPP
+
+#include "http_server.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace standin
+{
+
+/// What a leaf is like.
+struct leaf_settings
+{
+    std::uint16_t port = 0;
+    std::uint32_t shard = 0;
+    std::uint32_t epoch = 1;
+    std::uint32_t slots = 3;
+    std::uint32_t connections = 30;
+    std::uint32_t queue = 12;            ///< Beyond the slots; then it sheds.
+    ks::duration connect_cost{6'000};
+    ks::duration service{2'000};         ///< Mean service time.
+    double straggle_share = 0;           ///< Requests that straggle.
+    double straggle_factor = 10;
+    std::uint32_t cold_concurrency = 1;
+    ks::milliseconds warmup{0};          ///< 0: starts warm.
+    std::string versions = "1";
+    std::uint64_t seed = 1;
+};
+
+/// A target. Faults are switched by `POST /control?...`: `service_us`,
+/// `straggle_share`, `straggle_factor`, `frozen`, `silent` (connections that
+/// are open now never answer again), `crossed` (answers carry another
+/// request's id), `late` (answers come although cancelled), `versions`,
+/// `epoch`, `draining`, `cold`, `crash_on` (dies on this text), `lie` (health
+/// says good whatever happens), `mute_bookings` (runs, never answers).
+class leaf
+{
+public:
+    leaf(event_base* base, leaf_settings const& settings);
+
+private:
+    struct work
+    {
+        std::uint64_t id;
+        request r;
+        bool booking;
+        std::string text;
+        std::string key;
+        std::uint64_t version;
+        ks::time_point deadline;
+        ks::time_point done;
+    };
+
+    auto start() -> void;
+    auto take(request r) -> void;
+    auto control(request r) -> void;
+    auto counters() const -> std::string;
+    auto accept(request r, bool booking) -> void;
+    auto cancel(request r) -> void;
+    auto run_next() -> void;
+    auto finish(work const& w) -> void;
+    auto refuse(request r, int status, bool not_run) -> void;
+    auto describe(request r, std::string const& id) -> void;
+    auto crash() -> void;
+    auto poll() -> void;
+    auto arm() -> void;
+    auto greet(request r) -> void;
+    auto load() const -> std::size_t { return running_.size() + queue_.size(); }
+    auto is_cold(ks::time_point now) const -> bool;
+    auto cold_budget(ks::time_point now) const -> std::uint32_t;
+    auto serves(std::uint64_t version) const -> bool;
+    auto service_time() -> ks::duration;
+    auto is_silent(request r) const -> bool;
+
+    event_base* base_;
+    leaf_settings settings_;
+    std::mt19937_64 random_;
+    std::uint64_t boot_ = 0;
+    ks::time_point cold_since_;
+    bool frozen_ = false;
+    bool crossed_ = false;
+    bool late_ = false;
+    bool draining_ = false;
+    bool lie_ = false;
+    bool mute_bookings_ = false;
+    std::string crash_on_;
+    std::set<evhttp_connection*> known_;
+    std::set<evhttp_connection*> silent_;
+    std::vector<request> held_;
+    std::vector<std::pair<request, ks::time_point>> hellos_;
+    std::deque<work> queue_;
+    std::vector<work> running_;
+    std::map<std::string, std::uint32_t> ledger_; ///< Runs by booking key.
+    std::uint64_t served_ = 0;
+    std::uint64_t received_ = 0;
+    std::uint64_t cancelled_ = 0;
+    std::uint64_t shed_ = 0;
+    std::uint64_t crashes_ = 0;
+    std::uint64_t over_cold_budget_ = 0;
+    std::unique_ptr<http_server> server_;
+    ks::loop_event timer_;
+    ks::loop_event restart_;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/tests/standin/main.cpp
@@ -0,0 +1,148 @@
+/// The stand-ins in one executable: platform, leafs, load.
+#include "leaf.hpp"
+#include "load.hpp"
+#include "platform.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+using standin::leaf_settings;
+
+auto run_until_stopped(event_base* base) -> int
+{
+    auto const stop = [base] { event_base_loopbreak(base); };
+    auto const term =
+        knapweedstream::loop_event{base, SIGTERM, EV_SIGNAL, stop};
+    auto const interrupt =
+        knapweedstream::loop_event{base, SIGINT, EV_SIGNAL, stop};
+    std::signal(SIGPIPE, SIG_IGN);
+    event_base_dispatch(base);
+    return 0;
+}
+
+auto run_platform(po::variables_map const& v) -> int
+{
+    auto const base = knapweedstream::make_event_base();
+    auto const it = standin::platform{base.get(),
+        {v["port"].as<std::uint16_t>(),
+            knapweedstream::milliseconds{v["lag-ms"].as<int>()}}};
+    return run_until_stopped(base.get());
+}
+
+/// Runs shards x replicas leafs on consecutive ports: shard 0 first.
+auto run_leafs(po::variables_map const& v) -> int
+{
+    auto const base = knapweedstream::make_event_base();
+    auto const shards = v["shards"].as<std::uint32_t>();
+    auto const replicas = v["replicas"].as<std::uint32_t>();
+    auto leafs = std::vector<std::unique_ptr<standin::leaf>>{};
+    for (std::uint32_t i = 0; i < shards * replicas; ++i)
+    {
+        auto s = leaf_settings{};
+        s.port = static_cast<std::uint16_t>(
+            v["port"].as<std::uint16_t>() + i);
+        s.shard = v["first-shard"].as<std::uint32_t>() + i / replicas;
+        s.slots = v["slots"].as<std::uint32_t>();
+        s.connections = v["connections"].as<std::uint32_t>();
+        s.queue = v["queue"].as<std::uint32_t>();
+        s.connect_cost =
+            knapweedstream::duration{v["connect-us"].as<int>()};
+        s.service = knapweedstream::duration{v["service-us"].as<int>()};
+        s.straggle_share = v["straggle-share"].as<double>();
+        s.warmup = knapweedstream::milliseconds{v["warmup-ms"].as<int>()};
+        s.versions = v["versions"].as<std::string>();
+        s.seed = v["seed"].as<std::uint64_t>() + i;
+        leafs.push_back(std::make_unique<standin::leaf>(base.get(), s));
+    }
+    return run_until_stopped(base.get());
+}
+
+auto run_load(po::variables_map const& v) -> int
+{
+    auto s = standin::load_settings{};
+    s.to = v["to"].as<std::vector<std::string>>();
+    s.customer = v["customer"].as<std::string>();
+    s.service = v["service"].as<std::string>();
+    s.rate_per_s = v["rate"].as<double>();
+    s.seconds = v["seconds"].as<double>();
+    s.warmup_s = v["warmup-s"].as<double>();
+    s.deadline_ms = v["deadline-ms"].as<std::uint32_t>();
+    s.distinct = v["distinct"].as<std::uint32_t>();
+    s.seed = v["seed"].as<std::uint64_t>();
+    s.as_json = v.count("json") > 0;
+    return standin::run_load(s);
+}
+
+auto all_options() -> po::options_description
+{
+    using std::string;
+    using std::uint16_t;
+    using std::uint32_t;
+    auto d = po::options_description{"options"};
+    auto add = d.add_options();
+    add("mode", po::value<string>()->required(), "platform, leafs or load");
+    add("port", po::value<uint16_t>()->default_value(0), "first port");
+    add("lag-ms", po::value<int>()->default_value(1000), "list lag");
+    add("shards", po::value<uint32_t>()->default_value(1), "shards");
+    add("replicas", po::value<uint32_t>()->default_value(1), "replicas");
+    add("first-shard", po::value<uint32_t>()->default_value(0), "number");
+    add("slots", po::value<uint32_t>()->default_value(3), "slots");
+    add("connections", po::value<uint32_t>()->default_value(30), "limit");
+    add("queue", po::value<uint32_t>()->default_value(12), "queue bound");
+    add("connect-us", po::value<int>()->default_value(6000), "cost");
+    add("service-us", po::value<int>()->default_value(2000), "mean");
+    add("straggle-share", po::value<double>()->default_value(0), "share");
+    add("warmup-ms", po::value<int>()->default_value(0), "cold time");
+    add("versions", po::value<string>()->default_value("1"), "served");
+    add("seed", po::value<std::uint64_t>()->default_value(1), "seed");
+    add("to", po::value<std::vector<string>>(), "instances");
+    add("customer", po::value<string>()->default_value(""), "customer");
+    add("service", po::value<string>()->default_value(""), "service");
+    add("rate", po::value<double>()->default_value(100), "queries/s");
+    add("seconds", po::value<double>()->default_value(5), "counted time");
+    add("warmup-s", po::value<double>()->default_value(1), "not counted");
+    add("deadline-ms", po::value<uint32_t>()->default_value(200), "ms");
+    add("distinct", po::value<uint32_t>()->default_value(100), "texts");
+    add("json", "print JSON");
+    return d;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    auto const options = all_options();
+    auto bare = po::positional_options_description{};
+    bare.add("mode", 1);
+    auto v = po::variables_map{};
+    try
+    {
+        po::store(po::command_line_parser(argc, argv)
+                      .options(options)
+                      .positional(bare)
+                      .run(),
+            v);
+        po::notify(v);
+    }
+    catch (po::error const& e)
+    {
+        std::cerr << e.what() << "\n" << options;
+        return 2;
+    }
+    auto const mode = v["mode"].as<std::string>();
+    if (mode == "platform")
+        return run_platform(v);
+    if (mode == "leafs")
+        return run_leafs(v);
+    if (mode == "load")
+        return run_load(v);
+    std::cerr << options;
+    return 2;
+}
--- /dev/null
+++ b/tests/standin/platform.cpp
@@ -0,0 +1,193 @@
+#include "platform.hpp"
+
+#include <boost/json.hpp>
+
+#include <event2/bufferevent.h>
+
+namespace standin
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr auto poll_interval = ks::milliseconds{2};
+
+auto object_json(std::string const& name, std::uint64_t version,
+    std::string const& value) -> json::object
+{
+    return {{"name", name}, {"version", version}, {"value", value}};
+}
+
+/// Cuts the connection instead of answering.
+auto cut(request r) -> void
+{
+    auto* connection = r.connection();
+    auto* bev = evhttp_connection_get_bufferevent(connection);
+    bufferevent_disable(bev, EV_READ | EV_WRITE);
+    evhttp_connection_free(connection);
+}
+
+} // namespace
+
+platform::platform(event_base* base, platform_settings const& settings)
+    : base_(base), settings_(settings),
+      server_(base, settings.port, [this](request r) { take(r); }),
+      timer_(base, [this] { poll(); })
+{
+    timer_.after(poll_interval);
+}
+
+auto platform::take(request r) -> void
+{
+    if (r.path() == "/control")
+        return control(r);
+    ++calls_;
+    if (down_)
+        return held_.push_back(r);
+    if (slow_.count() > 0)
+        return delayed_.push_back({r, ks::present() + slow_});
+    serve(r);
+}
+
+auto platform::serve(request r) -> void
+{
+    auto const path = r.path();
+    auto const prefix = std::string{"/v1/objects/"};
+    if (path.starts_with("/v1/instances"))
+        return instances(r);
+    if (!path.starts_with(prefix))
+        return r.reply(404, "{}");
+    auto const rest = path.substr(prefix.size());
+    auto const slash = rest.find('/');
+    auto const kind = rest.substr(0, slash);
+    if (slash == std::string::npos)
+        return changes(r, kind);
+    auto const name = rest.substr(slash + 1);
+    if (r.method() == EVHTTP_REQ_PUT)
+        return write(r, kind, name);
+    read(r, kind, name);
+}
+
+auto platform::control(request r) -> void
+{
+    if (!r.query("down").empty())
+        down_ = r.query("down") == "1";
+    if (!r.query("slow_ms").empty())
+        slow_ = ks::milliseconds{number(r.query("slow_ms"), 0)};
+    if (!r.query("lose").empty())
+        lose_ = number(r.query("lose"), 0u);
+    if (!down_)
+    {
+        auto const held = std::exchange(held_, {});
+        for (auto const& it : held)
+            serve(it);
+    }
+    r.reply(200, json::serialize(json::object{{"calls", calls_},
+                     {"writes", writes_}, {"watches", watches_.size()}}));
+}
+
+auto platform::read(
+    request r, std::string const& kind, std::string const& name) -> void
+{
+    auto const& all = objects_[kind];
+    auto const it = all.find(name);
+    if (it == all.end())
+        return r.reply(404, "{\"error\":\"not_found\"}");
+    r.reply(200, json::serialize(object_json(
+                     name, it->second.version, it->second.value)));
+}
+
+auto platform::write(
+    request r, std::string const& kind, std::string const& name) -> void
+{
+    auto& it = objects_[kind][name];
+    auto const wanted = r.field("If-Match");
+    if (!wanted.empty() && number(wanted, std::uint64_t{0}) != it.version)
+        return r.reply(412,
+            json::serialize(object_json(name, it.version, it.value)));
+    ++writes_;
+    it = object{it.version + 1, ++revision_, r.body()};
+    if (lose_ > 0)
+    {
+        --lose_;
+        return cut(r);
+    }
+    r.reply(200, json::serialize(object_json(name, it.version, it.value)));
+}
+
+auto platform::changes(request r, std::string const& kind) -> void
+{
+    auto const since = number(r.query("since"), std::uint64_t{0});
+    auto const wait = ks::milliseconds{number(r.query("wait_ms"), 0)};
+    watches_.push_back({r, kind, since, ks::present() + wait});
+    poll();
+}
+
+auto platform::answer_changes(
+    request r, std::string const& kind, std::uint64_t since) -> void
+{
+    auto list = json::array{};
+    for (auto const& [name, it] : objects_[kind])
+        if (it.revision > since)
+            list.push_back(object_json(name, it.version, it.value));
+    r.reply(200, json::serialize(json::object{
+                     {"revision", revision_}, {"objects", std::move(list)}}));
+}
+
+auto platform::instances(request r) -> void
+{
+    auto const now = ks::present();
+    auto const prefix = std::string{"/v1/instances/"};
+    if (r.method() == EVHTTP_REQ_PUT)
+    {
+        ++writes_;
+        instances_[r.path().substr(prefix.size())].push_back(
+            {now, r.body()});
+        return r.reply(200, "{}");
+    }
+    auto text = std::string{"{\"instances\":["};
+    auto first = true;
+    for (auto const& [name, history] : instances_)
+    {
+        auto seen = std::string{};
+        for (auto const& it : history)
+            if (now - it.at >= settings_.list_lag)
+                seen = it.value;
+        if (seen.empty())
+            continue;
+        text += (first ? "" : ",") + seen;
+        first = false;
+    }
+    r.reply(200, text + "]}");
+}
+
+auto platform::poll() -> void
+{
+    timer_.after(poll_interval);
+    auto const now = ks::present();
+    while (!delayed_.empty() && delayed_.front().at <= now)
+    {
+        auto const r = delayed_.front().r;
+        delayed_.pop_front();
+        serve(r);
+    }
+    if (down_)
+        return;
+    for (auto it = watches_.begin(); it != watches_.end();)
+    {
+        auto news = false;
+        for (auto const& [name, o] : objects_[it->kind])
+            news = news || o.revision > it->since;
+        if (!news && now < it->until)
+        {
+            ++it;
+            continue;
+        }
+        answer_changes(it->r, it->kind, it->since);
+        it = watches_.erase(it);
+    }
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standin/platform.hpp
@@ -0,0 +1,91 @@
+/// Stand-in of the platform: objects with versions, conditional updates and
+/// watches, and a lagging list of instances.
+#ifndef KNAPWEEDSTREAM_STANDIN_PLATFORM_HPP
+#define KNAPWEEDSTREAM_STANDIN_PLATFORM_HPP
+
+#include "http_server.hpp"
+
+#include <list>
+#include <map>
+#include <memory>
+
+namespace standin
+{
+
+/// Settings of the platform.
+struct platform_settings
+{
+    std::uint16_t port = 0;
+    ks::milliseconds list_lag{1'000}; ///< Age of the instance list.
+};
+
+/// The platform. Faults are switched by `POST /control?...`:
+/// `down=1` holds all calls, `slow_ms=N` delays them, `lose=N` lets the next
+/// N writes take effect and cuts their answers, `replay=1` lets watches answer
+/// with all objects, old versions included.
+class platform
+{
+public:
+    platform(event_base* base, platform_settings const& settings);
+
+private:
+    struct object
+    {
+        std::uint64_t version = 0;
+        std::uint64_t revision = 0;
+        std::string value;
+    };
+
+    struct watch
+    {
+        request r;
+        std::string kind;
+        std::uint64_t since;
+        ks::time_point until;
+    };
+
+    struct delayed
+    {
+        request r;
+        ks::time_point at;
+    };
+
+    struct listed
+    {
+        ks::time_point at;
+        std::string value;
+    };
+
+    auto take(request r) -> void;
+    auto serve(request r) -> void;
+    auto control(request r) -> void;
+    auto read(request r, std::string const& kind, std::string const& name)
+        -> void;
+    auto write(request r, std::string const& kind, std::string const& name)
+        -> void;
+    auto changes(request r, std::string const& kind) -> void;
+    auto answer_changes(request r, std::string const& kind,
+        std::uint64_t since) -> void;
+    auto instances(request r) -> void;
+    auto poll() -> void;
+
+    event_base* base_;
+    platform_settings settings_;
+    std::map<std::string, std::map<std::string, object>> objects_;
+    std::map<std::string, std::vector<listed>> instances_;
+    std::uint64_t revision_ = 1;
+    std::list<watch> watches_;
+    std::list<delayed> delayed_;
+    bool down_ = false;
+    ks::milliseconds slow_{0};
+    std::uint32_t lose_ = 0;
+    std::uint64_t calls_ = 0;
+    std::uint64_t writes_ = 0;
+    std::vector<request> held_;
+    http_server server_;
+    ks::loop_event timer_;
+};
+
+} // namespace standin
+
+#endif
