Owner takes further shards of a run; early ticks no longer stall the loop

Cause: an owner dropped every sub-query after the first of a run, so shards handed on by another owner ended as missing; and a tick that came a little early left no timer armed, so a stop never finished. Ruled out: lost peer messages (the record of events shows them arriving). Change: later sub-queries of a run add their shards; a tick clears what was armed; the sender's id in a batch is encoded as it is decoded.

--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -38,7 +38,7 @@
 auto encode_batch(instance_id from, std::vector<message> const& messages,
     peer_traffic_table& traffic) -> std::string
 {
-    auto text = "[" + std::to_string(from.value) + ",[";
+    auto text = "[" + encode(from) + ",[";
     for (auto const& it : messages)
     {
         auto const before = text.size();
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -169,7 +169,11 @@
             [&](claims_written const& it)
             { on_claims_written(s, it, now, out); },
             [&](claims_failed const& it) { on_claims_failed(s, it, now); },
-            [&](tick const&) { run_timers(s, now, out); },
+            [&](tick const&)
+            {
+                s.armed = {};
+                run_timers(s, now, out);
+            },
             [&](turn_ended const&) { end_turn(s, now, out); },
             [&](stop_requested const&)
             {
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -288,25 +288,28 @@
     time_point now, commands& out) -> void
 {
     auto const key = sub_key{from, q.id};
-    if (s.owned.contains(key))
-        return;
-    auto e = owned_entry{};
-    e.value.request = q;
-    e.value.deadline = now + q.time_left;
-    e.value.pending.id = q.id;
-    e.value.open_parts = static_cast<std::uint32_t>(q.shards.size());
-    for (auto const it : q.shards)
+    auto const [it, fresh] = s.owned.try_emplace(key);
+    auto& e = it->second;
+    if (fresh)
+    {
+        e.value.request = q;
+        e.value.deadline = now + q.time_left;
+        e.value.pending.id = q.id;
+        arm(s, e.value.deadline, sub_due{key});
+    }
+    auto const first = static_cast<std::uint32_t>(e.parts.size());
+    for (auto const id : q.shards)
     {
         auto p = part{};
-        p.shard = it;
+        p.shard = id;
         e.parts.push_back(p);
+        ++e.value.open_parts;
     }
-    s.owned.emplace(key, std::move(e));
-    arm(s, now + q.time_left, sub_due{key});
     if (q.suspected)
         register_suspect(s, q.print, now);
     auto const banned = is_banned(s, q.print, now);
-    for (std::uint32_t i = 0; i < q.shards.size(); ++i)
+    auto const last = static_cast<std::uint32_t>(e.parts.size());
+    for (auto i = first; i < last; ++i)
         if (banned)
             fail_part(s, {key, i}, shard_failure::refused, now, out);
         else
