--- a/src/adapter/caller_server.cpp
+++ b/src/adapter/caller_server.cpp
@@ -24,8 +24,8 @@
 
 auto send(evhtp_request_t* r, http_answer const& a, char const* type) -> void
 {
-    evhtp_headers_add_header(r->headers_out,
-        evhtp_header_new("Content-Type", type, 0, 0));
+    evhtp_headers_add_header(
+        r->headers_out, evhtp_header_new("Content-Type", type, 0, 0));
     evbuffer_add(r->buffer_out, a.body.data(), a.body.size());
     evhtp_send_reply(r, static_cast<evhtp_res>(a.status));
 }
@@ -44,8 +44,8 @@
 
 caller_server::caller_server(event_base* base, node_limits const& limits,
     event_sink sink, operator_pages pages)
-    : http_(evhtp_new(base, nullptr)), limits_(limits),
-      sink_(std::move(sink)), pages_(std::move(pages))
+    : http_(evhtp_new(base, nullptr)), limits_(limits), sink_(std::move(sink)),
+      pages_(std::move(pages))
 {
     evhtp_set_gencb(http_, on_request, this);
     evhtp_set_max_body_size(http_, limits_.max_body_bytes);
@@ -115,10 +115,8 @@
             sink_(caller_query{id, std::move(q)});
             return {};
         },
-        [&]
-        {
-            send(r, bad_request("not the JSON of a query"),
-                "application/json");
+        [&] {
+            send(r, bad_request("not the JSON of a query"), "application/json");
         });
 }
 
@@ -134,8 +132,7 @@
             sink_(caller_booking{id, std::move(b), wall_seconds()});
             return {};
         },
-        [&]
-        {
+        [&] {
             send(r, bad_request("not the JSON of a booking"),
                 "application/json");
         });
--- a/src/adapter/caller_server.hpp
+++ b/src/adapter/caller_server.hpp
@@ -26,8 +26,8 @@
 class caller_server
 {
 public:
-    caller_server(event_base* base, node_limits const& limits,
-        event_sink sink, operator_pages pages);
+    caller_server(event_base* base, node_limits const& limits, event_sink sink,
+        operator_pages pages);
     ~caller_server();
     caller_server(caller_server const&) = delete;
     auto operator=(caller_server const&) -> caller_server& = delete;
--- a/src/adapter/error.cpp
+++ b/src/adapter/error.cpp
@@ -33,20 +33,14 @@
             [](file_error const& e) { return "cannot open file " + e.path; },
             [](listen_error const& e)
             {
-                return "cannot listen on " + e.address + " for " +
-                       e.used_for + ": is the port taken?";
+                return "cannot listen on " + e.address + " for " + e.used_for +
+                       ": is the port taken?";
             },
             [](address_error const& e)
-            {
-                return "not an IP number and port: " + e.address;
-            },
+            { return "not an IP number and port: " + e.address; },
             [](decode_error const& e) { return "cannot decode " + e.what; },
-            [](http_error const& e)
-            {
-                return "no answer from " + e.address;
-            },
-            [](status_error const& e)
-            {
+            [](http_error const& e) { return "no answer from " + e.address; },
+            [](status_error const& e) {
                 return "HTTP status " + std::to_string(e.status) + ": " +
                        e.body;
             },
@@ -55,7 +49,10 @@
                 return "changed by somebody else; version " +
                        std::to_string(e.version) + " won:\n" + e.value;
             },
-            [](usage_error const& e) { return "usage: " + e.wanted; }},
+            [](usage_error const& e)
+            {
+                return "usage: " + e.wanted;
+            }},
         it);
 }
 
@@ -66,7 +63,10 @@
                           [](address_error const&) { return 2; },
                           [](conflict_error const&) { return 3; },
                           [](http_error const&) { return 4; },
-                          [](auto const&) { return 1; }},
+                          [](auto const&)
+                          {
+                              return 1;
+                          }},
         it);
 }
 
--- a/src/adapter/error.hpp
+++ b/src/adapter/error.hpp
@@ -91,9 +91,9 @@
     auto operator<=>(usage_error const&) const = default;
 };
 
-using failure = std::variant<ini_errors, file_error, listen_error,
-    address_error, decode_error, http_error, status_error, conflict_error,
-    usage_error>;
+using failure =
+    std::variant<ini_errors, file_error, listen_error, address_error,
+        decode_error, http_error, status_error, conflict_error, usage_error>;
 
 /// Text of a failure, for the command line and the log.
 auto describe(failure const& it) -> std::string;
--- a/src/adapter/event_loop.cpp
+++ b/src/adapter/event_loop.cpp
@@ -32,9 +32,8 @@
 
 loop_event::loop_event(
     event_base* base, int fd_or_signal, short what, callback f)
-    : f_(std::move(f)),
-      event_(event_new(base, fd_or_signal,
-          static_cast<short>(what | EV_PERSIST), run, &f_))
+    : f_(std::move(f)), event_(event_new(base, fd_or_signal,
+                            static_cast<short>(what | EV_PERSIST), run, &f_))
 {
     event_add(event_.get(), nullptr);
 }
@@ -46,7 +45,10 @@
     event_add(event_.get(), &tv);
 }
 
-auto loop_event::soon() -> void { event_active(event_.get(), 0, 0); }
+auto loop_event::soon() -> void
+{
+    event_active(event_.get(), 0, 0);
+}
 
 auto present() -> time_point
 {
--- a/src/adapter/http_client.cpp
+++ b/src/adapter/http_client.cpp
@@ -24,10 +24,9 @@
 
 auto http_reply::status() const -> std::uint32_t
 {
-    return raw_ == nullptr
-               ? 0
-               : static_cast<std::uint32_t>(
-                     evhttp_request_get_response_code(raw_));
+    return raw_ == nullptr ? 0
+                           : static_cast<std::uint32_t>(
+                                 evhttp_request_get_response_code(raw_));
 }
 
 auto http_reply::field(char const* name) const -> std::string_view
@@ -47,8 +46,7 @@
     auto const n = evbuffer_get_length(buf);
     auto const* data = evbuffer_pullup(buf, -1);
     return n == 0 ? std::string_view{}
-                  : std::string_view{
-                        reinterpret_cast<char const*>(data), n};
+                  : std::string_view{reinterpret_cast<char const*>(data), n};
 }
 
 http_connection::http_connection(event_base* base, std::string const& address,
@@ -57,8 +55,7 @@
 {
     auto const to = split_address(address);
     host_ = address;
-    raw_ = evhttp_connection_base_new(
-        base, nullptr, to.host.c_str(), to.port);
+    raw_ = evhttp_connection_base_new(base, nullptr, to.host.c_str(), to.port);
     auto const us = timeout.count();
     auto const tv = timeval{us / 1'000'000, us % 1'000'000};
     evhttp_connection_set_timeout_tv(raw_, &tv);
@@ -90,8 +87,8 @@
     auto* self = p->owner;
     if (self == nullptr)
         return;
-    auto const it = std::find_if(self->pending_.begin(),
-        self->pending_.end(), [&](auto const& q) { return q.get() == p; });
+    auto const it = std::find_if(self->pending_.begin(), self->pending_.end(),
+        [&](auto const& q) { return q.get() == p; });
     auto const kept = std::move(*it);
     self->pending_.erase(it);
     kept->f(http_reply{raw});
--- a/src/adapter/ini.cpp
+++ b/src/adapter/ini.cpp
@@ -78,9 +78,8 @@
     for (auto const& [name, section] : tree)
     {
         if (section.empty() && !section.data().empty())
-            return leaf::new_error(ini_errors{{{path,
-                find_line(text, "", name), "", name,
-                "a section before the first key"}}});
+            return leaf::new_error(ini_errors{{{path, find_line(text, "", name),
+                "", name, "a section before the first key"}}});
         auto it = ini_section{name, find_line(text, name, ""), {}};
         for (auto const& [key, value] : section)
             it.values.push_back(
@@ -93,10 +92,10 @@
 auto read_file(std::string const& path) -> leaf::result<std::string>
 {
     auto in = std::ifstream{path, std::ios::binary};
-    auto text = std::ostringstream{};
-    if (!in || !(text << in.rdbuf()))
+    auto const text = std::string{std::istreambuf_iterator<char>{in}, {}};
+    if (!in.is_open() || in.bad())
         return leaf::new_error(file_error{path});
-    return text.str();
+    return text;
 }
 
 auto read_u32(std::string const& text, std::uint32_t& out) -> bool
--- a/src/adapter/ini.hpp
+++ b/src/adapter/ini.hpp
@@ -69,8 +69,8 @@
 /// Fills a value from a section; adds what is wrong to `errors`.
 template <class T>
 auto fill(ini_file const& file, ini_section const& section,
-    std::vector<ini_key<T>> const& keys, T& out,
-    std::vector<ini_error>& errors) -> void
+    std::vector<ini_key<T>> const& keys, T& out, std::vector<ini_error>& errors)
+    -> void
 {
     for (auto const& it : section.values)
     {
@@ -84,9 +84,9 @@
     }
     for (auto const& k : keys)
     {
-        auto const there = std::any_of(section.values.begin(),
-            section.values.end(),
-            [&](ini_value const& it) { return it.key == k.name; });
+        auto const there =
+            std::any_of(section.values.begin(), section.values.end(),
+                [&](ini_value const& it) { return it.key == k.name; });
         if (k.required && !there)
             errors.push_back({file.path, section.line, section.name,
                 std::string(k.name), std::string(k.wanted)});
--- a/src/adapter/json_api.cpp
+++ b/src/adapter/json_api.cpp
@@ -102,13 +102,11 @@
 {
     auto targets = json::array{};
     for (auto const& t : it.targets)
-        targets.push_back(json::object{{"name", t.name},
-            {"address", t.address}, {"zone", t.zone},
-            {"shard", t.shard.value}});
+        targets.push_back(json::object{{"name", t.name}, {"address", t.address},
+            {"zone", t.zone}, {"shard", t.shard.value}});
     return {{"name", it.name}, {"epoch", it.epoch}, {"shards", it.shards},
         {"deadline_ms", it.deadline.count()},
-        {"limits", limits_to_json(it.limits)},
-        {"targets", std::move(targets)}};
+        {"limits", limits_to_json(it.limits)}, {"targets", std::move(targets)}};
 }
 
 auto parse_target(json::object const& o, target_info& out) -> bool
@@ -132,11 +130,11 @@
     constexpr auto max_shards = 100'000u;
     out.name = text_of(o, "name");
     auto const* limits = o.if_contains("limits");
-    auto good = !out.name.empty() && number_of(o, "epoch", out.epoch) &&
-                number_of(o, "shards", out.shards) &&
-                millis_of(o, "deadline_ms", out.deadline) &&
-                (limits == nullptr ||
-                    parse_limits(object_of(*limits), out.limits));
+    auto good =
+        !out.name.empty() && number_of(o, "epoch", out.epoch) &&
+        number_of(o, "shards", out.shards) &&
+        millis_of(o, "deadline_ms", out.deadline) &&
+        (limits == nullptr || parse_limits(object_of(*limits), out.limits));
     for (auto const& it : list_of(o, "targets"))
     {
         auto t = target_info{};
@@ -184,10 +182,10 @@
 
 auto error_body(std::string_view code, std::string_view detail) -> std::string
 {
-    return json::serialize(json::object{
-        {"error", json::string_view{code.data(), code.size()}},
-        {"detail", json::string_view{detail.data(), detail.size()}},
-        {"not_run", true}});
+    return json::serialize(
+        json::object{{"error", json::string_view{code.data(), code.size()}},
+            {"detail", json::string_view{detail.data(), detail.size()}},
+            {"not_run", true}});
 }
 
 auto parse_query(std::string_view body) -> leaf::result<query_request>
@@ -227,14 +225,12 @@
     auto rows = json::array{};
     for (auto const& r : it.rows)
         rows.push_back(json::object{{"key", r.key}, {"score", r.score}});
-    auto const body = json::object{
-        {"complete", it.covered.missing.empty()},
+    auto const body = json::object{{"complete", it.covered.missing.empty()},
         {"snapshot", json::object{{"epoch", it.at.epoch},
                          {"index_version", it.at.index_version}}},
-        {"coverage",
-            json::object{{"total", it.covered.total},
-                {"answered", it.covered.answered},
-                {"missing", std::move(missing)}}},
+        {"coverage", json::object{{"total", it.covered.total},
+                         {"answered", it.covered.answered},
+                         {"missing", std::move(missing)}}},
         {"rows", std::move(rows)}, {"elapsed_us", it.elapsed.count()}};
     auto const empty = it.covered.answered == 0 && it.covered.total > 0;
     return {empty ? 504u : 200u, json::serialize(body)};
@@ -243,13 +239,11 @@
 auto to_http(refusal const& it) -> http_answer
 {
     return std::visit(
-        overloaded{
-            [](unknown_customer const& e)
+        overloaded{[](unknown_customer const& e)
             { return error_answer(404, "unknown_customer", e.name); },
             [](unknown_service const& e)
             { return error_answer(404, "unknown_service", e.name); },
-            [](bad_field const& e)
-            {
+            [](bad_field const& e) {
                 return error_answer(
                     400, "bad_field", e.field + ": wanted " + e.wanted);
             },
@@ -270,15 +264,14 @@
                 return error_answer(503, "platform_unavailable",
                     "the claim could not be stored");
             },
-            [](no_target const&)
-            {
+            [](no_target const&) {
                 return error_answer(
                     503, "no_target", "no target could take the request");
             },
             [](key_reused const&)
             {
-                return error_answer(409, "key_reused",
-                    "the key was used with other content");
+                return error_answer(
+                    409, "key_reused", "the key was used with other content");
             }},
         it);
 }
@@ -294,9 +287,9 @@
             [](booking_not_run const& e) { return to_http(e.reason); },
             [](booking_unknown const&) -> http_answer
             {
-                return {202,
-                    json::serialize(json::object{{"outcome", "unknown"},
-                        {"detail", "send the same key again to ask"}})};
+                return {
+                    202, json::serialize(json::object{{"outcome", "unknown"},
+                             {"detail", "send the same key again to ask"}})};
             }},
         it);
 }
@@ -358,9 +351,9 @@
 
 auto to_json(instance_info const& it) -> std::string
 {
-    return json::serialize(json::object{{"name", it.name},
-        {"peer_address", it.peer_address}, {"zone", it.zone},
-        {"leaving", it.leaving}});
+    return json::serialize(
+        json::object{{"name", it.name}, {"peer_address", it.peer_address},
+            {"zone", it.zone}, {"leaving", it.leaving}});
 }
 
 auto parse_instances(std::string_view body)
--- a/src/adapter/json_api.hpp
+++ b/src/adapter/json_api.hpp
@@ -64,8 +64,7 @@
 auto parse_changes(std::string_view body) -> leaf::result<platform_changes>;
 
 /// Error body: `{"error": code, "detail": text, "not_run": true}`.
-auto error_body(std::string_view code, std::string_view detail)
-    -> std::string;
+auto error_body(std::string_view code, std::string_view detail) -> std::string;
 
 } // namespace knapweedstream
 
--- a/src/adapter/leaf_client.cpp
+++ b/src/adapter/leaf_client.cpp
@@ -89,8 +89,8 @@
 auto leaf_client::run(leaf_open const& c) -> void
 {
     auto const id = c.connection;
-    auto it = std::make_unique<http_connection>(base_, c.address,
-        request_timeout, [this, id] { close(id, false); });
+    auto it = std::make_unique<http_connection>(
+        base_, c.address, request_timeout, [this, id] { close(id, false); });
     auto& stored = *connections_.emplace(id, std::move(it)).first->second;
     stored.send({EVHTTP_REQ_GET, "/v1/hello", {}, {}},
         [this, id](http_reply const& r) { on_hello(id, r); });
@@ -127,13 +127,12 @@
     auto const it = connections_.find(c.connection);
     if (it == connections_.end())
         return;
-    it->second->send(
-        {EVHTTP_REQ_POST, "/v1/book",
-            {{"X-Request-Id", std::to_string(c.attempt.value)},
-                {"X-Deadline-Ms", deadline_ms(c.time_left)},
-                {"X-Shard", std::to_string(c.shard.value)},
-                {"Idempotency-Key", c.key}},
-            c.text},
+    it->second->send({EVHTTP_REQ_POST, "/v1/book",
+                         {{"X-Request-Id", std::to_string(c.attempt.value)},
+                             {"X-Deadline-Ms", deadline_ms(c.time_left)},
+                             {"X-Shard", std::to_string(c.shard.value)},
+                             {"Idempotency-Key", c.key}},
+                         c.text},
         [this, id = c.connection](http_reply const& r)
         { on_answer(id, r, true); });
 }
@@ -145,12 +144,14 @@
         control = std::make_unique<http_connection>(
             base_, c.address, control_timeout);
     control->send({EVHTTP_REQ_POST, "/v1/cancel",
-                      {{"X-Request-Id", std::to_string(c.attempt.value)}},
-                      {}},
+                      {{"X-Request-Id", std::to_string(c.attempt.value)}}, {}},
         [](http_reply const&) {});
 }
 
-auto leaf_client::collect() -> void { closed_.clear(); }
+auto leaf_client::collect() -> void
+{
+    closed_.clear();
+}
 
 auto leaf_client::on_hello(connection_id id, http_reply const& r) -> void
 {
@@ -160,8 +161,8 @@
         close(id, true);
 }
 
-auto leaf_client::on_answer(
-    connection_id id, http_reply const& r, bool booking) -> void
+auto leaf_client::on_answer(connection_id id, http_reply const& r, bool booking)
+    -> void
 {
     if (r.status() == 0)
         return close(id, false);
--- a/src/adapter/leaf_client.hpp
+++ b/src/adapter/leaf_client.hpp
@@ -32,8 +32,7 @@
 
 private:
     auto on_hello(connection_id id, http_reply const& r) -> void;
-    auto on_answer(connection_id id, http_reply const& r, bool booking)
-        -> void;
+    auto on_answer(connection_id id, http_reply const& r, bool booking) -> void;
     auto close(connection_id id, bool refused) -> void;
 
     event_base* base_;
--- a/src/adapter/log.cpp
+++ b/src/adapter/log.cpp
@@ -38,8 +38,8 @@
 auto hex(Handle it) -> std::string
 {
     char buf[17];
-    std::snprintf(buf, sizeof buf, "%016llx",
-        static_cast<unsigned long long>(it.value));
+    std::snprintf(
+        buf, sizeof buf, "%016llx", static_cast<unsigned long long>(it.value));
     return buf;
 }
 
@@ -65,19 +65,17 @@
 auto log_fact(fact const& it) -> void
 {
     std::visit(
-        overloaded{[](target_ejected const& e)
-            {
-                log(log_level::warning, "leaf",
-                    "Target ejected. target=" + hex(e.target));
-            },
+        overloaded{[](target_ejected const& e) {
+                       log(log_level::warning, "leaf",
+                           "Target ejected. target=" + hex(e.target));
+                   },
             [](target_restarted const& e)
             {
                 log(log_level::info, "leaf",
                     "Target restarted. target=" + hex(e.target) +
                         " boot=" + hex(e.boot));
             },
-            [](target_warmed const& e)
-            {
+            [](target_warmed const& e) {
                 log(log_level::info, "leaf",
                     "Target warm. target=" + hex(e.target));
             },
@@ -88,8 +86,7 @@
             },
             [](peer_joined const& e)
             { log(log_level::info, "peer", "Peer joined. name=" + e.name); },
-            [](peer_suspected const& e)
-            {
+            [](peer_suspected const& e) {
                 log(log_level::warning, "peer",
                     "Peer suspected. name=" + e.name);
             },
--- a/src/adapter/log.hpp
+++ b/src/adapter/log.hpp
@@ -17,8 +17,7 @@
 ///
 /// @param[in] part Prefix: `node`, `leaf`, `peer`, `config`, `platform`.
 /// @param[in] text Short sentence and fields.
-auto log(log_level level, std::string_view part, std::string_view text)
-    -> void;
+auto log(log_level level, std::string_view part, std::string_view text) -> void;
 
 /// Writes the line of a fact that the node reports.
 auto log_fact(fact const& it) -> void;
--- a/src/adapter/metrics.hpp
+++ b/src/adapter/metrics.hpp
@@ -43,8 +43,8 @@
     std::uint64_t peer_received_bytes = 0;
     std::uint64_t peer_dropped = 0;
     std::uint64_t platform_calls = 0;
-    double control_cpu_s = 0;  ///< Time spent on control events.
-    double data_cpu_s = 0;     ///< Time spent on requests.
+    double control_cpu_s = 0; ///< Time spent on control events.
+    double data_cpu_s = 0;    ///< Time spent on requests.
     double process_cpu_s = 0;
     std::uint64_t resident_bytes = 0;
 };
--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -29,8 +29,8 @@
 {
     static constexpr auto names = std::array{"sub_query", "sub_answer",
         "sub_cancel", "heartbeat", "shard_views", "target_warmth",
-        "deadly_notice", "booking_forward", "booking_result",
-        "config_update", "config_request"};
+        "deadly_notice", "booking_forward", "booking_result", "config_update",
+        "config_request", "peer_suspicion"};
     static_assert(names.size() == std::variant_size_v<message>);
     return names[index];
 }
@@ -73,8 +73,8 @@
         nng_listen(in_, url.c_str(), nullptr, 0) != 0 ||
         nng_socket_get_int(in_, NNG_OPT_RECVFD, &fd) != 0)
         return leaf::new_error(listen_error{self_.peer_address, "peers"});
-    readable_ = std::make_unique<loop_event>(
-        base_, fd, EV_READ, [this] { receive(); });
+    readable_ =
+        std::make_unique<loop_event>(base_, fd, EV_READ, [this] { receive(); });
     return {};
 }
 
--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -80,8 +80,7 @@
                 return {};
             },
             [] {
-                log(log_level::error, "platform",
-                    "Instance list unreadable.");
+                log(log_level::error, "platform", "Instance list unreadable.");
             });
     };
     if (announced_ && !watch_)
@@ -164,8 +163,7 @@
 auto platform_client::run(claims_read const& c) -> void
 {
     send(connection_for(c.bucket),
-        {EVHTTP_REQ_GET, "/v1/objects/claims/" + bucket_name(c.bucket), {},
-            {}},
+        {EVHTTP_REQ_GET, "/v1/objects/claims/" + bucket_name(c.bucket), {}, {}},
         [this, bucket = c.bucket](http_reply const& r)
         { on_claims(bucket, r); });
 }
@@ -191,6 +189,9 @@
         done);
 }
 
-auto platform_client::run(announce_leaving const&) -> void { announce(true); }
+auto platform_client::run(announce_leaving const&) -> void
+{
+    announce(true);
+}
 
 } // namespace knapweedstream
--- a/src/adapter/recorder.cpp
+++ b/src/adapter/recorder.cpp
@@ -46,6 +46,9 @@
     return decode<recorded_event>(line, "recorded event");
 }
 
-auto command_text(command const& it) -> std::string { return encode(it); }
+auto command_text(command const& it) -> std::string
+{
+    return encode(it);
+}
 
 } // namespace knapweedstream
--- a/src/adapter/recorder.hpp
+++ b/src/adapter/recorder.hpp
@@ -46,8 +46,7 @@
     node_init init;
 };
 
-auto parse_record_start(std::string const& line)
-    -> leaf::result<record_start>;
+auto parse_record_start(std::string const& line) -> leaf::result<record_start>;
 auto parse_recorded_event(std::string const& line)
     -> leaf::result<recorded_event>;
 
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -25,11 +25,11 @@
 
 auto read_selector(std::string const& text, selector_kind& out) -> bool
 {
-    static auto const names = std::map<std::string, selector_kind>{
-        {"random", selector_kind::random},
-        {"round_robin", selector_kind::round_robin},
-        {"two_choices", selector_kind::two_choices},
-        {"credit", selector_kind::credit}};
+    static auto const names =
+        std::map<std::string, selector_kind>{{"random", selector_kind::random},
+            {"round_robin", selector_kind::round_robin},
+            {"two_choices", selector_kind::two_choices},
+            {"credit", selector_kind::credit}};
     auto const it = names.find(text);
     if (it != names.end())
         out = it->second;
@@ -40,10 +40,9 @@
 {
     using s = instance_settings;
     auto const address = "an IP number and port, as 127.0.0.1:8080";
-    return {
-        {"name", "a name",
-            [](auto const& t, s& o) { return read_text(t, o.self.name); },
-            true},
+    return {{"name", "a name",
+                [](auto const& t, s& o) { return read_text(t, o.self.name); },
+                true},
         {"zone", "an availability zone",
             [](auto const& t, s& o) { return read_text(t, o.self.zone); },
             true},
@@ -60,12 +59,20 @@
             { return read_address(t, o.platform_address); },
             true},
         {"log_level", "debug, info, warning or error",
-            [](auto const& t, s& o) { return read_level(t, o.level); }},
+            [](auto const& t, s& o)
+            {
+                return read_level(t, o.level);
+            }},
         {"record_path", "a path",
-            [](auto const& t, s& o) { return read_text(t, o.record_path); }},
+            [](auto const& t, s& o)
+            {
+                return read_text(t, o.record_path);
+            }},
         {"record_max_bytes", "a number of bytes",
             [](auto const& t, s& o)
-            { return read_u64(t, o.record_max_bytes); }}};
+            {
+                return read_u64(t, o.record_max_bytes);
+            }}};
 }
 
 auto policy_keys() -> std::vector<settings_key>
@@ -73,12 +80,17 @@
     using s = instance_settings;
     auto const flag = [](std::string_view name, auto member) -> settings_key
     {
-        return {name, "on or off", [member](auto const& t, s& o)
-            { return read_bool(t, o.policy.*member); }};
+        return {name, "on or off",
+            [member](auto const& t, s& o)
+            {
+                return read_bool(t, o.policy.*member);
+            }};
     };
     return {{"selector", "random, round_robin, two_choices or credit",
                 [](auto const& t, s& o)
-                { return read_selector(t, o.policy.selector); }},
+                {
+                    return read_selector(t, o.policy.selector);
+                }},
         flag("hedging", &node_policy::hedging),
         flag("retries", &node_policy::retries),
         flag("slow_start", &node_policy::slow_start),
@@ -91,7 +103,9 @@
 {
     return {name, "a whole number above 0",
         [member](auto const& t, instance_settings& o)
-        { return read_positive(t, o.limits.*member); }};
+        {
+            return read_positive(t, o.limits.*member);
+        }};
 }
 
 auto limit_ms(std::string_view name, milliseconds node_limits::*member)
@@ -165,20 +179,38 @@
     };
     auto const count = "a whole number above 0";
     return {{"epoch", count,
-                [](auto const& t, s& o) { return read_positive(t, o.epoch); }},
+                [](auto const& t, s& o)
+                {
+                    return read_positive(t, o.epoch);
+                }},
         {"shards", count,
             [](auto const& t, s& o) { return read_positive(t, o.shards); },
             true},
         {"deadline_ms", "milliseconds, above 0",
-            [ms](auto const& t, s& o) { return ms(o.deadline)(t); }},
-        {"slots", count, [](auto const& t, s& o)
-            { return read_positive(t, o.limits.slots); }},
-        {"connections", count, [](auto const& t, s& o)
-            { return read_positive(t, o.limits.connections); }},
-        {"cold_concurrency", count, [](auto const& t, s& o)
-            { return read_positive(t, o.limits.cold_concurrency); }},
+            [ms](auto const& t, s& o)
+            {
+                return ms(o.deadline)(t);
+            }},
+        {"slots", count,
+            [](auto const& t, s& o)
+            {
+                return read_positive(t, o.limits.slots);
+            }},
+        {"connections", count,
+            [](auto const& t, s& o)
+            {
+                return read_positive(t, o.limits.connections);
+            }},
+        {"cold_concurrency", count,
+            [](auto const& t, s& o)
+            {
+                return read_positive(t, o.limits.cold_concurrency);
+            }},
         {"warmup_ms", "milliseconds, above 0",
-            [ms](auto const& t, s& o) { return ms(o.limits.warmup)(t); }}};
+            [ms](auto const& t, s& o)
+            {
+                return ms(o.limits.warmup)(t);
+            }}};
 }
 
 auto target_keys() -> std::vector<ini_key<target_info>>
@@ -198,10 +230,12 @@
 {
     using c = customer_config;
     return {{"name", "a name",
-                [](auto const& t, c& o) { return read_text(t, o.name); },
-                true},
-        {"max_queries", "a whole number above 0", [](auto const& t, c& o)
-            { return read_positive(t, o.max_queries); }}};
+                [](auto const& t, c& o) { return read_text(t, o.name); }, true},
+        {"max_queries", "a whole number above 0",
+            [](auto const& t, c& o)
+            {
+                return read_positive(t, o.max_queries);
+            }}};
 }
 
 /// Reads `[zone NAME]`.
--- a/src/adapter/settings.hpp
+++ b/src/adapter/settings.hpp
@@ -26,7 +26,7 @@
     std::string caller_address;   ///< For callers, balancer and operators.
     std::string platform_address; ///< Object API.
     log_level level = log_level::info;
-    std::string record_path;      ///< Events are recorded here if set.
+    std::string record_path; ///< Events are recorded here if set.
     std::uint64_t record_max_bytes = 16'000'000;
     node_limits limits;
     node_policy policy;
--- a/src/adapter/value_codec.hpp
+++ b/src/adapter/value_codec.hpp
@@ -89,8 +89,8 @@
     }
     else if constexpr (is_variant<T>::value)
     {
-        auto inner = std::visit(
-            [](auto const& v) { return encode_value(v); }, it);
+        auto inner =
+            std::visit([](auto const& v) { return encode_value(v); }, it);
         return boost::json::array{it.index(), std::move(inner)};
     }
     else
@@ -141,8 +141,8 @@
         return false;
     auto good = true;
     auto i = std::size_t{0};
-    boost::pfr::for_each_field(it,
-        [&](auto& f) { good = good && decode_value((*list)[i++], f); });
+    boost::pfr::for_each_field(
+        it, [&](auto& f) { good = good && decode_value((*list)[i++], f); });
     return good;
 }
 
--- a/src/app/cli.hpp
+++ b/src/app/cli.hpp
@@ -18,7 +18,7 @@
 {
     char const* name;
     char const* summary;
-    auto (*run)(arguments const& args) -> leaf::result<int>;
+    auto(*run)(arguments const& args) -> leaf::result<int>;
 };
 
 /// All subcommands.
--- a/src/app/cli_call.cpp
+++ b/src/app/cli_call.cpp
@@ -19,9 +19,9 @@
 auto add_common(po::options_description& options) -> void
 {
     options.add_options()("to", po::value<std::string>()->required(),
-        "address of an instance, IP:PORT")(
-        "customer", po::value<std::string>()->required(), "customer")(
-        "service", po::value<std::string>()->required(), "service")(
+        "address of an instance, IP:PORT")("customer",
+        po::value<std::string>()->required(),
+        "customer")("service", po::value<std::string>()->required(), "service")(
         "deadline-ms", po::value<std::int64_t>()->default_value(0),
         "deadline, ms; 0 takes the service's");
 }
@@ -53,19 +53,19 @@
 {
     auto options = po::options_description{"options"};
     add_common(options);
-    options.add_options()("query", po::value<std::string>()->required(),
-        "query text")("max-rows",
+    options.add_options()(
+        "query", po::value<std::string>()->required(), "query text")("max-rows",
         po::value<std::uint32_t>()->default_value(100), "rows wanted");
     BOOST_LEAF_AUTO(v, parse_options(args, "query", options, "query"));
-    auto const body = json::serialize(
-        json::object{{"customer", text_option(v, "customer")},
+    auto const body =
+        json::serialize(json::object{{"customer", text_option(v, "customer")},
             {"service", text_option(v, "service")},
             {"query", text_option(v, "query")},
             {"deadline_ms", v["deadline-ms"].as<std::int64_t>()},
             {"max_rows", v["max-rows"].as<std::uint32_t>()}});
-    BOOST_LEAF_AUTO(reply,
-        call(text_option(v, "to"),
-            {EVHTTP_REQ_POST, "/v1/query", {}, body}, timeout_of(v)));
+    BOOST_LEAF_AUTO(
+        reply, call(text_option(v, "to"),
+                   {EVHTTP_REQ_POST, "/v1/query", {}, body}, timeout_of(v)));
     return print(reply);
 }
 
@@ -73,22 +73,21 @@
 {
     auto options = po::options_description{"options"};
     add_common(options);
-    options.add_options()("key", po::value<std::string>()->required(),
-        "idempotency key")(
+    options.add_options()(
+        "key", po::value<std::string>()->required(), "idempotency key")(
         "item", po::value<std::string>()->required(), "item to book")(
         "text", po::value<std::string>()->default_value(""), "details");
     BOOST_LEAF_AUTO(v, parse_options(args, "book", options, "item"));
-    auto const body = json::serialize(
-        json::object{{"customer", text_option(v, "customer")},
+    auto const body =
+        json::serialize(json::object{{"customer", text_option(v, "customer")},
             {"service", text_option(v, "service")},
-            {"item", text_option(v, "item")},
-            {"text", text_option(v, "text")},
+            {"item", text_option(v, "item")}, {"text", text_option(v, "text")},
             {"deadline_ms", v["deadline-ms"].as<std::int64_t>()}});
-    BOOST_LEAF_AUTO(reply,
-        call(text_option(v, "to"),
-            {EVHTTP_REQ_POST, "/v1/bookings",
-                {{"Idempotency-Key", text_option(v, "key")}}, body},
-            timeout_of(v)));
+    BOOST_LEAF_AUTO(
+        reply, call(text_option(v, "to"),
+                   {EVHTTP_REQ_POST, "/v1/bookings",
+                       {{"Idempotency-Key", text_option(v, "key")}}, body},
+                   timeout_of(v)));
     return print(reply);
 }
 
--- a/src/app/cli_config.cpp
+++ b/src/app/cli_config.cpp
@@ -31,9 +31,9 @@
 auto stored_object(std::string const& platform, std::string const& customer)
     -> leaf::result<platform_object>
 {
-    BOOST_LEAF_AUTO(reply,
-        call(platform, {EVHTTP_REQ_GET, object_path(customer), {}, {}},
-            call_timeout));
+    BOOST_LEAF_AUTO(
+        reply, call(platform, {EVHTTP_REQ_GET, object_path(customer), {}, {}},
+                   call_timeout));
     if (reply.status == 404)
         return platform_object{customer, 0, {}};
     if (reply.status != 200)
@@ -85,8 +85,7 @@
 auto store(std::string const& platform, platform_object const& before,
     std::string const& value) -> leaf::result<std::uint64_t>
 {
-    auto const request = http_request{EVHTTP_REQ_PUT,
-        object_path(before.name),
+    auto const request = http_request{EVHTTP_REQ_PUT, object_path(before.name),
         {{"If-Match", std::to_string(before.version)}}, value};
     auto const read_back = [&]() -> leaf::result<std::uint64_t>
     {
@@ -102,8 +101,7 @@
             if (reply.status == 412)
                 return read_back();
             if (reply.status != 200)
-                return leaf::new_error(
-                    status_error{reply.status, reply.body});
+                return leaf::new_error(status_error{reply.status, reply.body});
             BOOST_LEAF_AUTO(object, parse_object(reply.body));
             return object.version;
         },
@@ -143,8 +141,8 @@
     auto options = po::options_description{"options"};
     options.add_options()("platform", po::value<std::string>()->required(),
         "address of the platform")("template",
-        po::value<std::string>()->required(), "customer template (INI)")(
-        "if-version", po::value<std::uint64_t>(),
+        po::value<std::string>()->required(),
+        "customer template (INI)")("if-version", po::value<std::uint64_t>(),
         "fail unless this version is in the platform")(
         "dry-run", "show the difference only");
     BOOST_LEAF_AUTO(v, parse_options(args, "apply", options, "template"));
@@ -176,11 +174,11 @@
 {
     using list = std::vector<std::string>;
     auto options = po::options_description{"options"};
-    options.add_options()("to", po::value<list>()->required(),
-        "addresses of instances, IP:PORT")(
+    options.add_options()(
+        "to", po::value<list>()->required(), "addresses of instances, IP:PORT")(
         "customer", po::value<std::string>(), "customer waited for")(
-        "version", po::value<std::uint64_t>(), "version waited for")(
-        "wait-ms", po::value<std::int64_t>()->default_value(0),
+        "version", po::value<std::uint64_t>(), "version waited for")("wait-ms",
+        po::value<std::int64_t>()->default_value(0),
         "time to wait until it is in force");
     BOOST_LEAF_AUTO(v, parse_options(args, "status", options, "to"));
     auto const& addresses = v["to"].as<list>();
@@ -192,23 +190,22 @@
     }
     auto const customer = text_option(v, "customer");
     auto const wanted = v["version"].as<std::uint64_t>();
-    auto const end =
-        present() + milliseconds{v["wait-ms"].as<std::int64_t>()};
+    auto const end = present() + milliseconds{v["wait-ms"].as<std::int64_t>()};
     while (true)
     {
         auto behind = list{};
         for (auto const& it : addresses)
         {
-            auto const version = leaf::try_handle_all(
-                [&] { return version_at(it, customer); },
-                [] { return std::uint64_t{0}; });
+            auto const version =
+                leaf::try_handle_all([&] { return version_at(it, customer); },
+                    [] { return std::uint64_t{0}; });
             if (version < wanted)
                 behind.push_back(it);
         }
         if (behind.empty())
         {
-            std::cout << "done customer=" << customer
-                      << " version=" << wanted << "\n";
+            std::cout << "done customer=" << customer << " version=" << wanted
+                      << "\n";
             return 0;
         }
         if (present() >= end)
--- a/src/app/http_call.hpp
+++ b/src/app/http_call.hpp
@@ -22,8 +22,8 @@
 /// Calls and waits for the reply.
 ///
 /// @returns The reply with any status, or `http_error` if none came.
-auto call(std::string const& address, http_request const& r,
-    duration timeout) -> leaf::result<call_reply>;
+auto call(std::string const& address, http_request const& r, duration timeout)
+    -> leaf::result<call_reply>;
 
 } // namespace knapweedstream
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -31,9 +31,8 @@
 {
     auto const all = ks::arguments(argv + 1, argv + argc);
     auto const name = all.empty() ? std::string{"help"} : all.front();
-    auto const args = all.empty()
-                          ? ks::arguments{}
-                          : ks::arguments(all.begin() + 1, all.end());
+    auto const args = all.empty() ? ks::arguments{}
+                                  : ks::arguments(all.begin() + 1, all.end());
     return ks::leaf::try_handle_all([&] { return dispatch(name, args); },
         [](ks::ini_errors const& e) { return report(e); },
         [](ks::file_error const& e) { return report(e); },
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -31,7 +31,10 @@
     auto u = rusage{};
     getrusage(RUSAGE_SELF, &u);
     auto const seconds_of = [](timeval const& t)
-    { return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec); };
+    {
+        return static_cast<double>(t.tv_sec) +
+               1e-6 * static_cast<double>(t.tv_usec);
+    };
     return seconds_of(u.ru_utime) + seconds_of(u.ru_stime);
 }
 
@@ -39,7 +42,8 @@
 {
     auto t = timespec{};
     clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
-    return static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec);
+    return static_cast<double>(t.tv_sec) +
+           1e-9 * static_cast<double>(t.tv_nsec);
 }
 
 auto resident_bytes() -> std::uint64_t
@@ -63,33 +67,36 @@
 /// True if the event is part of serving a request.
 auto is_data(event const& e) -> bool
 {
-    return std::visit(
-        overloaded{[](peer_received const& it)
-            {
-                for (auto const& m : it.messages)
-                    if (is_data(m))
-                        return true;
-                return false;
-            },
-            [](config_read const&) { return false; },
-            [](instances_listed const&) { return false; },
-            [](tick const&) { return false; },
-            [](auto const&) { return true; }},
+    return std::visit(overloaded{[](peer_received const& it)
+                          {
+                              for (auto const& m : it.messages)
+                                  if (is_data(m))
+                                      return true;
+                              return false;
+                          },
+                          [](config_read const&) { return false; },
+                          [](instances_listed const&) { return false; },
+                          [](tick const&) { return false; },
+                          [](auto const&)
+                          {
+                              return true;
+                          }},
         e);
 }
 
 } // namespace
 
 runtime::runtime(instance_settings const& settings)
-    : settings_(settings), init_(make_init(settings)),
-      base_(make_event_base()), node_(init_, present()),
+    : settings_(settings), init_(make_init(settings)), base_(make_event_base()),
+      node_(init_, present()),
       leafs_(base_.get(), [this](event e) { push(std::move(e)); }),
       platform_(base_.get(), settings.platform_address, settings.self,
           [this](event e) { push(std::move(e)); }),
-      peers_(base_.get(), settings.self,
-          [this](event e) { push(std::move(e)); }),
-      callers_(base_.get(), settings.limits,
-          [this](event e) { push(std::move(e)); }, pages()),
+      peers_(
+          base_.get(), settings.self, [this](event e) { push(std::move(e)); }),
+      callers_(
+          base_.get(), settings.limits, [this](event e) { push(std::move(e)); },
+          pages()),
       tick_(base_.get(), [this] { push(tick{}); }),
       turn_(base_.get(), [this] { end_turn(); })
 {
@@ -103,13 +110,15 @@
     BOOST_LEAF_CHECK(peers_.start());
     BOOST_LEAF_CHECK(callers_.start(settings_.caller_address));
     std::signal(SIGPIPE, SIG_IGN);
-    auto const stop = [this] { push(stop_requested{}); };
+    auto const stop = [this]
+    {
+        push(stop_requested{});
+    };
     auto const term = loop_event{base_.get(), SIGTERM, EV_SIGNAL, stop};
     auto const interrupt = loop_event{base_.get(), SIGINT, EV_SIGNAL, stop};
     log(log_level::info, "node",
-        "Started. name=" + settings_.self.name +
-            " zone=" + settings_.self.zone +
-            " callers=" + settings_.caller_address +
+        "Started. name=" + settings_.self.name + " zone=" +
+            settings_.self.zone + " callers=" + settings_.caller_address +
             " peers=" + settings_.self.peer_address);
     platform_.start();
     push(tick{});
@@ -189,7 +198,10 @@
             },
             [this](exit_now const&) { event_base_loopbreak(base_.get()); },
             [this](wake_at const& it) { tick_.after(it.when - present()); },
-            [](note const& it) { log_fact(it.what); }},
+            [](note const& it)
+            {
+                log_fact(it.what);
+            }},
         c);
 }
 
@@ -222,10 +234,13 @@
         },
         [this]() -> http_answer
         {
-            return {200, metrics_text(node_.stats(), node_.gauges(),
-                             figures(), latency_, coverage_)};
+            return {200, metrics_text(node_.stats(), node_.gauges(), figures(),
+                             latency_, coverage_)};
         },
-        [this]() -> http_answer { return {200, status_page()}; }};
+        [this]() -> http_answer
+        {
+            return {200, status_page()};
+        }};
 }
 
 auto runtime::status_page() const -> std::string
@@ -237,8 +252,8 @@
             json::object{{"customer", c.name}, {"version", c.version}});
     auto peers = json::array{};
     for (auto const& [info, works] : node_.peers())
-        peers.push_back(json::object{{"name", info.name},
-            {"zone", info.zone}, {"takes_work", works}});
+        peers.push_back(json::object{
+            {"name", info.name}, {"zone", info.zone}, {"takes_work", works}});
     auto const g = node_.gauges();
     return json::serialize(json::object{{"name", settings_.self.name},
         {"zone", settings_.self.zone}, {"ready", g.ready},
--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -157,6 +157,15 @@
     return result;
 }
 
+/// True if the key is known to be claimed by another booking.
+auto held_by_other(node_state& s, executed_booking const& e) -> bool
+{
+    auto& b = s.buckets[e.bucket];
+    auto const* held = find_claim(b.claims, e.request.key);
+    return held != nullptr && held->token != e.token &&
+           held->state == claim_state::claimed;
+}
+
 auto mark_claims_sent(node_state& s, std::vector<claim> const& claims) -> void
 {
     for (auto const& it : claims)
@@ -359,6 +368,8 @@
     switch (it->second.state)
     {
     case exec_state::claiming:
+        if (held_by_other(s, it->second))
+            return close(s, e.token, booking_unknown{});
         if (!it->second.claim_sent)
             return close(s, e.token, booking_not_run{platform_unavailable{}});
         return settle(s, e.token, booking_not_run{platform_unavailable{}}, out);
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -4,6 +4,7 @@
 #include "core/membership.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace knapweedstream
 {
@@ -58,10 +59,12 @@
 }
 
 /// Best owner of the shard that has not been asked in this run: this node,
-/// then one in its zone, then the highest rank.
+/// then one in its zone, then the highest rank. Half of the requests go to an
+/// owner that has a replica to warm.
 auto next_owner(node_state const& s, shard_entry const& shard,
-    std::uint32_t asked) -> std::size_t
+    std::uint32_t asked, fingerprint print) -> std::size_t
 {
+    auto const to_warm = (print.value & 1) != 0;
     auto best = shard.owners.size();
     auto best_score = -1;
     for (std::size_t i = 0; i < shard.owners.size(); ++i)
@@ -71,7 +74,8 @@
             continue;
         auto const local = id == s.self;
         auto const near = !local && in_own_zone(s, id);
-        auto const score = local ? 2 : near ? 1 : 0;
+        auto const warms = to_warm && id == shard.warming_by;
+        auto const score = warms ? 3 : local ? 2 : near ? 1 : 0;
         if (score > best_score)
         {
             best = i;
@@ -111,6 +115,21 @@
     --e.value.open;
 }
 
+/// Plans to ask all owners again: who is primary may be changing hands.
+///
+/// @returns False if there is no time for it.
+auto ask_later(node_state& s, query_entry& e, shard_id shard, time_point now)
+    -> bool
+{
+    auto const wait = duration{s.init.limits.owner_check};
+    if (e.value.deadline - now <= 2 * wait)
+        return false;
+    e.shards[shard.value].owner = {};
+    e.shards[shard.value].asked &= asked_as_suspect;
+    arm(s, now + wait, ask_due{e.value.id, shard});
+    return true;
+}
+
 /// Sends shards to their next owners; those without one are given up.
 auto ask(node_state& s, query_entry& e, std::vector<shard_id> const& shards,
     bool suspected, shard_failure reason, time_point now) -> void
@@ -122,11 +141,13 @@
         auto const& shard = service.shards[id.value];
         auto& it = e.shards[id.value];
         auto const once = suspected && (it.asked & asked_as_suspect) != 0;
-        auto const i =
-            suspected ? std::size_t{0} : next_owner(s, shard, it.asked);
+        auto const i = suspected
+                           ? std::size_t{0}
+                           : next_owner(s, shard, it.asked, e.value.print);
         if (once || i >= shard.owners.size() || !can_work(s, shard.owners[i]))
         {
-            give_up(e, id, reason);
+            if (reason != shard_failure::not_owner || !ask_later(s, e, id, now))
+                give_up(e, id, reason);
             continue;
         }
         it.asked |= 1u << i | (suspected ? asked_as_suspect : 0u);
@@ -379,10 +400,13 @@
     settle_assignment(e, owner, open.size());
     ++s.stats.owner_failovers;
     post(s, owner, sub_cancel{e.value.id});
-    ask(s, e, open, false, shard_failure::no_replica, now);
+    ask(s, e, open, false, shard_failure::not_owner, now);
+    auto told = std::set<instance_id>{owner, s.self};
     for (auto const id : open)
-        if (e.shards[id.value].owner == instance_id{})
-            next_canary(s, e, id, now);
+        for (auto const it :
+            s.services.at(e.value.service).shards[id.value].owners)
+            if (can_work(s, it) && told.insert(it).second)
+                post(s, it, peer_suspicion{owner});
 }
 
 } // namespace
@@ -513,6 +537,20 @@
     arm(s, now + owner_patience(s, e.owner), e);
 }
 
+auto on_ask_due(node_state& s, ask_due const& e, time_point now, commands& out)
+    -> void
+{
+    auto const it = s.queries.find(e.run.query);
+    if (it == s.queries.end() || it->second.value.id != e.run ||
+        map_changed(s, it->second))
+        return;
+    auto const& shard = it->second.shards[e.shard.value];
+    if (shard.slot.answered || shard.owner != instance_id{})
+        return;
+    ask(s, it->second, {e.shard}, false, shard_failure::not_owner, now);
+    conclude(s, e.run.query, now, out);
+}
+
 auto on_canary_due(
     node_state& s, canary_due const& e, time_point now, commands& out) -> void
 {
--- a/src/core/entry.hpp
+++ b/src/core/entry.hpp
@@ -29,6 +29,10 @@
 auto on_owner_due(
     node_state& s, owner_due const& e, time_point now, commands& out) -> void;
 
+/// Asks again for a shard that no owner could take a while ago.
+auto on_ask_due(node_state& s, ask_due const& e, time_point now, commands& out)
+    -> void;
+
 /// The canary shard has been slow: asks the others as well.
 auto on_canary_due(
     node_state& s, canary_due const& e, time_point now, commands& out) -> void;
--- a/src/core/leaf.cpp
+++ b/src/core/leaf.cpp
@@ -170,11 +170,10 @@
 auto record_success(node_state& s, target_entry& t, attempt const& a,
     time_point now, commands& out) -> void
 {
-    auto const was_warm = std::holds_alternative<warm>(t.value.heat);
+    auto const was_warm = is_warm(t.value);
     auto const latency = latency_of(a, now);
     t.value = with_success(t.value, latency, now);
-    auto const is_warm = std::holds_alternative<warm>(t.value.heat);
-    if (is_warm && !was_warm)
+    if (!was_warm && is_warm(t.value))
     {
         out.push_back(note{target_warmed{t.value.id}});
         tell_warmth(s, t.value);
@@ -187,9 +186,9 @@
 auto record_shed(node_state& s, target_entry& t, time_point now) -> void
 {
     ++s.stats.sheds;
-    auto const was_warm = std::holds_alternative<warm>(t.value.heat);
+    auto const was_warm = is_warm(t.value);
     t.value = with_shed(t.value, now);
-    if (was_warm && !std::holds_alternative<warm>(t.value.heat))
+    if (was_warm && !is_warm(t.value))
         tell_warmth(s, t.value);
 }
 
@@ -465,10 +464,10 @@
     auto const* shard = find_shard(s, t.service, t.shard);
     if (shard == nullptr || !shard->owned)
         return;
-    auto const is_warm = std::holds_alternative<warm>(t.heat);
     for (auto const owner : shard->owners)
         if (owner != s.self)
-            post(s, owner, target_warmth{t.id, t.boot, is_warm});
+            post(s, owner, target_warmth{t.id, t.boot, is_warm(t)});
+    refresh_view(s, t.service, t.shard);
 }
 
 auto refresh_view(node_state& s, service_id service, shard_id id) -> void
@@ -476,28 +475,42 @@
     auto* shard = find_shard(s, service, id);
     if (shard == nullptr || !shard->owned)
         return;
-    auto versions = std::vector<std::uint64_t>{};
+    auto view = shard_view{};
+    view.service = service;
+    view.shard = id;
+    view.epoch = s.services.at(service).info.epoch;
     for (auto const it : shard->replicas)
     {
         auto const& t = s.targets.at(it).value;
-        if (!t.zone_out && !t.draining)
-            versions.insert(
-                versions.end(), t.versions.begin(), t.versions.end());
+        if (t.zone_out || t.draining)
+            continue;
+        view.versions.insert(
+            view.versions.end(), t.versions.begin(), t.versions.end());
+        view.warming = view.warming || (shard->share.primary &&
+                                           !t.versions.empty() && !is_warm(t));
     }
-    std::sort(versions.begin(), versions.end());
-    versions.erase(
-        std::unique(versions.begin(), versions.end()), versions.end());
-    if (versions == shard->told)
+    std::sort(view.versions.begin(), view.versions.end());
+    view.versions.erase(std::unique(view.versions.begin(), view.versions.end()),
+        view.versions.end());
+    if (view == shard->told)
         return;
-    shard->told = versions;
-    shard->views[s.self] = versions;
-    auto const epoch = s.services.at(service).info.epoch;
-    auto const view = shard_view{service, id, epoch, versions};
+    shard->told = view;
+    take_view(*shard, s.self, view);
     for (auto const& [peer, m] : s.members)
         if (m.state == member_state::alive)
             post(s, peer, shard_views{{view}});
 }
 
+auto take_view(shard_entry& shard, instance_id from, shard_view const& view)
+    -> void
+{
+    shard.views[from] = view.versions;
+    if (view.warming)
+        shard.warming_by = from;
+    else if (shard.warming_by == from)
+        shard.warming_by = {};
+}
+
 auto serve_queue(
     node_state& s, shard_entry& shard, time_point now, commands& out) -> void
 {
--- a/src/core/leaf.hpp
+++ b/src/core/leaf.hpp
@@ -79,6 +79,10 @@
 /// Recomputes which versions a shard can serve; tells peers if it changed.
 auto refresh_view(node_state& s, service_id service, shard_id shard) -> void;
 
+/// Stores what an owner tells of a shard.
+auto take_view(shard_entry& shard, instance_id from, shard_view const& view)
+    -> void;
+
 /// Gives work that waits for a connection of the shard to free ones.
 auto serve_queue(
     node_state& s, shard_entry& shard, time_point now, commands& out) -> void;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -97,7 +97,7 @@
             1u, total / static_cast<std::uint32_t>(shard.owners.size()));
         if (!before || shard.owned)
             continue;
-        shard.told.clear();
+        shard.told = {};
         for (auto const it : shard.replicas)
             close_connections(s, it, out);
     }
@@ -136,16 +136,15 @@
         for (std::uint32_t i = 0; i < entry.shards.size(); ++i)
         {
             auto const& shard = entry.shards[i];
-            if (shard.owned && !shard.told.empty())
-                views.views.push_back(
-                    {service, shard_id{i}, entry.info.epoch, shard.told});
+            if (shard.owned && !shard.told.versions.empty())
+                views.views.push_back(shard.told);
         }
     std::sort(views.views.begin(), views.views.end());
     if (!views.views.empty())
         post(s, id, std::move(views));
     auto warm_targets = std::vector<target_warmth>{};
     for (auto const& [key, t] : s.targets)
-        if (std::holds_alternative<warm>(t.value.heat))
+        if (is_warm(t.value))
             warm_targets.push_back({key, t.value.boot, true});
     std::sort(warm_targets.begin(), warm_targets.end());
     for (auto const& it : warm_targets)
@@ -336,6 +335,21 @@
     }
 }
 
+auto on_peer_suspicion(node_state& s, peer_suspicion const& m, time_point now)
+    -> void
+{
+    if (!s.members.contains(m.peer) || !can_work(s, m.peer))
+        return;
+    probe(s, m.peer, now);
+    arm(s, now + owner_patience(s, m.peer) + duration{1}, peer_due{m.peer});
+}
+
+auto on_peer_due(
+    node_state& s, peer_due const& e, time_point now, commands& out) -> void
+{
+    check_peer(s, e.peer, now, out);
+}
+
 auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
     -> void
 {
@@ -345,7 +359,7 @@
         if (found == s.services.end() || found->second.info.epoch != it.epoch ||
             it.shard.value >= found->second.shards.size())
             continue;
-        found->second.shards[it.shard.value].views[from] = it.versions;
+        take_view(found->second.shards[it.shard.value], from, it);
     }
 }
 
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -30,6 +30,13 @@
 auto on_heartbeat_due(node_state& s, time_point now, commands& out) -> void;
 auto on_instances_listed(node_state& s, instances_listed const& e,
     time_point now, commands& out) -> void;
+/// A peer found another silent: probes it at once.
+auto on_peer_suspicion(node_state& s, peer_suspicion const& m, time_point now)
+    -> void;
+
+/// Looks whether the probed peer has answered.
+auto on_peer_due(
+    node_state& s, peer_due const& e, time_point now, commands& out) -> void;
 auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
     -> void;
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -37,6 +37,7 @@
             [&](booking_result const& it) { on_booking_result(s, it, out); },
             [&](config_update const& it)
             { accept_config(s, it.config, from, now, out); },
+            [&](peer_suspicion const& it) { on_peer_suspicion(s, it, now); },
             [&](config_request const& it)
             {
                 on_config_request(s, from, it);
@@ -93,6 +94,8 @@
             [&](reopen_due const& it)
             { open_connections(s, it.target, now, out); },
             [&](owner_due const& it) { on_owner_due(s, it, now, out); },
+            [&](peer_due const& it) { on_peer_due(s, it, now, out); },
+            [&](ask_due const& it) { on_ask_due(s, it, now, out); },
             [&](canary_due const& it) { on_canary_due(s, it, now, out); },
             [&](query_due const& it) { on_query_due(s, it, now, out); },
             [&](forward_due const& it) { on_forward_due(s, it, now, out); },
@@ -247,7 +250,7 @@
     for (auto const& [id, t] : state_->targets)
     {
         g.targets_owned += t.connections > 0 ? 1 : 0;
-        g.targets_warm += std::holds_alternative<warm>(t.value.heat) ? 1 : 0;
+        g.targets_warm += is_warm(t.value) ? 1 : 0;
     }
     g.ready = !state_->services.empty() && !state_->leaving;
     for (auto const& [id, service] : state_->services)
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -169,7 +169,7 @@
         ++s.stats.retries;
     if (s.init.policy.hedging)
         arm(s, now + hedge_delay(service, e.value.deadline, now),
-            hedge_due{key});
+            hedge_due{key, false});
     return true;
 }
 
@@ -359,16 +359,21 @@
         running_count(*p) != 1 ||
         p->attempts >= s.init.limits.max_attempts_per_shard)
         return;
-    auto const& q = s.owned.at(e.part.sub).value.request;
+    auto const& owned = s.owned.at(e.part.sub).value;
+    auto const& q = owned.request;
     auto const* shard = find_shard(s, q.service, p->shard);
-    auto const it = s.services.find(q.service);
-    if (shard == nullptr || !shard->queue.empty() ||
-        it->second.budget.tokens < 1 || is_banned(s, q.print, now))
+    if (shard == nullptr || is_banned(s, q.print, now))
         return;
-    if (!dispatch(s, e.part, attempt_kind::hedge, now, out))
-        return;
-    pay_extra(it->second);
-    ++s.stats.hedges;
+    auto& budget = s.services.at(q.service).budget;
+    auto const payable = e.last_chance || budget.tokens >= 1;
+    if (payable && shard->queue.empty() &&
+        dispatch(s, e.part, attempt_kind::hedge, now, out))
+    {
+        budget = withdraw(budget).value_or(budget);
+        ++s.stats.hedges;
+    }
+    else if (!e.last_chance)
+        arm(s, now + (owned.deadline - now) / 2, hedge_due{e.part, true});
 }
 
 auto on_sub_due(node_state& s, sub_due const& e, time_point now, commands& out)
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -61,6 +61,7 @@
 struct hedge_due
 {
     part_key part;
+    bool last_chance = false; ///< Half the time is gone; not budgeted.
     auto operator<=>(hedge_due const&) const = default;
 };
 struct sub_due
@@ -89,6 +90,17 @@
     instance_id owner;
     auto operator<=>(owner_due const&) const = default;
 };
+struct peer_due
+{
+    instance_id peer;
+    auto operator<=>(peer_due const&) const = default;
+};
+struct ask_due
+{
+    run_id run;
+    shard_id shard;
+    auto operator<=>(ask_due const&) const = default;
+};
 struct canary_due
 {
     run_id run;
@@ -123,9 +135,9 @@
     auto operator<=>(drain_due const&) const = default;
 };
 
-using timer = std::variant<hedge_due, sub_due, cancel_due, open_due, reopen_due,
-    owner_due, canary_due, query_due, forward_due, exec_due, bucket_due,
-    heartbeat_due, drain_due>;
+using timer = std::variant<peer_due, ask_due, hedge_due, sub_due, cancel_due,
+    open_due, reopen_due, owner_due, canary_due, query_due, forward_due,
+    exec_due, bucket_due, heartbeat_due, drain_due>;
 
 /// A timer with its time; `order` keeps equal times in arming order.
 struct timed
@@ -334,7 +346,8 @@
     target_share share;
     /// Servable index versions, as told by each owner.
     std::map<instance_id, std::vector<std::uint64_t>> views;
-    std::vector<std::uint64_t> told;  ///< Last told to peers by this node.
+    shard_view told;        ///< Last told to peers by this node.
+    instance_id warming_by; ///< Owner that wants requests to warm a replica.
     std::deque<part_key> queue;       ///< Parts waiting for a connection.
     std::deque<claim_token> bookings; ///< Bookings waiting likewise.
     selector pick;
--- a/src/core/target.cpp
+++ b/src/core/target.cpp
@@ -54,6 +54,11 @@
         t.heat);
 }
 
+auto is_warm(target const& t) -> bool
+{
+    return std::holds_alternative<warm>(t.heat);
+}
+
 auto is_out(target const& t, time_point now) -> bool
 {
     return t.zone_out || t.removed || t.draining || now < t.ejected_until;
@@ -126,11 +131,11 @@
     return next;
 }
 
-auto with_warmth(target const& t, boot_id boot, bool is_warm) -> target
+auto with_warmth(target const& t, boot_id boot, bool told_warm) -> target
 {
     auto next = t;
-    next.warm_boot = is_warm ? boot : boot_id{};
-    if (!is_warm)
+    next.warm_boot = told_warm ? boot : boot_id{};
+    if (!told_warm)
         next.heat = cold{};
     else if (boot == t.boot)
         next.heat = warm{};
--- a/src/core/target.hpp
+++ b/src/core/target.hpp
@@ -77,6 +77,9 @@
 auto concurrency_limit(target const& t, target_share const& share,
     time_point now) -> std::uint32_t;
 
+/// True if the target bears full load.
+auto is_warm(target const& t) -> bool;
+
 /// True while no new work may go to the target.
 auto is_out(target const& t, time_point now) -> bool;
 
@@ -96,7 +99,7 @@
     time_point now) -> target;
 
 /// A co-owner told the target's warmth.
-auto with_warmth(target const& t, boot_id boot, bool is_warm) -> target;
+auto with_warmth(target const& t, boot_id boot, bool told_warm) -> target;
 
 /// The target lost its connections and may have restarted.
 auto with_restart(target const& t) -> target;
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -71,6 +71,7 @@
     service_id service;
     shard_id shard;
     std::uint32_t epoch = 0;
+    bool warming = false; ///< The sender warms a replica and wants requests.
     std::vector<std::uint64_t> versions;
 
     auto operator<=>(shard_view const&) const = default;
@@ -102,6 +103,14 @@
     auto operator<=>(deadly_notice const&) const = default;
 };
 
+/// Entry to owners: this peer did not answer me; look after it.
+struct peer_suspicion
+{
+    instance_id peer;
+
+    auto operator<=>(peer_suspicion const&) const = default;
+};
+
 /// Entry to executor: run this booking.
 struct booking_forward
 {
@@ -147,7 +156,7 @@
 
 using message = std::variant<sub_query, sub_answer, sub_cancel, heartbeat,
     shard_views, target_warmth, deadly_notice, booking_forward, booking_result,
-    config_update, config_request>;
+    config_update, config_request, peer_suspicion>;
 
 } // namespace knapweedstream
 
--- /dev/null
+++ b/tests/failure/test_queries.cpp
@@ -0,0 +1,348 @@
+/// Promises that concern queries, under the failure each is meant for.
+#include "../fakes.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace fakes;
+
+namespace
+{
+
+/// True if the answer is one snapshot and covers what it says.
+auto is_truthful(query_answer const& a, std::string const& text) -> bool
+{
+    auto seen = std::set<std::string>{};
+    for (auto const& r : a.rows)
+        seen.insert(r.key);
+    auto answered = 0u;
+    for (std::uint32_t i = 0; i < a.covered.total; ++i)
+        answered += seen.contains(world::row_key({i}, a.at, text)) ? 1 : 0;
+    return answered == seen.size() && answered == a.covered.answered &&
+           a.covered.answered + a.covered.missing.size() == a.covered.total;
+}
+
+auto complete(outcome const& o) -> bool
+{
+    return o.count == 1 && o.answer && o.answer->covered.missing.empty();
+}
+
+} // namespace
+
+TEST_CASE("one snapshot: an index version that changes in mid-query")
+{
+    auto w = standard_world(1);
+    for (auto n = 0; n < 40; ++n)
+    {
+        auto const text = "q" + std::to_string(n);
+        auto const id = w->query(n % 3, "voorraad", text);
+        auto shard = 0;
+        for (auto& [address, l] : w->leafs)
+            w->at(us{300 + 700 * (shard++ % 6)},
+                [&l, n] { l.versions = {2u + n}; });
+        w->run_for(milliseconds{250});
+        auto const& o = w->callers[id];
+        REQUIRE(o.count == 1);
+        REQUIRE(o.answer);
+        CHECK(is_truthful(*o.answer, text));
+    }
+}
+
+TEST_CASE("a version change in mid-query is answered whole at the new one")
+{
+    auto w = standard_world(2);
+    auto const id = w->query(0, "voorraad", "x", milliseconds{400});
+    w->at(us{200},
+        [&]
+        {
+            for (auto& [address, l] : w->leafs)
+                l.versions = {2};
+        });
+    w->run_for(milliseconds{500});
+    CHECK(complete(w->callers[id]));
+    CHECK(w->callers[id].answer->at == snapshot{1, 2});
+}
+
+TEST_CASE("true coverage: dead shards are named, the rest is whole")
+{
+    auto w = standard_world(3);
+    w->crash("voorraad-2-0", seconds{10});
+    w->crash("voorraad-2-1", seconds{10});
+    w->run_for(milliseconds{100});
+    auto const id = w->query(1, "voorraad", "x");
+    w->run_for(milliseconds{300});
+    auto const& o = w->callers[id];
+    REQUIRE(o.answer);
+    CHECK(is_truthful(*o.answer, "x"));
+    REQUIRE(o.answer->covered.missing.size() == 1);
+    CHECK(o.answer->covered.missing[0].shard == shard_id{2});
+}
+
+TEST_CASE("a frozen replica of each shard costs no coverage")
+{
+    auto w = standard_world(4);
+    for (auto& [address, l] : w->leafs)
+        l.frozen = l.info.zone == "brugge-zuid";
+    auto whole = 0;
+    for (auto n = 0; n < 30; ++n)
+    {
+        auto const id =
+            w->query(n % 3, "voorraad", "warm-" + std::to_string(n));
+        w->run_for(milliseconds{250});
+        whole += complete(w->callers[id]) ? 1 : 0;
+    }
+    w->run_for(milliseconds{300});
+    CHECK(whole == 30);
+}
+
+TEST_CASE("crossed answers and answers of another shard reach nobody")
+{
+    auto w = standard_world(5);
+    w->leafs.at("voorraad-1-0").crossed = true;
+    w->leafs.at("voorraad-4-1").wrong_shard = true;
+    for (auto n = 0; n < 30; ++n)
+    {
+        auto const text = "t" + std::to_string(n);
+        auto const id = w->query(n % 3, "voorraad", text);
+        w->run_for(milliseconds{250});
+        auto const& o = w->callers[id];
+        REQUIRE(o.answer);
+        CHECK(is_truthful(*o.answer, text));
+        CHECK(o.answer->covered.missing.empty());
+    }
+}
+
+TEST_CASE("silent connections are condemned, their target keeps serving")
+{
+    auto w = standard_world(6);
+    for (auto& [address, l] : w->leafs)
+        l.silent = l.open;
+    auto whole = 0;
+    for (auto n = 0; n < 60; ++n)
+    {
+        auto const id =
+            w->query(n % 3, "voorraad", "warm-" + std::to_string(n % 40));
+        w->run_for(milliseconds{100});
+        whole += n >= 30 && complete(w->callers[id]) ? 1 : 0;
+    }
+    CHECK(whole == 30);
+    CHECK(w->instances[0]->it->stats().condemned > 0);
+    for (auto const& [address, l] : w->leafs)
+        CHECK(l.crashes == 0);
+}
+
+TEST_CASE("a request that kills targets kills at most two, also when resent")
+{
+    auto w = standard_world(7);
+    for (auto& [address, l] : w->leafs)
+        l.crash_on = "deadly";
+    auto refused = 0;
+    for (auto n = 0; n < 9; ++n)
+    {
+        auto const id =
+            w->query(n % 3, "voorraad", "deadly", milliseconds{500});
+        w->run_for(milliseconds{600});
+        auto const& o = w->callers[id];
+        CHECK(o.count == 1);
+        refused += o.refused ? 1 : 0;
+    }
+    auto crashes = 0u;
+    for (auto const& [address, l] : w->leafs)
+        crashes += l.crashes;
+    CHECK(crashes <= 2);
+    CHECK(refused >= 7);
+}
+
+TEST_CASE("neighbours of a deadly request are not refused")
+{
+    auto w = standard_world(8);
+    for (auto& [address, l] : w->leafs)
+        l.crash_on = "deadly";
+    auto innocent = std::vector<std::uint64_t>{};
+    for (auto n = 0; n < 12; ++n)
+    {
+        w->query(n % 3, "voorraad", "deadly", milliseconds{300});
+        for (auto k = 0; k < 3; ++k)
+            innocent.push_back(w->query(k, "voorraad",
+                "innocent-" + std::to_string(n * 3 + k), milliseconds{300}));
+        w->run_for(milliseconds{120});
+    }
+    w->run_for(milliseconds{600});
+    for (auto const id : innocent)
+        CHECK_FALSE(w->callers[id].refused);
+    auto again = 0;
+    for (auto n = 0; n < 36; ++n)
+    {
+        auto const id =
+            w->query(n % 3, "voorraad", "innocent-" + std::to_string(n));
+        w->run_for(milliseconds{250});
+        again += complete(w->callers[id]) ? 1 : 0;
+    }
+    CHECK(again == 36);
+}
+
+TEST_CASE("an owner killed or paused in mid-query is replaced in time")
+{
+    for (auto const paused : {false, true})
+    {
+        CAPTURE(paused);
+        auto w = standard_world(9);
+        auto ids = std::vector<std::uint64_t>{};
+        for (auto n = 0; n < 20; ++n)
+            ids.push_back(
+                w->query(n % 2, "voorraad", "warm-" + std::to_string(n)));
+        w->at(us{800},
+            [&]
+            {
+                if (paused)
+                    w->pause(2);
+                else
+                    w->kill(2);
+            });
+        w->run_for(milliseconds{300});
+        for (auto const id : ids)
+            CHECK(complete(w->callers[id]));
+    }
+}
+
+TEST_CASE("a cold target never bears more than its budget over all instances")
+{
+    auto w = standard_world(10, 2);
+    w->crash("voorraad-0-0", us{50'000});
+    auto& l = w->leafs.at("voorraad-0-0");
+    auto worst = 0u;
+    auto cold_until = std::optional<time_point>{};
+    for (auto n = 0; n < 300; ++n)
+    {
+        for (auto i = 0; i < 3; ++i)
+            w->query(i, "voorraad", "warm-" + std::to_string(n % 40));
+        if (!cold_until && l.received > 0 && !l.dead)
+            cold_until = w->now + milliseconds{100};
+        l.max_in_flight = 0;
+        w->run_for(milliseconds{1});
+        // In the first half of the warm-up the ramp allows half at most.
+        if (!l.dead && cold_until && w->now < *cold_until)
+            worst = std::max(worst, l.max_in_flight);
+    }
+    CHECK(worst >= 1);
+    CHECK(worst <= 2);
+}
+
+TEST_CASE("a restarted instance warms nothing twice and overloads nothing")
+{
+    auto w = standard_world(11, 2);
+    w->kill(0);
+    w->run_for(milliseconds{20});
+    w->start(0);
+    w->run_for(milliseconds{300});
+    auto whole = 0;
+    for (auto n = 0; n < 30; ++n)
+    {
+        auto const id =
+            w->query(n % 3, "voorraad", "warm-" + std::to_string(n));
+        w->run_for(milliseconds{30});
+        whole += complete(w->callers[id]) ? 1 : 0;
+    }
+    CHECK(whole == 30);
+}
+
+TEST_CASE("a leaving target and a zone taken out get no new work")
+{
+    auto w = standard_world(12);
+    w->leafs.at("voorraad-3-0").draining = true;
+    w->config.zones_out = {"brugge-zuid"};
+    w->publish();
+    auto const traffic = [&]
+    {
+        for (auto n = 0; n < 40; ++n)
+        {
+            w->query(n % 3, "voorraad", "warm-" + std::to_string(n));
+            w->run_for(milliseconds{25});
+        }
+    };
+    traffic();
+    w->run_for(seconds{2});
+    auto const from = w->work_log.size();
+    traffic();
+    CHECK(w->work_log.size() > from);
+    for (auto i = from; i < w->work_log.size(); ++i)
+    {
+        auto const& l = w->leafs.at(w->work_log[i].second);
+        CHECK(l.info.zone != "brugge-zuid");
+        CHECK_FALSE(l.draining);
+    }
+}
+
+TEST_CASE("a graceful stop cuts no request")
+{
+    auto w = standard_world(13);
+    auto ids = std::vector<std::uint64_t>{};
+    for (auto n = 0; n < 120; ++n)
+    {
+        if (n % 40 == 20)
+            w->stop(n / 40);
+        // The balancer still sends to a leaving instance for a while.
+        for (std::size_t i = 0; i < 3; ++i)
+            if (!w->instances[i]->exited)
+                ids.push_back(
+                    w->query(i, "voorraad", "warm-" + std::to_string(n % 40)));
+        w->run_for(milliseconds{10});
+        if (n % 40 == 39)
+        {
+            w->run_for(seconds{2});
+            CHECK(w->instances[n / 40]->exited);
+            w->kill(n / 40);
+            w->start(n / 40);
+            w->run_for(seconds{1});
+        }
+    }
+    w->run_for(milliseconds{500});
+    auto whole = std::size_t{0};
+    for (auto const id : ids)
+        whole += complete(w->callers[id]) ? 1 : 0;
+    CHECK(whole == ids.size());
+}
+
+TEST_CASE("a configuration never reverts, and reaches all by gossip")
+{
+    auto w = standard_world(14);
+    auto const old = w->config;
+    w->config.max_queries = 7;
+    ++w->config.version;
+    // Only one instance hears of it from the platform.
+    auto newest = w->config;
+    w->at(us{0}, [&] {});
+    w->read_config(0, newest);
+    w->run_for(seconds{2});
+    for (auto const& n : w->instances)
+        CHECK(n->it->configs().at(0).version == newest.version);
+    for (std::size_t i = 0; i < 3; ++i)
+        w->read_config(i, old);
+    w->run_for(seconds{1});
+    for (auto const& n : w->instances)
+        CHECK(n->it->configs().at(0) == newest);
+    // A new instance takes it from its peers while the platform is silent.
+    w->kill(2);
+    w->config = {};
+    w->start(2);
+    w->run_for(seconds{2});
+    CHECK(w->instances[2]->it->configs().at(0) == newest);
+}
+
+TEST_CASE("admission refuses truthfully and frees what it admitted")
+{
+    auto w = standard_world(15);
+    w->config.max_queries = 4;
+    w->publish();
+    w->run_for(milliseconds{300});
+    auto ids = std::vector<std::uint64_t>{};
+    for (auto n = 0; n < 10; ++n)
+        ids.push_back(w->query(0, "voorraad", "warm-" + std::to_string(n)));
+    w->run_for(milliseconds{300});
+    auto refused = 0;
+    for (auto const id : ids)
+        refused += w->callers[id].refused ? 1 : 0;
+    CHECK(refused == 6);
+    auto const id = w->query(0, "voorraad", "warm-1");
+    w->run_for(milliseconds{300});
+    CHECK(complete(w->callers[id]));
+}
--- /dev/null
+++ b/tests/process/processes.hpp
@@ -0,0 +1,289 @@
+/// Real processes on loopback, for tests that kill and stop them.
+#ifndef KNAPWEEDSTREAM_TESTS_PROCESSES_HPP
+#define KNAPWEEDSTREAM_TESTS_PROCESSES_HPP
+
+#include "app/http_call.hpp"
+
+#include <boost/json.hpp>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace processes
+{
+
+using namespace knapweedstream;
+namespace json = boost::json;
+
+/// Waits in steps until the condition holds.
+///
+/// @returns False if it did not hold within the time.
+inline auto wait_for(seconds most, std::function<bool()> const& f) -> bool
+{
+    auto const end = present() + most;
+    while (!f())
+    {
+        if (present() > end)
+            return false;
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    return true;
+}
+
+/// One process; ended with the object.
+class process
+{
+public:
+    explicit process(
+        std::vector<std::string> const& args, std::string const& log)
+    {
+        pid_ = fork();
+        if (pid_ != 0)
+            return;
+        auto raw = std::vector<char*>{};
+        for (auto const& it : args)
+            raw.push_back(const_cast<char*>(it.c_str()));
+        raw.push_back(nullptr);
+        auto const to = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+        dup2(to, STDOUT_FILENO);
+        dup2(to, STDERR_FILENO);
+        execv(raw[0], raw.data());
+        _exit(127);
+    }
+
+    ~process()
+    {
+        if (pid_ == 0)
+            return;
+        send(SIGCONT);
+        send(SIGKILL);
+        waitpid(pid_, nullptr, 0);
+    }
+
+    process(process const&) = delete;
+    auto operator=(process const&) -> process& = delete;
+
+    auto send(int signal) const -> void { kill(pid_, signal); }
+
+    /// Exit code once it has ended by itself; -1 if it has not in time.
+    auto exit_code(seconds most) -> int
+    {
+        auto status = 0;
+        auto const ended = wait_for(
+            most, [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+        if (!ended)
+            return -1;
+        pid_ = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+    }
+
+private:
+    pid_t pid_ = 0;
+};
+
+inline auto ask(std::string const& address, evhttp_cmd_type method,
+    std::string const& path, std::string const& body = {},
+    std::string const& key = {}, duration timeout = seconds{10}) -> call_reply
+{
+    auto r = http_request{method, path, {}, body};
+    if (!key.empty())
+        r.fields.push_back({"Idempotency-Key", key});
+    return leaf::try_handle_all(
+        [&] { return call(address, r, timeout); }, [] { return call_reply{}; });
+}
+
+/// A platform, leafs and instances of one test.
+class cluster
+{
+public:
+    explicit cluster(std::uint16_t base) : base_(base)
+    {
+        char name[] = "/tmp/ks-test-XXXXXX";
+        dir_ = mkdtemp(name);
+        platform_ = std::make_unique<process>(
+            std::vector<std::string>{KS_STANDIN, "platform", "--port",
+                std::to_string(base), "--lag-ms", "100"},
+            dir_ + "/platform.log");
+    }
+
+    auto platform() const -> std::string { return address(0); }
+    auto instance(int i) const -> std::string { return address(1 + i); }
+    auto leaf_address(int i) const -> std::string { return address(100 + i); }
+
+    /// Leafs, one process each: shard by shard, replicas in turn.
+    auto start_leafs(int shards, int replicas,
+        std::vector<std::string> const& more = {}) -> void
+    {
+        shards_ = shards;
+        replicas_ = replicas;
+        more_ = more;
+        leafs.resize(static_cast<std::size_t>(shards * replicas));
+        for (auto i = 0; i < shards * replicas; ++i)
+            start_leaf(i);
+    }
+
+    auto start_leaf(int i) -> void
+    {
+        auto args = std::vector<std::string>{KS_STANDIN, "leafs", "--port",
+            std::to_string(base_ + 100 + i), "--first-shard",
+            std::to_string(i / replicas_), "--connect-us", "1000", "--seed",
+            std::to_string(++seed_)};
+        args.insert(args.end(), more_.begin(), more_.end());
+        leafs[static_cast<std::size_t>(i)] = std::make_unique<process>(
+            args, dir_ + "/leaf" + std::to_string(i) + ".log");
+    }
+
+    auto start_instance(int i, std::string const& extra = {}) -> void
+    {
+        auto const path = dir_ + "/e" + std::to_string(i) + ".ini";
+        std::ofstream{path} << "[instance]\nname = e" << i << "\nzone = z"
+                            << i % 2 << "\ncaller_address = " << instance(i)
+                            << "\npeer_address = " << address(50 + i)
+                            << "\nplatform_address = " << platform() << "\n"
+                            << extra;
+        instances[i] = std::make_unique<process>(
+            std::vector<std::string>{KS_BINARY, "run", path},
+            dir_ + "/e" + std::to_string(i) + ".log");
+    }
+
+    /// Configuration as JSON, with further members.
+    auto configuration(json::object const& more = {}) const -> std::string
+    {
+        auto targets = json::array{};
+        for (auto i = 0; i < shards_ * replicas_; ++i)
+            targets.push_back(json::object{{"name", "t" + std::to_string(i)},
+                {"address", leaf_address(i)},
+                {"zone", "z" + std::to_string(i % replicas_ % 2)},
+                {"shard", i / replicas_}});
+        auto service = json::object{{"name", "s"}, {"shards", shards_},
+            {"deadline_ms", 1000},
+            {"limits", json::object{{"slots", 3}, {"connections", 30},
+                           {"warmup_ms", 100}}},
+            {"targets", std::move(targets)}};
+        auto o = json::object{
+            {"name", "c"}, {"services", json::array{std::move(service)}}};
+        for (auto const& it : more)
+            o[it.key()] = it.value();
+        return json::serialize(o);
+    }
+
+    auto publish(std::string const& config) const -> call_reply
+    {
+        return ask(
+            platform(), EVHTTP_REQ_PUT, "/v1/objects/customer/c", config);
+    }
+
+    auto ready(int i) const -> bool
+    {
+        return ask(instance(i), EVHTTP_REQ_GET, "/health").status == 200;
+    }
+
+    auto peers_of(int i) const -> std::size_t
+    {
+        auto const page = ask(instance(i), EVHTTP_REQ_GET, "/v1/status").body;
+        auto n = std::size_t{0};
+        for (auto at = page.find("\"takes_work\":true");
+             at != std::string::npos;
+             at = page.find("\"takes_work\":true", at + 1))
+            ++n;
+        return n;
+    }
+
+    /// Starts everything and waits until it serves.
+    auto start(int shards, int replicas, int count,
+        std::vector<std::string> const& more = {}) -> bool
+    {
+        start_leafs(shards, replicas, more);
+        for (auto i = 0; i < count; ++i)
+            start_instance(i);
+        return wait_for(seconds{20},
+                   [&] { return publish(configuration()).status == 200; }) &&
+               wait_for(seconds{20},
+                   [&]
+                   {
+                       auto good = true;
+                       for (auto i = 0; i < count; ++i)
+                           good = good && ready(i) &&
+                                  peers_of(i) ==
+                                      static_cast<std::size_t>(count - 1);
+                       return good;
+                   });
+    }
+
+    auto query(int i, std::string const& text) const -> call_reply
+    {
+        return ask(instance(i), EVHTTP_REQ_POST, "/v1/query",
+            json::serialize(json::object{{"customer", "c"}, {"service", "s"},
+                {"query", text}, {"deadline_ms", 1000}}));
+    }
+
+    auto complete(int i, std::string const& text) const -> bool
+    {
+        auto const r = query(i, text);
+        return r.status == 200 &&
+               r.body.find("\"complete\":true") != std::string::npos;
+    }
+
+    auto book(int i, std::string const& key) const -> call_reply
+    {
+        return ask(instance(i), EVHTTP_REQ_POST, "/v1/bookings",
+            json::serialize(json::object{{"customer", "c"}, {"service", "s"},
+                {"item", key}, {"text", key}, {"deadline_ms", 1000}}),
+            key);
+    }
+
+    auto control(std::string const& address, std::string const& what) const
+        -> json::object
+    {
+        auto const r = ask(address, EVHTTP_REQ_POST, "/control?" + what);
+        auto ec = json::error_code{};
+        auto const v = json::parse(r.body, ec);
+        return !ec && v.is_object() ? v.get_object() : json::object{};
+    }
+
+    /// Runs of a booking, over all leafs.
+    auto runs_of(std::string const& key) const -> std::int64_t
+    {
+        auto n = std::int64_t{0};
+        for (auto i = 0; i < shards_ * replicas_; ++i)
+        {
+            auto const o = control(leaf_address(i), "");
+            auto const* ledger = o.if_contains("ledger");
+            if (ledger == nullptr)
+                continue;
+            auto const* v = ledger->as_object().if_contains(key);
+            n += v == nullptr ? 0 : v->to_number<std::int64_t>();
+        }
+        return n;
+    }
+
+    std::vector<std::unique_ptr<process>> leafs;
+    std::map<int, std::unique_ptr<process>> instances;
+
+private:
+    auto address(int offset) const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(base_ + offset);
+    }
+
+    std::uint16_t base_;
+    std::string dir_;
+    int shards_ = 0;
+    int replicas_ = 0;
+    int seed_ = 0;
+    std::vector<std::string> more_;
+    std::unique_ptr<process> platform_;
+};
+
+} // namespace processes
+
+#endif
--- /dev/null
+++ b/tests/process/test_processes.cpp
@@ -0,0 +1,182 @@
+/// Real kills, SIGSTOP and outages against processes on loopback. Nothing is
+/// timed; conditions are awaited with generous limits.
+#include "processes.hpp"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <csignal>
+
+using namespace processes;
+
+TEST_CASE("queries and bookings go through three instances in two zones")
+{
+    auto c = cluster{23'000};
+    REQUIRE(c.start(4, 2, 3));
+    for (auto n = 0; n < 12; ++n)
+        CHECK(c.complete(n % 3, "q" + std::to_string(n % 4)));
+    for (auto n = 0; n < 6; ++n)
+    {
+        auto const r = c.book(n % 3, "key-" + std::to_string(n / 3));
+        CHECK(r.status == 200);
+    }
+    CHECK(c.runs_of("key-0") == 1);
+    CHECK(c.runs_of("key-1") == 1);
+}
+
+TEST_CASE("a killed and a stopped instance cost no answer of the others")
+{
+    auto c = cluster{23'200};
+    REQUIRE(c.start(4, 2, 3));
+    c.instances[2]->send(SIGKILL);
+    for (auto n = 0; n < 8; ++n)
+        CHECK(c.complete(n % 2, "q" + std::to_string(n)));
+    c.instances.erase(2);
+    c.start_instance(2);
+    REQUIRE(wait_for(seconds{20}, [&]
+        { return c.ready(2) && c.peers_of(0) == 2 && c.peers_of(2) == 2; }));
+    c.instances[1]->send(SIGSTOP);
+    for (auto n = 0; n < 8; ++n)
+        CHECK(c.complete(n % 2 == 0 ? 0 : 2, "r" + std::to_string(n)));
+    c.instances[1]->send(SIGCONT);
+    REQUIRE(wait_for(seconds{20}, [&] { return c.peers_of(0) == 2; }));
+    CHECK(c.complete(1, "after"));
+}
+
+TEST_CASE("killed leafs: the other replica answers, coverage is true")
+{
+    auto c = cluster{23'400};
+    REQUIRE(c.start(3, 2, 2));
+    for (auto n = 0; n < 4; ++n)
+        CHECK(c.complete(n % 2, "q" + std::to_string(n)));
+    c.leafs[0]->send(SIGKILL);
+    c.leafs[2]->send(SIGSTOP);
+    for (auto n = 0; n < 8; ++n)
+        CHECK(c.complete(n % 2, "q" + std::to_string(n % 4)));
+    c.leafs[1]->send(SIGKILL);
+    auto const named = wait_for(seconds{5},
+        [&]
+        {
+            auto const r = c.query(0, "q0");
+            return r.status == 200 &&
+                   r.body.find("\"missing\":[{\"shard\":0,") !=
+                       std::string::npos;
+        });
+    CHECK(named);
+    c.leafs[2]->send(SIGCONT);
+    c.leafs[0].reset();
+    c.start_leaf(0);
+    CHECK(wait_for(seconds{10}, [&] { return c.complete(0, "q0"); }));
+}
+
+TEST_CASE("SIGTERM to one instance after another: exit 0, no request cut")
+{
+    auto c = cluster{23'600};
+    REQUIRE(c.start(3, 2, 3));
+    for (auto i = 0; i < 3; ++i)
+    {
+        for (auto n = 0; n < 3; ++n)
+            CHECK(c.complete((i + n) % 3, "q" + std::to_string(n)));
+        c.instances[i]->send(SIGTERM);
+        // Still answers while the balancer has not let go.
+        CHECK(c.complete(i, "q1"));
+        c.instances[i]->send(SIGTERM);
+        CHECK(c.complete(i, "q2"));
+        CHECK(wait_for(seconds{5},
+            [&] {
+                return ask(c.instance(i), EVHTTP_REQ_GET, "/health").status !=
+                       200;
+            }));
+        CHECK(c.instances[i]->exit_code(seconds{20}) == 0);
+        c.start_instance(i);
+        REQUIRE(wait_for(
+            seconds{20}, [&] { return c.ready(i) && c.peers_of(i) == 2; }));
+    }
+}
+
+TEST_CASE("bookings run at most once through kills and a lost claim answer")
+{
+    auto c = cluster{23'800};
+    REQUIRE(c.start(2, 2, 3));
+    c.control(c.platform(), "lose=1");
+    CHECK(c.book(0, "lost-answer").status != 0);
+    CHECK(wait_for(
+        seconds{10}, [&] { return c.book(1, "lost-answer").status == 200; }));
+    CHECK(c.runs_of("lost-answer") == 1);
+    for (auto n = 0; n < 6; ++n)
+    {
+        auto const key = "kill-" + std::to_string(n);
+        c.book(0, key);
+        if (n == 2)
+            c.instances[1]->send(SIGKILL);
+        if (n == 4)
+            c.instances[2]->send(SIGSTOP);
+        c.book(0, key);
+    }
+    c.instances[2]->send(SIGCONT);
+    for (auto n = 0; n < 6; ++n)
+        CHECK(c.runs_of("kill-" + std::to_string(n)) <= 1);
+}
+
+TEST_CASE("a platform outage: queries go on, bookings are refused, not run, "
+          "and a change comes into force afterwards")
+{
+    auto c = cluster{24'000};
+    REQUIRE(c.start(2, 2, 2));
+    c.control(c.platform(), "down=1");
+    for (auto n = 0; n < 4; ++n)
+        CHECK(c.complete(n % 2, "q" + std::to_string(n)));
+    auto const r = c.book(0, "outage");
+    CHECK(r.status == 503);
+    CHECK(r.body.find("platform_unavailable") != std::string::npos);
+    CHECK(c.runs_of("outage") == 0);
+    c.control(c.platform(), "down=0");
+    c.publish(c.configuration({{"max_queries", 9}}));
+    auto const in_force = [&](int i)
+    {
+        return ask(c.instance(i), EVHTTP_REQ_GET, "/v1/status")
+                   .body.find("\"version\":2") != std::string::npos;
+    };
+    CHECK(wait_for(seconds{12}, [&] { return in_force(0) && in_force(1); }));
+    CHECK(c.runs_of("outage") == 0);
+}
+
+TEST_CASE("bad input gets a typed error and harms nothing")
+{
+    auto c = cluster{24'200};
+    REQUIRE(c.start(2, 1, 1));
+    auto const to = c.instance(0);
+    auto const post = [&](std::string const& path, std::string const& body)
+    {
+        return ask(to, EVHTTP_REQ_POST, path, body);
+    };
+    CHECK(post("/v1/query", "nonsense").status == 400);
+    CHECK(post("/v1/query", R"({"customer":"x","service":"s"})")
+              .body.find("unknown_customer") != std::string::npos);
+    CHECK(post("/v1/query", R"({"customer":"c","service":"x"})")
+              .body.find("unknown_service") != std::string::npos);
+    CHECK(post("/v1/query", R"({"customer":"c","service":"s","deadline_ms":1})")
+              .status == 400);
+    CHECK(post("/v1/query", std::string(200'000, 'x')).status != 200);
+    CHECK(post("/v1/bookings", R"({"customer":"c","service":"s"})").status ==
+          400);
+    CHECK(ask(to, EVHTTP_REQ_GET, "/v1/query").status == 405);
+    CHECK(ask(to, EVHTTP_REQ_GET, "/nothing").status == 404);
+    namespace ip = boost::asio::ip;
+    for (auto const* raw : {"garbage\r\n\r\n", "GET\0/ HTTP/9.9\r\n\r\n",
+             "POST /v1/query HTTP/1.1\r\nContent-Length: -5\r\n\r\n{}"})
+    {
+        auto io = boost::asio::io_context{};
+        auto socket = ip::tcp::socket{io};
+        auto const at = split_address(to);
+        socket.connect({ip::make_address(at.host), at.port});
+        boost::asio::write(socket, boost::asio::buffer(std::string{raw}));
+        socket.close();
+    }
+    CHECK(c.complete(0, "still"));
+    // A taken port is told, with exit code 1.
+    auto other = process{{KS_BINARY, "run", "/dev/null"}, "/dev/null"};
+    CHECK(other.exit_code(seconds{10}) == 2);
+}
--- a/tests/standin/http_server.hpp
+++ b/tests/standin/http_server.hpp
@@ -75,8 +75,8 @@
 
     auto add(char const* name, std::string const& value) const -> void
     {
-        evhttp_add_header(evhttp_request_get_output_headers(raw), name,
-            value.c_str());
+        evhttp_add_header(
+            evhttp_request_get_output_headers(raw), name, value.c_str());
     }
 
     auto reply(int status, std::string const& body) const -> void
--- a/tests/standin/leaf.cpp
+++ b/tests/standin/leaf.cpp
@@ -225,7 +225,10 @@
 auto leaf::cancel(request r) -> void
 {
     auto const id = number(r.field("X-Request-Id"), std::uint64_t{0});
-    auto const same = [&](work const& w) { return w.id == id && !w.booking; };
+    auto const same = [&](work const& w)
+    {
+        return w.id == id && !w.booking;
+    };
     r.reply(200, "{}");
     if (late_)
         return;
--- a/tests/standin/leaf.hpp
+++ b/tests/standin/leaf.hpp
@@ -21,13 +21,13 @@
     std::uint32_t epoch = 1;
     std::uint32_t slots = 3;
     std::uint32_t connections = 30;
-    std::uint32_t queue = 12;            ///< Beyond the slots; then it sheds.
+    std::uint32_t queue = 12; ///< Beyond the slots; then it sheds.
     ks::duration connect_cost{6'000};
-    ks::duration service{2'000};         ///< Mean service time.
-    double straggle_share = 0;           ///< Requests that straggle.
+    ks::duration service{2'000}; ///< Mean service time.
+    double straggle_share = 0;   ///< Requests that straggle.
     double straggle_factor = 10;
     std::uint32_t cold_concurrency = 1;
-    ks::milliseconds warmup{0};          ///< 0: starts warm.
+    ks::milliseconds warmup{0}; ///< 0: starts warm.
     std::string versions = "1";
     std::uint64_t seed = 1;
 };
--- a/tests/standin/load.cpp
+++ b/tests/standin/load.cpp
@@ -35,8 +35,8 @@
 };
 
 /// Connections that are not in use, by address.
-using idle_pool = std::map<std::string,
-    std::vector<std::shared_ptr<ks::http_connection>>>;
+using idle_pool =
+    std::map<std::string, std::vector<std::shared_ptr<ks::http_connection>>>;
 
 /// True if all rows carry the version of the answer's snapshot.
 auto one_snapshot(json::object const& o) -> bool
@@ -73,14 +73,14 @@
 {
     if (sorted.empty())
         return 0;
-    auto const i = static_cast<std::size_t>(
-        p * static_cast<double>(sorted.size() - 1));
+    auto const i =
+        static_cast<std::size_t>(p * static_cast<double>(sorted.size() - 1));
     return sorted[i];
 }
 
 /// Sum of a counter over the instances.
-auto counter_sum(
-    std::vector<std::string> const& to, std::string const& name) -> double
+auto counter_sum(std::vector<std::string> const& to, std::string const& name)
+    -> double
 {
     auto sum = 0.0;
     for (auto const& address : to)
@@ -108,8 +108,7 @@
 auto body_of(load_settings const& s, std::uint64_t n) -> std::string
 {
     return json::serialize(json::object{{"customer", s.customer},
-        {"service", s.service},
-        {"query", "q" + std::to_string(n % s.distinct)},
+        {"service", s.service}, {"query", "q" + std::to_string(n % s.distinct)},
         {"deadline_ms", s.deadline_ms}});
 }
 
@@ -216,13 +215,11 @@
     return {{"service", s.service}, {"rate_per_s", s.rate_per_s},
         {"sent", t.sent}, {"answered", t.latency_ms.size()},
         {"statuses", std::move(statuses)},
-        {"complete_share",
-            t.sent == 0 ? 0.0
-                        : static_cast<double>(t.complete) /
-                              static_cast<double>(t.sent)},
+        {"complete_share", t.sent == 0 ? 0.0
+                                       : static_cast<double>(t.complete) /
+                                             static_cast<double>(t.sent)},
         {"mean_coverage", ok == 0 ? 0.0 : t.coverage / ok},
-        {"mixed_snapshots", t.mixed},
-        {"p50_ms", percentile(t.latency_ms, 0.5)},
+        {"mixed_snapshots", t.mixed}, {"p50_ms", percentile(t.latency_ms, 0.5)},
         {"p90_ms", percentile(t.latency_ms, 0.9)},
         {"p99_ms", percentile(t.latency_ms, 0.99)},
         {"p999_ms", percentile(t.latency_ms, 0.999)},
@@ -235,14 +232,18 @@
 auto run_load(load_settings const& settings) -> int
 {
     auto const sent = [&]
-    { return counter_sum(settings.to, "leaf_requests_sent_total"); };
+    {
+        return counter_sum(settings.to, "leaf_requests_sent_total");
+    };
     auto const needed = [&]
-    { return counter_sum(settings.to, "leaf_requests_needed_total"); };
+    {
+        return counter_sum(settings.to, "leaf_requests_needed_total");
+    };
     auto const sent_before = sent();
     auto const needed_before = needed();
     auto const t = generator{settings}.run();
-    auto const result = summary(
-        settings, t, sent() - sent_before, needed() - needed_before);
+    auto const result =
+        summary(settings, t, sent() - sent_before, needed() - needed_before);
     if (settings.as_json)
         std::cout << json::serialize(result) << "\n";
     else
--- a/tests/standin/load.hpp
+++ b/tests/standin/load.hpp
@@ -14,14 +14,14 @@
 /// What load is sent.
 struct load_settings
 {
-    std::vector<std::string> to;   ///< Addresses of instances.
+    std::vector<std::string> to; ///< Addresses of instances.
     std::string customer;
     std::string service;
     double rate_per_s = 100;
     double seconds = 5;
-    double warmup_s = 1;           ///< Sent, not counted.
+    double warmup_s = 1; ///< Sent, not counted.
     std::uint32_t deadline_ms = 200;
-    std::uint32_t distinct = 100;  ///< Distinct query texts.
+    std::uint32_t distinct = 100; ///< Distinct query texts.
     std::uint64_t seed = 1;
     bool as_json = false;
 };
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -17,7 +17,10 @@
 
 auto run_until_stopped(event_base* base) -> int
 {
-    auto const stop = [base] { event_base_loopbreak(base); };
+    auto const stop = [base]
+    {
+        event_base_loopbreak(base);
+    };
     auto const term =
         knapweedstream::loop_event{base, SIGTERM, EV_SIGNAL, stop};
     auto const interrupt =
@@ -30,9 +33,9 @@
 auto run_platform(po::variables_map const& v) -> int
 {
     auto const base = knapweedstream::make_event_base();
-    auto const it = standin::platform{base.get(),
-        {v["port"].as<std::uint16_t>(),
-            knapweedstream::milliseconds{v["lag-ms"].as<int>()}}};
+    auto const it = standin::platform{
+        base.get(), {v["port"].as<std::uint16_t>(),
+                        knapweedstream::milliseconds{v["lag-ms"].as<int>()}}};
     return run_until_stopped(base.get());
 }
 
@@ -46,14 +49,12 @@
     for (std::uint32_t i = 0; i < shards * replicas; ++i)
     {
         auto s = leaf_settings{};
-        s.port = static_cast<std::uint16_t>(
-            v["port"].as<std::uint16_t>() + i);
+        s.port = static_cast<std::uint16_t>(v["port"].as<std::uint16_t>() + i);
         s.shard = v["first-shard"].as<std::uint32_t>() + i / replicas;
         s.slots = v["slots"].as<std::uint32_t>();
         s.connections = v["connections"].as<std::uint32_t>();
         s.queue = v["queue"].as<std::uint32_t>();
-        s.connect_cost =
-            knapweedstream::duration{v["connect-us"].as<int>()};
+        s.connect_cost = knapweedstream::duration{v["connect-us"].as<int>()};
         s.service = knapweedstream::duration{v["service-us"].as<int>()};
         s.straggle_share = v["straggle-share"].as<double>();
         s.warmup = knapweedstream::milliseconds{v["warmup-ms"].as<int>()};
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -88,15 +88,15 @@
                      {"writes", writes_}, {"watches", watches_.size()}}));
 }
 
-auto platform::read(
-    request r, std::string const& kind, std::string const& name) -> void
+auto platform::read(request r, std::string const& kind, std::string const& name)
+    -> void
 {
     auto const& all = objects_[kind];
     auto const it = all.find(name);
     if (it == all.end())
         return r.reply(404, "{\"error\":\"not_found\"}");
-    r.reply(200, json::serialize(object_json(
-                     name, it->second.version, it->second.value)));
+    r.reply(200, json::serialize(
+                     object_json(name, it->second.version, it->second.value)));
 }
 
 auto platform::write(
@@ -105,8 +105,8 @@
     auto& it = objects_[kind][name];
     auto const wanted = r.field("If-Match");
     if (!wanted.empty() && number(wanted, std::uint64_t{0}) != it.version)
-        return r.reply(412,
-            json::serialize(object_json(name, it.version, it.value)));
+        return r.reply(
+            412, json::serialize(object_json(name, it.version, it.value)));
     ++writes_;
     it = object{it.version + 1, ++revision_, r.body()};
     if (lose_ > 0)
@@ -143,8 +143,7 @@
     if (r.method() == EVHTTP_REQ_PUT)
     {
         ++writes_;
-        instances_[r.path().substr(prefix.size())].push_back(
-            {now, r.body()});
+        instances_[r.path().substr(prefix.size())].push_back({now, r.body()});
         return r.reply(200, "{}");
     }
     auto text = std::string{"{\"instances\":["};
--- a/tests/standin/platform.hpp
+++ b/tests/standin/platform.hpp
@@ -64,8 +64,8 @@
     auto write(request r, std::string const& kind, std::string const& name)
         -> void;
     auto changes(request r, std::string const& kind) -> void;
-    auto answer_changes(request r, std::string const& kind,
-        std::uint64_t since) -> void;
+    auto answer_changes(request r, std::string const& kind, std::uint64_t since)
+        -> void;
     auto instances(request r) -> void;
     auto poll() -> void;
 
