--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -182,13 +182,15 @@
 auto on_config_request(node_state& s, instance_id from, config_request const& m)
     -> void
 {
-    for (auto const& [id, c] : s.customers)
+    for (auto const& entry : s.customers)
     {
+        auto const id = entry.first;
+        auto const& config = entry.second.config;
         auto const has = std::any_of(m.have.begin(), m.have.end(),
             [&](config_request::known const& it)
-            { return it.customer == id && it.version >= c.config.version; });
+            { return it.customer == id && it.version >= config.version; });
         if (!has)
-            post(s, from, config_update{c.config});
+            post(s, from, config_update{config});
     }
 }
 
