One hedge timer a sub-query; harmlessness is learned by owners too

Cause: a hedge timer for each shard grew the timer heap with shards in flight, and each instance ran its own canary for a text the others had run. Change: one timer a sub-query that looks at its running parts; an owner that gets rows remembers the text as harmless. A delay that fell to zero near the deadline looped for ever (found by the interleavings); it is at least 1 ms.

--- a/bench/core_cost.cpp
+++ b/bench/core_cost.cpp
@@ -28,7 +28,8 @@
     {
         if (ns.empty())
             return 0;
-        auto const mid = ns.begin() + static_cast<std::ptrdiff_t>(ns.size() / 2);
+        auto const mid =
+            ns.begin() + static_cast<std::ptrdiff_t>(ns.size() / 2);
         std::nth_element(ns.begin(), mid, ns.end());
         return *mid;
     }
@@ -72,8 +73,8 @@
     auto query(std::uint32_t at_once) -> void
     {
         for (std::uint32_t i = 0; i < at_once; ++i)
-            give(ks::caller_query{{++caller_},
-                {"c", "s", "q", ks::milliseconds{5'000}, 100}});
+            give(ks::caller_query{
+                {++caller_}, {"c", "s", "q", ks::milliseconds{5'000}, 100}});
         drain();
     }
 
@@ -96,9 +97,9 @@
         now_ += ks::duration{1};
         auto const from = clock_type::now();
         auto const out = node_.handle(e, now_);
-        auto const ns = std::chrono::duration<double, std::nano>(
-            clock_type::now() - from)
-                            .count();
+        auto const ns =
+            std::chrono::duration<double, std::nano>(clock_type::now() - from)
+                .count();
         if (measuring)
             samples_of(e).ns.push_back(ns);
         for (auto const& it : out)
@@ -118,9 +119,9 @@
         if (auto const* it = std::get_if<ks::leaf_open>(&c))
             waiting_.push_back(ks::leaf_opened{it->connection, report});
         else if (auto const* search = std::get_if<ks::leaf_search>(&c))
-            waiting_.push_back(ks::leaf_answered{search->connection,
-                search->attempt, report,
-                ks::leaf_rows{{search->shard, search->at, {{1, "k"}}}}});
+            waiting_.push_back(
+                ks::leaf_answered{search->connection, search->attempt, report,
+                    ks::leaf_rows{{search->shard, search->at, {{1, "k"}}}}});
         else if (auto const* answer = std::get_if<ks::answer_query>(&c))
             complete += answer->answer.covered.missing.empty() ? 1 : 0;
     }
@@ -170,9 +171,9 @@
     auto const from = clock_type::now();
     for (std::uint32_t i = 0; i < rounds; ++i)
         d.query(at_once);
-    auto const total = std::chrono::duration<double, std::nano>(
-        clock_type::now() - from)
-                           .count();
+    auto const total =
+        std::chrono::duration<double, std::nano>(clock_type::now() - from)
+            .count();
     auto const n = static_cast<double>(rounds) * at_once;
     std::cout << "{\"targets\":" << targets << ",\"shards\":" << shards
               << ",\"at_once\":" << at_once
--- a/src/core/deadly.cpp
+++ b/src/core/deadly.cpp
@@ -6,6 +6,8 @@
 namespace
 {
 
+constexpr auto max_harmless = 65'536u; ///< Fingerprints remembered.
+
 auto ban(node_state& s, fingerprint print, time_point now, commands& out)
     -> void
 {
@@ -88,6 +90,17 @@
         s.suspicions.erase(it);
 }
 
+auto remember_harmless(node_state& s, fingerprint print) -> void
+{
+    if (!s.harmless.emplace(print, true).second)
+        return;
+    s.harmless_order.push_back(print);
+    if (s.harmless_order.size() <= max_harmless)
+        return;
+    s.harmless.erase(s.harmless_order.front());
+    s.harmless_order.pop_front();
+}
+
 auto on_deadly_notice(node_state& s, deadly_notice const& m, time_point now,
     commands& out) -> void
 {
--- a/src/core/deadly.hpp
+++ b/src/core/deadly.hpp
@@ -39,6 +39,9 @@
 /// The request ran without harm.
 auto absolve(node_state& s, fingerprint print) -> void;
 
+/// Remembers that the request ran without harm somewhere: it needs no canary.
+auto remember_harmless(node_state& s, fingerprint print) -> void;
+
 /// A peer found a deadly request.
 auto on_deadly_notice(node_state& s, deadly_notice const& m, time_point now,
     commands& out) -> void;
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 
-constexpr auto max_harmless = 65'536u;      ///< Fingerprints remembered.
 constexpr auto max_canary_shards = 3u;      ///< Canaries tried before the rest.
 constexpr auto canary_share = 4;            ///< Canary's part of the deadline.
 constexpr auto asked_as_suspect = 1u << 31; ///< Bit of `entry_shard::asked`.
@@ -24,17 +23,6 @@
         hash_name(q.text, hash_name(q.service, hash_name(q.customer)))};
 }
 
-auto remember_harmless(node_state& s, fingerprint print) -> void
-{
-    if (!s.harmless.emplace(print, true).second)
-        return;
-    s.harmless_order.push_back(print);
-    if (s.harmless_order.size() <= max_harmless)
-        return;
-    s.harmless.erase(s.harmless_order.front());
-    s.harmless_order.pop_front();
-}
-
 /// Versions that a shard can serve, as told by those of its owners that live.
 auto served_by(node_state const& s, shard_entry const& shard)
     -> std::vector<std::uint64_t>
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr auto warm_up_samples = 20u; ///< Before the quantile is trusted.
-constexpr auto least_hedge_delay_us = 1'000.0;
+constexpr auto least_hedge_delay = duration{1'000};
 
 auto find_part(node_state& s, part_key const& key) -> part*
 {
@@ -99,9 +99,9 @@
     time_point now) -> duration
 {
     if (service.latency.samples < warm_up_samples)
-        return (deadline - now) / 4;
-    auto const us = std::max(least_hedge_delay_us, service.latency.value_us);
-    return duration{static_cast<duration::rep>(us)};
+        return std::max(least_hedge_delay, (deadline - now) / 4);
+    auto const us = static_cast<duration::rep>(service.latency.value_us);
+    return std::max(least_hedge_delay, duration{us});
 }
 
 /// Sends a part to a replica that has room.
@@ -153,6 +153,51 @@
     return true;
 }
 
+/// One hedge timer serves all parts of a sub-query.
+auto arm_hedge(node_state& s, sub_key const& key, time_point when) -> void
+{
+    auto& e = s.owned.at(key);
+    if (e.hedge_armed)
+        return;
+    e.hedge_armed = true;
+    arm(s, when, hedge_due{key});
+}
+
+/// Sends a second attempt of a part if that costs nobody else.
+auto hedge(node_state& s, part_key const& key, bool last_chance, time_point now,
+    commands& out) -> bool
+{
+    auto const& q = s.owned.at(key.sub).value.request;
+    auto const& p = s.owned.at(key.sub).parts[key.index];
+    auto const* shard = find_shard(s, q.service, p.shard);
+    if (shard == nullptr || !shard->queue.empty())
+        return false;
+    auto& budget = s.services.at(q.service).budget;
+    if (!last_chance && budget.tokens < 1)
+        return false;
+    if (!dispatch(s, key, attempt_kind::hedge, now, out))
+        return false;
+    budget = withdraw(budget).value_or(budget);
+    ++s.stats.hedges;
+    return true;
+}
+
+/// True if a part may get a second attempt at some time.
+auto may_hedge(node_state const& s, part const& p) -> bool
+{
+    return p.state == part_state::running && running_count(p) == 1 &&
+           p.attempts < s.init.limits.max_attempts_per_shard;
+}
+
+/// Time the part's running attempt was sent.
+auto sent_at(node_state const& s, part const& p) -> time_point
+{
+    for (auto const id : p.running)
+        if (auto const it = s.attempts.find(id); it != s.attempts.end())
+            return it->second.sent_at;
+    return {};
+}
+
 /// Sends the first attempt of a part.
 auto dispatch_primary(
     node_state& s, part_key const& key, time_point now, commands& out) -> bool
@@ -168,8 +213,8 @@
     else
         ++s.stats.retries;
     if (s.init.policy.hedging)
-        arm(s, now + hedge_delay(service, e.value.deadline, now),
-            hedge_due{key, false});
+        arm_hedge(
+            s, key.sub, now + hedge_delay(service, e.value.deadline, now));
     return true;
 }
 
@@ -278,6 +323,7 @@
         ++s.stats.stale_answers;
         return retry(s, a, false, shard_failure::snapshot, now, out);
     }
+    remember_harmless(s, a.print);
     e.value.pending.answered.push_back(rows);
     end_part(s, a.part, e, now, out);
 }
@@ -354,26 +400,31 @@
 auto on_hedge_due(
     node_state& s, hedge_due const& e, time_point now, commands& out) -> void
 {
-    auto const* p = find_part(s, e.part);
-    if (p == nullptr || p->state != part_state::running ||
-        running_count(*p) != 1 ||
-        p->attempts >= s.init.limits.max_attempts_per_shard)
+    auto const it = s.owned.find(e.sub);
+    if (it == s.owned.end())
         return;
-    auto const& owned = s.owned.at(e.part.sub).value;
-    auto const& q = owned.request;
-    auto const* shard = find_shard(s, q.service, p->shard);
-    if (shard == nullptr || is_banned(s, q.print, now))
+    auto& owned = it->second;
+    auto const& q = owned.value.request;
+    auto const service = s.services.find(q.service);
+    owned.hedge_armed = false;
+    if (service == s.services.end() || is_banned(s, q.print, now))
         return;
-    auto& budget = s.services.at(q.service).budget;
-    auto const payable = e.last_chance || budget.tokens >= 1;
-    if (payable && shard->queue.empty() &&
-        dispatch(s, e.part, attempt_kind::hedge, now, out))
+    auto const delay = hedge_delay(service->second, owned.value.deadline, now);
+    auto const half_time = owned.value.deadline - q.time_left / 2;
+    auto next = time_point::max();
+    for (std::uint32_t i = 0; i < owned.parts.size(); ++i)
     {
-        budget = withdraw(budget).value_or(budget);
-        ++s.stats.hedges;
+        auto const& p = owned.parts[i];
+        if (!may_hedge(s, p))
+            continue;
+        auto const due = sent_at(s, p) + delay;
+        if (now < due)
+            next = std::min(next, due);
+        else if (!hedge(s, {e.sub, i}, now >= half_time, now, out))
+            next = std::min(next, std::max(half_time, now + delay));
     }
-    else if (!e.last_chance)
-        arm(s, now + (owned.deadline - now) / 2, hedge_due{e.part, true});
+    if (next < owned.value.deadline)
+        arm_hedge(s, e.sub, next);
 }
 
 auto on_sub_due(node_state& s, sub_due const& e, time_point now, commands& out)
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -60,8 +60,7 @@
 // What a timer is for. A timer that has become pointless does nothing.
 struct hedge_due
 {
-    part_key part;
-    bool last_chance = false; ///< Half the time is gone; not budgeted.
+    sub_key sub;
     auto operator<=>(hedge_due const&) const = default;
 };
 struct sub_due
@@ -233,7 +232,8 @@
 {
     owned_query value;
     std::vector<part> parts;
-    bool flush = false; ///< Stands in the list of answers to send.
+    bool flush = false;       ///< Stands in the list of answers to send.
+    bool hedge_armed = false; ///< A hedge timer is out.
 };
 
 /// Shards of a run that one owner was asked for.
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -103,7 +103,7 @@
     add("warmup-ms", po::value<int>()->default_value(0), "cold time");
     add("versions", po::value<string>()->default_value("1"), "served");
     add("seed", po::value<std::uint64_t>()->default_value(1), "seed");
-    add("to", po::value<std::vector<string>>(), "instances");
+    add("to", po::value<std::vector<string>>()->multitoken(), "instances");
     add("customer", po::value<string>()->default_value(""), "customer");
     add("service", po::value<string>()->default_value(""), "service");
     add("rate", po::value<double>()->default_value(100), "queries/s");
