Entries admit queries by an adaptive limit for each service

Cause: at 1.5 times the load that the leafs bear, nearly every query lost a shard to a full queue, and the work for its other shards was wasted. Change: a shard given up for its queue is named 'overload'; an entry lowers its limit of open queries for that service then, raises it otherwise, and refuses at once beyond it (503, not run).

--- a/include/knapweedstream/query.hpp
+++ b/include/knapweedstream/query.hpp
@@ -51,6 +51,7 @@
     failed,     ///< The replicas that were asked failed.
     refused,    ///< The request is refused as dangerous to targets.
     not_owner,  ///< The owner asked has no budget for the shard.
+    overload,   ///< The queue of its replicas is too long.
     suspected,  ///< A target was lost; only the primary owner may retry.
 };
 
--- a/src/adapter/json_api.cpp
+++ b/src/adapter/json_api.cpp
@@ -79,6 +79,8 @@
         return "refused";
     case shard_failure::not_owner:
         return "not_owner";
+    case shard_failure::overload:
+        return "overload";
     case shard_failure::suspected:
         return "suspected";
     }
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -168,6 +168,9 @@
     auto const c = s.customers.find(it->second.value.customer);
     if (c != s.customers.end() && c->second.open > 0)
         --c->second.open;
+    auto const service = s.services.find(it->second.value.service);
+    if (service != s.services.end())
+        service->second.admitted = with_closed(service->second.admitted);
     s.queries.erase(it);
 }
 
@@ -180,6 +183,22 @@
     return slots;
 }
 
+/// Learns from a query how many more the service bears.
+auto adapt_admission(node_state& s, entry_query const& q,
+    coverage const& covered, time_point now) -> void
+{
+    auto const it = s.services.find(q.service);
+    if (it == s.services.end())
+        return;
+    auto const overloaded =
+        std::any_of(covered.missing.begin(), covered.missing.end(),
+            [](missing_shard const& m)
+            { return m.reason == shard_failure::overload; });
+    auto& a = it->second.admitted;
+    a = overloaded ? with_overload(a, now)
+                   : with_room(a, s.init.limits.max_queries);
+}
+
 auto finish(node_state& s, query_id id, time_point now, commands& out) -> void
 {
     auto const& e = s.queries.at(id);
@@ -187,6 +206,7 @@
     auto answer =
         merge(e.value.at, slots_of(e), e.answers, e.value.request.max_rows);
     answer.elapsed = now - e.value.started;
+    adapt_admission(s, e.value, answer.covered, now);
     ++(answer.covered.missing.empty() ? s.stats.complete : s.stats.partial);
     out.push_back(answer_query{e.value.caller, std::move(answer)});
     close_query(s, id);
@@ -444,6 +464,8 @@
     if (is_banned(s, print, now))
         return refuse(s, e.caller, deadly_request{}, out);
     auto const service = find_service(s, q.customer, q.service);
+    if (!may_open(s.services.at(service).admitted))
+        return refuse(s, e.caller, over_capacity{}, out);
     auto const& info = s.services.at(service).info;
     auto entry = query_entry{};
     entry.value.caller = e.caller;
@@ -458,6 +480,8 @@
     entry.value.at = pin(s, s.services.at(service));
     auto const id = entry.value.id.query;
     ++s.customers.at(entry.value.customer).open;
+    auto& admitted = s.services.at(service).admitted;
+    admitted = with_opened(admitted);
     arm(s, entry.value.deadline, query_due{id});
     auto& stored = s.queries.emplace(id, std::move(entry)).first->second;
     start_run(s, stored, now);
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -277,7 +277,7 @@
     if (auto const reason = hopeless(s, *shard, at, now))
         return fail_part(s, key, *reason, now, out);
     if (too_late(s, *shard, e.value.deadline, now))
-        return fail_part(s, key, shard_failure::deadline, now, out);
+        return fail_part(s, key, shard_failure::overload, now, out);
     shard->queue.push_back(key);
     s.owned.at(key.sub).parts[key.index].state = part_state::queued;
 }
@@ -434,7 +434,12 @@
     if (it == s.owned.end())
         return;
     for (std::uint32_t i = 0; i < it->second.parts.size(); ++i)
-        fail_part(s, {e.sub, i}, shard_failure::deadline, now, out);
+    {
+        auto const queued = it->second.parts[i].state == part_state::queued;
+        auto const reason =
+            queued ? shard_failure::overload : shard_failure::deadline;
+        fail_part(s, {e.sub, i}, reason, now, out);
+    }
 }
 
 auto dispatch_queued(
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -2,6 +2,7 @@
 #ifndef KNAPWEEDSTREAM_CORE_STATE_HPP
 #define KNAPWEEDSTREAM_CORE_STATE_HPP
 
+#include "core/admission.hpp"
 #include "core/budget.hpp"
 #include "core/member.hpp"
 #include "core/merge.hpp"
@@ -361,6 +362,7 @@
     std::vector<shard_entry> shards;
     quantile_estimate latency;
     retry_budget budget;
+    admission admitted;
 };
 
 /// A customer and its requests in flight.
