--- a/bench/core_cost.cpp
+++ b/bench/core_cost.cpp
@@ -52,7 +52,10 @@
           node_({{"n", "n:1", "z", false}, 1, limits(), {}}, now_)
     {
         give(ks::tick{});
-        auto c = ks::customer_config{"c", 1, 100'000, {}, {}};
+        auto c = ks::customer_config{};
+        c.name = "c";
+        c.version = 1;
+        c.max_queries = 100'000;
         auto s = ks::service_info{};
         s.name = "s";
         s.shards = shards;
@@ -63,7 +66,7 @@
         for (std::uint32_t i = 0; i < targets; ++i)
         {
             auto const name = "t" + std::to_string(i);
-            s.targets.push_back({name, name, "z", {i % shards}});
+            s.targets.push_back({name, name, "z", {i % shards}, {}});
         }
         c.services.push_back(s);
         give(ks::config_read{c});
--- a/include/knapweedstream/topology.hpp
+++ b/include/knapweedstream/topology.hpp
@@ -3,6 +3,8 @@
 #define KNAPWEEDSTREAM_TOPOLOGY_HPP
 
 #include <knapweedstream/ids.hpp>
+#include <knapweedstream/objectives.hpp>
+#include <knapweedstream/rollout.hpp>
 #include <knapweedstream/time.hpp>
 
 #include <compare>
@@ -29,6 +31,7 @@
     std::string address; ///< IP number and port.
     std::string zone;    ///< Availability zone.
     shard_id shard;      ///< Shard it serves.
+    std::string version; ///< Back-end version; empty if not told.
 
     auto operator<=>(target_info const&) const = default;
 };
@@ -52,6 +55,7 @@
     std::uint32_t shards = 1;         ///< Number of shards.
     milliseconds deadline{200};       ///< If the caller gives none.
     target_limits limits;             ///< Of each target.
+    rollout_policy rollout;           ///< If a version is being replaced.
     std::vector<target_info> targets; ///< All replicas of all shards.
 
     auto operator<=>(service_info const&) const = default;
@@ -63,6 +67,7 @@
     std::string name;                   ///< Customer.
     std::uint64_t version = 0;          ///< Version of the object.
     std::uint32_t max_queries = 256;    ///< Queries admitted at once.
+    service_objectives objectives;      ///< What the customer is promised.
     std::vector<std::string> zones_out; ///< Zones that take no new work.
     std::vector<service_info> services; ///< Services queried.
 
--- a/src/adapter/caller_server.cpp
+++ b/src/adapter/caller_server.cpp
@@ -99,6 +99,8 @@
         return send(r, pages_.health(), "application/json");
     if (path == "/metrics")
         return send(r, pages_.metrics(), "text/plain; version=0.0.4");
+    if (path == "/v1/burn")
+        return send(r, pages_.burn(), "application/json");
     if (path == "/v1/status")
         return send(r, pages_.status(), "application/json");
     send(r, {404, error_body("no_such_path", path)}, "application/json");
--- a/src/adapter/caller_server.hpp
+++ b/src/adapter/caller_server.hpp
@@ -14,12 +14,13 @@
 namespace knapweedstream
 {
 
-/// Answers for `/health`, `/metrics` and `/v1/status`.
+/// Answers for `/health`, `/metrics`, `/v1/status` and `/v1/burn`.
 struct operator_pages
 {
     std::function<http_answer()> health;
     std::function<http_answer()> metrics;
     std::function<http_answer()> status;
+    std::function<http_answer()> burn;
 };
 
 /// Takes caller requests in and their answers out.
--- a/src/adapter/json_api.cpp
+++ b/src/adapter/json_api.cpp
@@ -100,15 +100,49 @@
         {"warmup_ms", it.warmup.count()}};
 }
 
+auto policy_to_json(rollout_policy const& it) -> json::object
+{
+    auto steps = json::array{};
+    for (auto const s : it.steps_percent)
+        steps.push_back(s);
+    return {{"id", it.id}, {"from", it.from}, {"to", it.to},
+        {"steps_percent", std::move(steps)},
+        {"duration_ms", it.duration.count()},
+        {"max_failure_ratio", it.max_failure_ratio},
+        {"max_latency_ratio", it.max_latency_ratio},
+        {"min_samples", it.min_samples}};
+}
+
+auto objectives_to_json(service_objectives const& it) -> json::object
+{
+    return {{"latency_ms", it.latency.count()},
+        {"latency_target", it.latency_target},
+        {"coverage_target", it.coverage_target},
+        {"availability_target", it.availability_target},
+        {"bookings_target", it.bookings_target}};
+}
+
+auto parse_objectives(json::object const& o, service_objectives& out) -> bool
+{
+    return millis_of(o, "latency_ms", out.latency) &&
+           number_of(o, "latency_target", out.latency_target) &&
+           number_of(o, "coverage_target", out.coverage_target) &&
+           number_of(o, "availability_target", out.availability_target) &&
+           number_of(o, "bookings_target", out.bookings_target);
+}
+
 auto service_to_json(service_info const& it) -> json::object
 {
     auto targets = json::array{};
     for (auto const& t : it.targets)
         targets.push_back(json::object{{"name", t.name}, {"address", t.address},
-            {"zone", t.zone}, {"shard", t.shard.value}});
+            {"zone", t.zone}, {"version", t.version},
+            {"shard", t.shard.value}});
     return {{"name", it.name}, {"epoch", it.epoch}, {"shards", it.shards},
         {"deadline_ms", it.deadline.count()},
-        {"limits", limits_to_json(it.limits)}, {"targets", std::move(targets)}};
+        {"limits", limits_to_json(it.limits)},
+        {"rollout", policy_to_json(it.rollout)},
+        {"targets", std::move(targets)}};
 }
 
 auto parse_target(json::object const& o, target_info& out) -> bool
@@ -116,6 +150,7 @@
     out.name = text_of(o, "name");
     out.address = text_of(o, "address");
     out.zone = text_of(o, "zone");
+    out.version = text_of(o, "version");
     return number_of(o, "shard", out.shard.value) && !out.name.empty();
 }
 
@@ -127,6 +162,27 @@
            millis_of(o, "warmup_ms", out.warmup);
 }
 
+auto parse_policy(json::object const& o, rollout_policy& out) -> bool
+{
+    out.from = text_of(o, "from");
+    out.to = text_of(o, "to");
+    auto good = number_of(o, "id", out.id) &&
+                millis_of(o, "duration_ms", out.duration) &&
+                number_of(o, "max_failure_ratio", out.max_failure_ratio) &&
+                number_of(o, "max_latency_ratio", out.max_latency_ratio) &&
+                number_of(o, "min_samples", out.min_samples);
+    auto last = std::uint32_t{0};
+    for (auto const& v : list_of(o, "steps_percent"))
+    {
+        auto ec = json::error_code{};
+        auto const n = v.to_number<std::uint32_t>(ec);
+        good = good && !ec && n > last && n < 100;
+        out.steps_percent.push_back(n);
+        last = n;
+    }
+    return good;
+}
+
 auto parse_service(json::object const& o, service_info& out) -> bool
 {
     constexpr auto max_shards = 100'000u;
@@ -137,6 +193,9 @@
         number_of(o, "shards", out.shards) &&
         millis_of(o, "deadline_ms", out.deadline) &&
         (limits == nullptr || parse_limits(object_of(*limits), out.limits));
+    auto const* policy = o.if_contains("rollout");
+    good = good &&
+           (policy == nullptr || parse_policy(object_of(*policy), out.rollout));
     for (auto const& it : list_of(o, "targets"))
     {
         auto t = target_info{};
@@ -325,8 +384,9 @@
     for (auto const& s : it.services)
         services.push_back(service_to_json(s));
     return json::serialize(json::object{{"name", it.name},
-        {"max_queries", it.max_queries}, {"zones_out", std::move(zones)},
-        {"services", std::move(services)}});
+        {"max_queries", it.max_queries},
+        {"objectives", objectives_to_json(it.objectives)},
+        {"zones_out", std::move(zones)}, {"services", std::move(services)}});
 }
 
 auto parse_customer(std::string_view value, std::uint64_t version)
@@ -337,6 +397,9 @@
     c.name = text_of(o, "name");
     c.version = version;
     auto good = !c.name.empty() && number_of(o, "max_queries", c.max_queries);
+    auto const* objectives = o.if_contains("objectives");
+    good = good && (objectives == nullptr ||
+                       parse_objectives(object_of(*objectives), c.objectives));
     for (auto const& z : list_of(o, "zones_out"))
         if (z.is_string())
             c.zones_out.emplace_back(z.get_string());
@@ -378,6 +441,34 @@
     return all;
 }
 
+auto to_json(rollout const& it) -> std::string
+{
+    return json::serialize(json::object{{"id", it.id}, {"step", it.step},
+        {"phase", static_cast<std::uint32_t>(it.phase)},
+        {"fault", static_cast<std::uint32_t>(it.fault)},
+        {"started_ms", it.started_ms}, {"changed_ms", it.changed_ms},
+        {"token", it.token.value}});
+}
+
+auto parse_rollout(std::string_view value) -> leaf::result<rollout>
+{
+    auto const o = parse_object_text(value);
+    auto r = rollout{};
+    auto phase = std::uint8_t{3};
+    auto fault = std::uint8_t{3};
+    auto const good =
+        number_of(o, "id", r.id) && number_of(o, "step", r.step) &&
+        number_of(o, "phase", phase) && number_of(o, "fault", fault) &&
+        number_of(o, "started_ms", r.started_ms) &&
+        number_of(o, "changed_ms", r.changed_ms) &&
+        number_of(o, "token", r.token.value);
+    if (!good || phase > 2 || fault > 2)
+        return leaf::new_error(decode_error{"rollout"});
+    r.phase = static_cast<rollout_phase>(phase);
+    r.fault = static_cast<rollout_fault>(fault);
+    return r;
+}
+
 auto to_json(std::vector<claim> const& it) -> std::string
 {
     auto list = json::array{};
--- a/src/adapter/json_api.hpp
+++ b/src/adapter/json_api.hpp
@@ -6,6 +6,7 @@
 
 #include <knapweedstream/booking.hpp>
 #include <knapweedstream/query.hpp>
+#include <knapweedstream/rollout.hpp>
 
 #include <string>
 #include <string_view>
@@ -38,6 +39,8 @@
 auto to_json(instance_info const& it) -> std::string;
 auto parse_instances(std::string_view body)
     -> leaf::result<std::vector<instance_info>>;
+auto to_json(rollout const& it) -> std::string;
+auto parse_rollout(std::string_view value) -> leaf::result<rollout>;
 auto to_json(std::vector<claim> const& it) -> std::string;
 auto parse_claims(std::string_view value) -> leaf::result<std::vector<claim>>;
 
--- a/src/adapter/log.cpp
+++ b/src/adapter/log.cpp
@@ -62,13 +62,56 @@
         << part << ": " << text;
 }
 
+auto phase_name(rollout_phase it) -> char const*
+{
+    switch (it)
+    {
+    case rollout_phase::running:
+        return "running";
+    case rollout_phase::finished:
+        return "done";
+    case rollout_phase::taken_back:
+        return "undone";
+    }
+    return "running";
+}
+
+auto fault_name(rollout_fault it) -> char const*
+{
+    switch (it)
+    {
+    case rollout_fault::none:
+        return "none";
+    case rollout_fault::failures:
+        return "failures";
+    case rollout_fault::latency:
+        return "latency";
+    }
+    return "none";
+}
+
 auto log_fact(fact const& it) -> void
 {
     std::visit(
-        overloaded{[](target_ejected const& e) {
-                       log(log_level::warning, "leaf",
-                           "Target ejected. target=" + hex(e.target));
-                   },
+        overloaded{[](rollout_changed const& e)
+            {
+                log(log_level::info, "rollout",
+                    "Rollout changed. service=" + e.service +
+                        " id=" + std::to_string(e.id) +
+                        " step=" + std::to_string(e.step) + " state=" +
+                        phase_name(e.phase) + " reason=" + fault_name(e.fault));
+            },
+            [](version_stopped const& e)
+            {
+                log(log_level::warning, "rollout",
+                    "New version stopped. service=" + e.service +
+                        " id=" + std::to_string(e.id) +
+                        " reason=" + fault_name(e.fault));
+            },
+            [](target_ejected const& e) {
+                log(log_level::warning, "leaf",
+                    "Target ejected. target=" + hex(e.target));
+            },
             [](target_restarted const& e)
             {
                 log(log_level::info, "leaf",
--- a/src/adapter/log.hpp
+++ b/src/adapter/log.hpp
@@ -19,6 +19,10 @@
 /// @param[in] text Short sentence and fields.
 auto log(log_level level, std::string_view part, std::string_view text) -> void;
 
+/// Words for a rollout's state and fault.
+auto phase_name(rollout_phase it) -> char const*;
+auto fault_name(rollout_fault it) -> char const*;
+
 /// Writes the line of a fact that the node reports.
 auto log_fact(fact const& it) -> void;
 
--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -189,6 +189,41 @@
         done);
 }
 
+auto platform_client::on_rollout(service_id service, http_reply const& r)
+    -> void
+{
+    if (r.status() == 404)
+        return sink_(rollout_stored{service, 0, {}});
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(object, parse_object(r.body()));
+            BOOST_LEAF_AUTO(value, parse_rollout(object.value));
+            sink_(rollout_stored{service, object.version, value});
+            return {};
+        },
+        [&] { sink_(rollout_failed{service}); });
+}
+
+auto platform_client::run(rollout_read const& c) -> void
+{
+    send(control_,
+        {EVHTTP_REQ_GET,
+            "/v1/objects/rollout/" + std::to_string(c.service.value), {}, {}},
+        [this, service = c.service](http_reply const& r)
+        { on_rollout(service, r); });
+}
+
+auto platform_client::run(rollout_write const& c) -> void
+{
+    send(control_,
+        {EVHTTP_REQ_PUT,
+            "/v1/objects/rollout/" + std::to_string(c.service.value),
+            {{"If-Match", std::to_string(c.if_version)}}, to_json(c.value)},
+        [this, service = c.service](http_reply const& r)
+        { on_rollout(service, r); });
+}
+
 auto platform_client::run(announce_leaving const&) -> void
 {
     announce(true);
--- a/src/adapter/platform_client.hpp
+++ b/src/adapter/platform_client.hpp
@@ -19,6 +19,8 @@
 
     auto run(claims_read const& c) -> void;
     auto run(claims_write const& c) -> void;
+    auto run(rollout_read const& c) -> void;
+    auto run(rollout_write const& c) -> void;
     auto run(watch_config const& c) -> void;
     auto run(announce_leaving const& c) -> void;
 
@@ -32,6 +34,7 @@
     auto list_instances() -> void;
     auto watch() -> void;
     auto on_changes(http_reply const& r) -> void;
+    auto on_rollout(service_id service, http_reply const& r) -> void;
     auto on_claims(claim_bucket bucket, http_reply const& r) -> void;
     auto connection_for(claim_bucket bucket) -> http_connection&;
 
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -35,6 +35,8 @@
         {"status", "shows what is in force, and waits for it", show_status},
         {"apply", "puts a template in force: apply TEMPLATE.ini",
             apply_template},
+        {"report", "reports service-level burn: report burn --to A...",
+            show_report},
         {"version", "prints the version", print_version},
         {"help", "prints this text", print_help}};
     return table;
--- a/src/app/cli.hpp
+++ b/src/app/cli.hpp
@@ -32,6 +32,7 @@
 auto send_query(arguments const& args) -> leaf::result<int>;
 auto send_booking(arguments const& args) -> leaf::result<int>;
 auto show_status(arguments const& args) -> leaf::result<int>;
+auto show_report(arguments const& args) -> leaf::result<int>;
 auto apply_template(arguments const& args) -> leaf::result<int>;
 
 } // namespace knapweedstream
--- /dev/null
+++ b/src/app/cli_report.cpp
@@ -0,0 +1,60 @@
+#include "adapter/burn_page.hpp"
+#include "app/cli_options.hpp"
+#include "app/http_call.hpp"
+
+#include <iostream>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto call_timeout = seconds{5};
+
+auto read_book(std::string const& address) -> leaf::result<burn_book>
+{
+    BOOST_LEAF_AUTO(reply,
+        call(address, {EVHTTP_REQ_GET, "/v1/burn", {}, {}}, call_timeout));
+    return parse_burn(reply.body);
+}
+
+} // namespace
+
+auto show_report(arguments const& args) -> leaf::result<int>
+{
+    using list = std::vector<std::string>;
+    auto options = po::options_description{"options"};
+    options.add_options()("report", po::value<std::string>()->required(),
+        "burn")("to", po::value<list>()->multitoken()->required(),
+        "addresses of all instances, IP:PORT")("format",
+        po::value<std::string>()->default_value("text"), "text, json or html");
+    BOOST_LEAF_AUTO(v, parse_options(args, "report", options, "report"));
+    auto const format = text_option(v, "format");
+    if (text_option(v, "report") != "burn" ||
+        (format != "text" && format != "json" && format != "html"))
+        return leaf::new_error(
+            usage_error{"report burn --to A... [--format text|json|html]"});
+    auto book = burn_book{};
+    auto silent = 0;
+    for (auto const& address : v["to"].as<list>())
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(one, read_book(address));
+                add_book(book, one);
+                return {};
+            },
+            [&]
+            {
+                ++silent;
+                std::cerr << "not counted, no answer: " << address << "\n";
+            });
+    auto const last = wall_seconds() / 60;
+    std::cout << (format == "html"   ? burn_html(book, last)
+                  : format == "json" ? burn_json(book, last) + "\n"
+                                     : burn_text(book, last));
+    return silent == 0 ? 0 : 5;
+}
+
+} // namespace knapweedstream
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -23,7 +23,9 @@
 {
     auto device = std::random_device{};
     auto const high = std::uint64_t{device()} << 32;
-    return {s.self, high | device() | 1, s.limits, s.policy};
+    auto const wall = wall_seconds() * 1'000'000;
+    auto const offset = wall - present().time_since_epoch().count();
+    return {s.self, high | device() | 1, s.limits, s.policy, offset};
 }
 
 auto cpu_seconds() -> double
@@ -191,6 +193,13 @@
             [this](claims_read const& it) { platform_.run(it); },
             [this](claims_write const& it) { platform_.run(it); },
             [this](watch_config const& it) { platform_.run(it); },
+            [this](rollout_read const& it) { platform_.run(it); },
+            [this](rollout_write const& it) { platform_.run(it); },
+            [this](count_request const& it)
+            {
+                add_request(burn_, it.customer, it.objectives, it.counts,
+                    wall_seconds() / 60);
+            },
             [this](announce_leaving const& it)
             {
                 log(log_level::info, "node", "Leaving.");
@@ -237,9 +246,12 @@
             return {200, metrics_text(node_.stats(), node_.gauges(), figures(),
                              latency_, coverage_)};
         },
+        [this]() -> http_answer {
+            return {200, status_page()};
+        },
         [this]() -> http_answer
         {
-            return {200, status_page()};
+            return {200, to_json(burn_)};
         }};
 }
 
@@ -254,11 +266,16 @@
     for (auto const& [info, works] : node_.peers())
         peers.push_back(json::object{
             {"name", info.name}, {"zone", info.zone}, {"takes_work", works}});
+    auto rollouts = json::array{};
+    for (auto const& it : node_.rollouts())
+        rollouts.push_back(json::object{{"service", it.service}, {"id", it.id},
+            {"percent", it.percent}, {"state", phase_name(it.phase)},
+            {"reason", fault_name(it.fault)}, {"changed_ms", it.changed_ms}});
     auto const g = node_.gauges();
     return json::serialize(json::object{{"name", settings_.self.name},
         {"zone", settings_.self.zone}, {"ready", g.ready},
         {"leaving", g.leaving}, {"configs", std::move(configs)},
-        {"peers", std::move(peers)}});
+        {"rollouts", std::move(rollouts)}, {"peers", std::move(peers)}});
 }
 
 } // namespace knapweedstream
--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -2,6 +2,7 @@
 #ifndef KNAPWEEDSTREAM_APP_RUNTIME_HPP
 #define KNAPWEEDSTREAM_APP_RUNTIME_HPP
 
+#include "adapter/burn_page.hpp"
 #include "adapter/caller_server.hpp"
 #include "adapter/metrics.hpp"
 #include "adapter/platform_client.hpp"
@@ -50,6 +51,7 @@
     bool turn_asked_ = false;
     distribution latency_;
     distribution coverage_;
+    burn_book burn_;
     double control_cpu_s_ = 0;
     double data_cpu_s_ = 0;
 };
--- a/src/core/booking_entry.cpp
+++ b/src/core/booking_entry.cpp
@@ -1,5 +1,6 @@
 #include "core/booking_entry.hpp"
 
+#include "core/burn.hpp"
 #include "core/entry.hpp"
 #include "core/membership.hpp"
 
@@ -27,9 +28,10 @@
     return next;
 }
 
-auto answer_caller(node_state& s, caller_id caller,
+auto answer_caller(node_state& s, caller_id caller, std::string const& customer,
     booking_answer const& answer, commands& out) -> void
 {
+    count(s, customer, count_booking(answer), out);
     s.stats = count_outcome(s.stats, answer);
     out.push_back(answer_booking{caller, answer});
 }
@@ -41,9 +43,9 @@
     auto const c = s.customers.find(it->second.customer);
     if (c != s.customers.end() && c->second.open > 0)
         --c->second.open;
-    auto const caller = it->second.caller;
+    auto const b = it->second;
     s.bookings.erase(it);
-    answer_caller(s, caller, answer, out);
+    answer_caller(s, b.caller, b.request.customer, answer, out);
 }
 
 auto bad_booking_field(booking_request const& r) -> std::optional<refusal>
@@ -104,7 +106,8 @@
     if (!reason)
         reason = bad_booking_field(r);
     if (reason)
-        return answer_caller(s, e.caller, booking_not_run{*reason}, out);
+        return answer_caller(
+            s, e.caller, r.customer, booking_not_run{*reason}, out);
     auto const service = find_service(s, r.customer, r.service);
     auto const& info = s.services.at(service).info;
     auto b = entry_booking{};
--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -1,6 +1,7 @@
 #include "core/booking_exec.hpp"
 
 #include "core/leaf.hpp"
+#include "core/rollout_driver.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -311,11 +312,14 @@
     auto const it = s.executions.find(token);
     if (it == s.executions.end() || it->second.state != exec_state::dispatching)
         return true;
-    auto const any = [](target const&)
-    {
-        return true;
-    };
-    auto* t = choose_target(s, shard, now, any);
+    auto const service = s.services.find(it->second.bucket.service);
+    if (service == s.services.end())
+        return false;
+    auto const choice = choose_version_for(
+        service->second, run_id{it->second.id, it->second.attempts});
+    auto const& policy = service->second.info.rollout;
+    auto* t = choose_target(s, shard, now,
+        [&](target const& one) { return fits(one, policy, choice); });
     if (t == nullptr)
         return false;
     auto wanted = attempt{};
--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -50,6 +50,7 @@
     next.shard = it.shard;
     next.address = it.address;
     next.zone = id_of<zone_id>(it.zone);
+    next.version = it.version;
     next.limits = info.limits;
     next.zone_out = zone_out;
     next.removed = false;
@@ -78,6 +79,15 @@
     }
 }
 
+/// Forgets what was seen of an earlier rollout, but not the stored state.
+auto with_new_policy(rollout_entry const& e) -> rollout_entry
+{
+    auto next = rollout_entry{};
+    next.version = e.version;
+    next.value = e.value;
+    return next;
+}
+
 auto put_service(node_state& s, customer_config const& c,
     service_info const& info, commands& out) -> service_id
 {
@@ -88,6 +98,8 @@
     auto const remapped = !fresh && (entry.info.epoch != info.epoch ||
                                         entry.shards.size() != info.shards);
     entry.customer = customer;
+    if (entry.info.rollout.id != info.rollout.id)
+        entry.rollout = with_new_policy(entry.rollout);
     entry.info = info;
     if (fresh)
     {
@@ -123,16 +135,8 @@
 auto spread(node_state& s, customer_config const& config, instance_id from)
     -> void
 {
-    auto alive = std::vector<instance_id>{};
-    for (auto const& [id, m] : s.members)
-        if (m.state == member_state::alive && id != from)
-            alive.push_back(id);
-    for (auto n = spread_fanout; n > 0 && !alive.empty(); --n)
-    {
-        auto const i = draw_below(s.random, alive.size());
-        post(s, alive[i], config_update{config});
-        alive.erase(alive.begin() + static_cast<std::ptrdiff_t>(i));
-    }
+    for (auto const peer : spread_targets(s, spread_fanout, from))
+        post(s, peer, config_update{config});
 }
 
 } // namespace
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -1,5 +1,6 @@
 #include "core/entry.hpp"
 
+#include "core/burn.hpp"
 #include "core/deadly.hpp"
 #include "core/membership.hpp"
 
@@ -208,14 +209,20 @@
     answer.elapsed = now - e.value.started;
     adapt_admission(s, e.value, answer.covered, now);
     ++(answer.covered.missing.empty() ? s.stats.complete : s.stats.partial);
+    auto const& customer = e.value.request.customer;
+    auto const c = s.customers.find(e.value.customer);
+    if (c != s.customers.end())
+        count(s, customer, count_answer(answer, c->second.config.objectives),
+            out);
     out.push_back(answer_query{e.value.caller, std::move(answer)});
     close_query(s, id);
 }
 
-auto refuse(node_state& s, caller_id caller, refusal const& reason,
-    commands& out) -> void
+auto refuse(node_state& s, caller_id caller, std::string const& customer,
+    refusal const& reason, commands& out) -> void
 {
     ++s.stats.refused;
+    count(s, customer, count_refusal(reason), out);
     out.push_back(refuse_query{caller, reason});
 }
 
@@ -223,7 +230,7 @@
 {
     auto const& e = s.queries.at(id);
     cancel_run(s, e);
-    refuse(s, e.value.caller, deadly_request{}, out);
+    refuse(s, e.value.caller, e.value.request.customer, deadly_request{}, out);
     close_query(s, id);
 }
 
@@ -419,6 +426,15 @@
 
 } // namespace
 
+auto count(node_state const& s, std::string const& customer,
+    request_counts const& counts, commands& out) -> void
+{
+    auto const it = s.customers.find(id_of<customer_id>(customer));
+    if (it != s.customers.end() && counts != request_counts{})
+        out.push_back(
+            count_request{customer, it->second.config.objectives, counts});
+}
+
 auto find_service(node_state const& s, std::string_view customer,
     std::string_view service) -> service_id
 {
@@ -454,18 +470,18 @@
     ++s.stats.queries;
     auto const& q = e.request;
     if (auto const reason = admit(s, q.customer, q.service, q.deadline))
-        return refuse(s, e.caller, *reason, out);
+        return refuse(s, e.caller, q.customer, *reason, out);
     if (q.max_rows == 0 || q.max_rows > s.init.limits.max_rows)
-        return refuse(s, e.caller,
+        return refuse(s, e.caller, q.customer,
             bad_field{
                 "max_rows", "1 to " + std::to_string(s.init.limits.max_rows)},
             out);
     auto const print = print_of(q);
     if (is_banned(s, print, now))
-        return refuse(s, e.caller, deadly_request{}, out);
+        return refuse(s, e.caller, q.customer, deadly_request{}, out);
     auto const service = find_service(s, q.customer, q.service);
     if (!may_open(s.services.at(service).admitted))
-        return refuse(s, e.caller, over_capacity{}, out);
+        return refuse(s, e.caller, q.customer, over_capacity{}, out);
     auto const& info = s.services.at(service).info;
     auto entry = query_entry{};
     entry.value.caller = e.caller;
--- a/src/core/entry.hpp
+++ b/src/core/entry.hpp
@@ -18,6 +18,10 @@
     std::string const& service, milliseconds deadline)
     -> std::optional<refusal>;
 
+/// Counts a finished request; unknown customers have no objectives.
+auto count(node_state const& s, std::string const& customer,
+    request_counts const& counts, commands& out) -> void;
+
 auto on_caller_query(node_state& s, caller_query const& e, time_point now,
     commands& out) -> void;
 auto on_caller_gone(
--- a/src/core/leaf.cpp
+++ b/src/core/leaf.cpp
@@ -3,6 +3,7 @@
 #include "core/booking_exec.hpp"
 #include "core/deadly.hpp"
 #include "core/owner.hpp"
+#include "core/rollout_driver.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -181,6 +182,7 @@
     auto const it = s.services.find(t.value.service);
     if (it != s.services.end() && !is_booking(a))
         it->second.latency = observe(it->second.latency, latency);
+    record_version(s, t.value, false, latency, out);
 }
 
 auto record_shed(node_state& s, target_entry& t, time_point now) -> void
@@ -218,6 +220,7 @@
                           [&](leaf_failed const&) -> attempt_end
                           {
                               record_failure(s, t, now, out);
+                              record_version(s, t.value, true, 0, out);
                               return ended_broken{};
                           }},
         outcome);
@@ -370,6 +373,8 @@
     if (t.connections == 0)
         t.value.versions.clear();
     refresh_view(s, t.value.service, t.value.shard);
+    if (a && !e.refused)
+        record_version(s, t.value, true, 0, out);
     if (a && !e.refused)
         on_death(s, *a, confirming, now, out);
     if (a)
@@ -430,7 +435,10 @@
     out.push_back(note{connection_condemned{a.to}});
     condemn_cohort(s, t, a.sent_at, out);
     if (!others_work)
+    {
         record_failure(s, t, now, out);
+        record_version(s, t.value, true, 0, out);
+    }
     if (is_booking(a))
         deliver(s, a, ended_lost{}, now, out);
     open_connections(s, a.to, now, out);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -43,25 +43,6 @@
         });
 }
 
-/// Instances that may own shards.
-auto owner_candidates(node_state const& s) -> std::vector<rendezvous_node>
-{
-    auto all = std::vector<rendezvous_node>{};
-    auto staying = std::vector<rendezvous_node>{};
-    auto const add = [&](instance_id id, std::string const& zone)
-    {
-        auto const it = rendezvous_node{id, id_of<zone_id>(zone)};
-        all.push_back(it);
-        if (!zone_is_out(s, zone))
-            staying.push_back(it);
-    };
-    add(s.self, s.init.self.zone);
-    for (auto const& [id, m] : s.members)
-        if (takes_work(m))
-            add(id, m.info.zone);
-    return staying.empty() ? all : staying;
-}
-
 /// In-flight requests that all owners together may have on one target.
 auto total_concurrency(target_limits const& limits, node_limits const& node)
     -> std::uint32_t
@@ -196,6 +177,41 @@
 
 } // namespace
 
+auto owner_candidates(node_state const& s) -> std::vector<rendezvous_node>
+{
+    auto all = std::vector<rendezvous_node>{};
+    auto staying = std::vector<rendezvous_node>{};
+    auto const add = [&](instance_id id, std::string const& zone)
+    {
+        auto const it = rendezvous_node{id, id_of<zone_id>(zone)};
+        all.push_back(it);
+        if (!zone_is_out(s, zone))
+            staying.push_back(it);
+    };
+    add(s.self, s.init.self.zone);
+    for (auto const& [id, m] : s.members)
+        if (takes_work(m))
+            add(id, m.info.zone);
+    return staying.empty() ? all : staying;
+}
+
+auto spread_targets(node_state& s, std::uint32_t n, instance_id except)
+    -> std::vector<instance_id>
+{
+    auto alive = std::vector<instance_id>{};
+    for (auto const& [id, m] : s.members)
+        if (m.state == member_state::alive && id != except)
+            alive.push_back(id);
+    auto chosen = std::vector<instance_id>{};
+    while (chosen.size() < n && !alive.empty())
+    {
+        auto const i = draw_below(s.random, alive.size());
+        chosen.push_back(alive[i]);
+        alive.erase(alive.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    return chosen;
+}
+
 auto can_work(node_state const& s, instance_id id) -> bool
 {
     if (id == s.self)
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -25,6 +25,13 @@
 auto check_peer(node_state& s, instance_id id, time_point now, commands& out)
     -> bool;
 
+/// Instances that may own shards.
+auto owner_candidates(node_state const& s) -> std::vector<rendezvous_node>;
+
+/// Random live peers, to be told of something.
+auto spread_targets(node_state& s, std::uint32_t n, instance_id except = {})
+    -> std::vector<instance_id>;
+
 auto on_heartbeat(node_state& s, instance_id from, heartbeat const& m,
     time_point now, commands& out) -> void;
 auto on_heartbeat_due(node_state& s, time_point now, commands& out) -> void;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -8,9 +8,12 @@
 #include "core/leaf.hpp"
 #include "core/membership.hpp"
 #include "core/owner.hpp"
+#include "core/rollout_driver.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
+#include <algorithm>
+
 namespace knapweedstream
 {
 
@@ -37,6 +40,9 @@
             [&](booking_result const& it) { on_booking_result(s, it, out); },
             [&](config_update const& it)
             { accept_config(s, it.config, from, now, out); },
+            [&](rollout_update const& it)
+            { on_rollout_update(s, from, it, out); },
+            [&](version_fault const& it) { on_version_fault(s, it, out); },
             [&](peer_suspicion const& it) { on_peer_suspicion(s, it, now); },
             [&](config_request const& it)
             {
@@ -101,7 +107,11 @@
             [&](forward_due const& it) { on_forward_due(s, it, now, out); },
             [&](exec_due const& it) { on_exec_due(s, it, now, out); },
             [&](bucket_due const& it) { on_bucket_due(s, it, out); },
-            [&](heartbeat_due const&) { on_heartbeat_due(s, now, out); },
+            [&](heartbeat_due const&)
+            {
+                on_heartbeat_due(s, now, out);
+                drive_rollouts(s, now, out);
+            },
             [&](drain_due const&)
             {
                 on_drain_due(s, now, out);
@@ -171,6 +181,8 @@
             [&](claims_stored const& it) { on_claims_stored(s, it, now, out); },
             [&](claims_written const& it)
             { on_claims_written(s, it, now, out); },
+            [&](rollout_stored const& it) { on_rollout_stored(s, it, out); },
+            [&](rollout_failed const& it) { on_rollout_failed(s, it); },
             [&](claims_failed const& it) { on_claims_failed(s, it, now); },
             [&](tick const&)
             {
@@ -266,6 +278,23 @@
     return all;
 }
 
+auto node::rollouts() const -> std::vector<rollout_view>
+{
+    auto all = std::vector<rollout_view>{};
+    for (auto const& [id, service] : state_->services)
+    {
+        auto const& policy = service.info.rollout;
+        auto const& e = service.rollout;
+        if (policy.id == 0 || e.value.id == 0)
+            continue;
+        all.push_back(
+            {service.info.name, e.value.id, share_percent(e.value, policy),
+                e.value.phase, e.value.fault, e.value.changed_ms});
+    }
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
 auto node::peers() const -> std::vector<std::pair<instance_info, bool>>
 {
     auto all = std::vector<std::pair<instance_info, bool>>{};
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -44,6 +44,7 @@
     std::uint64_t incarnation = 1; ///< New at each start; seeds all numbers.
     node_limits limits;
     node_policy policy;
+    std::int64_t wall_offset_us = 0; ///< Wall clock at time 0, since 1970.
 
     auto operator<=>(node_init const&) const = default;
 };
@@ -90,6 +91,19 @@
     auto operator<=>(node_gauges const&) const = default;
 };
 
+/// A rollout as this node sees it.
+struct rollout_view
+{
+    std::string service;
+    std::uint32_t id = 0;
+    std::uint32_t percent = 0; ///< Share of the new version.
+    rollout_phase phase = rollout_phase::running;
+    rollout_fault fault = rollout_fault::none;
+    std::int64_t changed_ms = 0;
+
+    auto operator<=>(rollout_view const&) const = default;
+};
+
 struct node_state;
 
 /// A node of the query tier: decisions only, no I/O and no clock.
@@ -121,6 +135,9 @@
     /// Configurations in force.
     auto configs() const -> std::vector<customer_config>;
 
+    /// Rollouts that are configured.
+    auto rollouts() const -> std::vector<rollout_view>;
+
     /// Other instances, with whether each takes work.
     auto peers() const -> std::vector<std::pair<instance_info, bool>>;
 
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -2,6 +2,7 @@
 
 #include "core/deadly.hpp"
 #include "core/leaf.hpp"
+#include "core/rollout_driver.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -104,6 +105,40 @@
     return std::max(least_hedge_delay, duration{us});
 }
 
+/// Chooses a replica of the wanted version that was not tried, else any that
+/// may serve the part.
+auto choose_replica(node_state& s, owned_query const& owned, part const& p,
+    shard_entry& shard, bool is_hedge, time_point now) -> target_entry*
+{
+    auto const& q = owned.request;
+    auto const& policy = s.services.at(q.service).info.rollout;
+    auto const suspected = is_suspected(s, q.print);
+    auto choice = owned.version;
+    auto const usable = [&](target const& t)
+    {
+        return serves(t, q.at) && fits(t, policy, choice) &&
+               (!suspected || s.targets.at(t.id).suspect == attempt_id{});
+    };
+    auto const fresh = [&](target const& t)
+    {
+        return usable(t) && !was_tried(p, t.id);
+    };
+    auto const choose = [&]() -> target_entry*
+    {
+        auto* t = choose_target(s, shard, now, fresh);
+        if (t == nullptr && !is_hedge && running_count(p) == 0)
+            t = choose_target(s, shard, now, usable);
+        return t;
+    };
+    auto* t = choose();
+    if (t == nullptr && choice == version_choice::new_first)
+    {
+        choice = version_choice::old_only;
+        t = choose();
+    }
+    return t;
+}
+
 /// Sends a part to a replica that has room.
 auto dispatch(node_state& s, part_key const& key, attempt_kind kind,
     time_point now, commands& out) -> bool
@@ -117,18 +152,8 @@
     auto const suspected = is_suspected(s, q.print);
     if (suspected && s.suspicions.at(q.print).running)
         return false;
-    auto const again = [&](target const& t)
-    {
-        return serves(t, q.at) &&
-               (!suspected || s.targets.at(t.id).suspect == attempt_id{});
-    };
-    auto const fresh = [&](target const& t)
-    {
-        return again(t) && !was_tried(p, t.id);
-    };
-    auto* t = choose_target(s, *shard, now, fresh);
-    if (t == nullptr && kind != attempt_kind::hedge && running_count(p) == 0)
-        t = choose_target(s, *shard, now, again);
+    auto* t =
+        choose_replica(s, e.value, p, *shard, kind == attempt_kind::hedge, now);
     if (t == nullptr)
         return false;
     auto wanted = attempt{};
@@ -341,6 +366,9 @@
         e.value.request = q;
         e.value.deadline = now + q.time_left;
         e.value.pending.id = q.id;
+        auto const service = s.services.find(q.service);
+        if (service != s.services.end())
+            e.value.version = choose_version_for(service->second, q.id);
         arm(s, e.value.deadline, sub_due{key});
     }
     auto const first = static_cast<std::uint32_t>(e.parts.size());
--- /dev/null
+++ b/src/core/rollout_driver.cpp
@@ -0,0 +1,209 @@
+#include "core/rollout_driver.hpp"
+
+#include "core/membership.hpp"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+auto wall_ms(node_state const& s, time_point now) -> std::int64_t
+{
+    auto const us = now.time_since_epoch().count() + s.init.wall_offset_us;
+    return us / 1'000;
+}
+
+auto policy_of(service_entry const& service) -> rollout_policy const&
+{
+    return service.info.rollout;
+}
+
+/// True if this node is first in rank for driving the service's rollout.
+auto drives(node_state const& s, service_id id) -> bool
+{
+    auto const first =
+        rendezvous(hash_name("rollout", id.value), owner_candidates(s), 1);
+    return !first.empty() && first.front() == s.self;
+}
+
+auto percent_of(run_id const& run) -> std::uint32_t
+{
+    auto const bytes = std::bit_cast<std::array<char, 8>>(run.query.value);
+    return static_cast<std::uint32_t>(
+        hash_name({bytes.data(), bytes.size()}) % 100);
+}
+
+auto tell_all(node_state& s, message const& m, instance_id except) -> void
+{
+    for (auto const& [peer, it] : s.members)
+        if (it.state == member_state::alive && peer != except)
+            post(s, peer, m);
+}
+
+auto write(service_id id, rollout_entry& e, rollout const& next, commands& out) -> void
+{
+    e.in_progress = true;
+    out.push_back(rollout_write{id, e.version, next});
+}
+
+/// Takes a state if it is newer than the one in force.
+auto accept(node_state& s, service_id id, std::uint64_t version,
+    rollout const& value, commands& out) -> bool
+{
+    auto const it = s.services.find(id);
+    if (it == s.services.end() || it->second.rollout.version >= version)
+        return false;
+    auto& e = it->second.rollout;
+    auto const changed = e.value.phase != value.phase ||
+                         e.value.step != value.step || e.value.id != value.id;
+    e.version = version;
+    e.value = value;
+    if (changed)
+        out.push_back(note{rollout_changed{it->second.info.name, value.id,
+            value.step, value.phase, value.fault}});
+    return true;
+}
+
+auto stop_version(service_entry& service, std::uint32_t id, rollout_fault fault)
+    -> bool
+{
+    if (policy_of(service).id != id ||
+        service.rollout.fault != rollout_fault::none)
+        return false;
+    service.rollout.fault = fault;
+    return true;
+}
+
+auto drive(node_state& s, service_id id, service_entry& service, time_point now,
+    commands& out) -> void
+{
+    auto& e = service.rollout;
+    auto const& policy = policy_of(service);
+    if (e.in_progress)
+        return;
+    if (!e.loaded)
+    {
+        e.in_progress = true;
+        out.push_back(rollout_read{id});
+        return;
+    }
+    auto const token = fresh_id<claim_token>(s);
+    if (e.value.id < policy.id)
+        return write(id, e, first_step(policy, wall_ms(s, now), token), out);
+    auto const next =
+        next_step(e.value, policy, e.fault, wall_ms(s, now), token);
+    if (next)
+        write(id, e, *next, out);
+}
+
+} // namespace
+
+auto choose_version_for(service_entry const& service, run_id const& run)
+    -> version_choice
+{
+    auto const& policy = policy_of(service);
+    auto const& e = service.rollout;
+    if (policy.id == 0)
+        return version_choice::any;
+    if (e.value.id != policy.id || e.fault != rollout_fault::none)
+        return version_choice::old_only;
+    return percent_of(run) < share_percent(e.value, policy)
+               ? version_choice::new_first
+               : version_choice::old_only;
+}
+
+auto fits(target const& t, rollout_policy const& policy, version_choice c)
+    -> bool
+{
+    return c == version_choice::any ||
+           (c == version_choice::new_first) == (t.version == policy.to);
+}
+
+auto record_version(node_state& s, target const& t, bool failed,
+    double latency_us, commands& out) -> void
+{
+    auto const it = s.services.find(t.service);
+    if (it == s.services.end() || policy_of(it->second).id == 0)
+        return;
+    auto& service = it->second;
+    auto const& policy = policy_of(service);
+    auto& e = service.rollout;
+    auto& record = t.version == policy.to ? e.after : e.before;
+    record = with_result(record, failed, latency_us);
+    if (e.value.phase != rollout_phase::running)
+        return;
+    auto const fault = judge(e.before, e.after, policy);
+    if (fault == rollout_fault::none ||
+        !stop_version(service, policy.id, fault))
+        return;
+    out.push_back(note{version_stopped{service.info.name, policy.id, fault}});
+    tell_all(s, version_fault{it->first, policy.id, fault}, {});
+}
+
+auto drive_rollouts(node_state& s, time_point now, commands& out) -> void
+{
+    auto ids = std::vector<service_id>{};
+    for (auto const& [id, service] : s.services)
+        if (policy_of(service).id != 0)
+            ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    for (auto const id : ids)
+    {
+        auto& service = s.services.at(id);
+        if (drives(s, id))
+            drive(s, id, service, now, out);
+        else
+            service.rollout.loaded = false;
+        if (service.rollout.version > 0)
+        {
+            auto const peers = spread_targets(s, 1);
+            for (auto const peer : peers)
+                post(s, peer,
+                    rollout_update{
+                        id, service.rollout.version, service.rollout.value});
+        }
+    }
+}
+
+auto on_rollout_stored(node_state& s, rollout_stored const& e, commands& out)
+    -> void
+{
+    auto const it = s.services.find(e.service);
+    if (it == s.services.end())
+        return;
+    it->second.rollout.in_progress = false;
+    it->second.rollout.loaded = true;
+    if (accept(s, e.service, e.version, e.value, out))
+        tell_all(s, rollout_update{e.service, e.version, e.value}, {});
+}
+
+auto on_rollout_failed(node_state& s, rollout_failed const& e) -> void
+{
+    auto const it = s.services.find(e.service);
+    if (it == s.services.end())
+        return;
+    it->second.rollout.in_progress = false;
+    it->second.rollout.loaded = false;
+}
+
+auto on_rollout_update(
+    node_state& s, instance_id, rollout_update const& m, commands& out) -> void
+{
+    accept(s, m.service, m.version, m.value, out);
+}
+
+auto on_version_fault(node_state& s, version_fault const& m, commands& out)
+    -> void
+{
+    auto const it = s.services.find(m.service);
+    if (it == s.services.end() || !stop_version(it->second, m.id, m.fault))
+        return;
+    out.push_back(note{version_stopped{it->second.info.name, m.id, m.fault}});
+}
+
+} // namespace knapweedstream
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -9,6 +9,7 @@
 #include "core/node.hpp"
 #include "core/quantile.hpp"
 #include "core/rendezvous.hpp"
+#include "core/rollout.hpp"
 #include "core/selector.hpp"
 #include "core/target.hpp"
 #include "port/command.hpp"
@@ -217,12 +218,21 @@
     auto operator<=>(part const&) const = default;
 };
 
+/// Which version a request is meant for.
+enum class version_choice : std::uint8_t
+{
+    any,       ///< No rollout.
+    old_only,  ///< Never the new version.
+    new_first, ///< The new version, the old one if that has no room.
+};
+
 /// A sub-query at its owner.
 struct owned_query
 {
     sub_query request;
     time_point deadline;
     std::uint32_t open_parts = 0;
+    version_choice version = version_choice::any;
     sub_answer pending; ///< Goes out when the turn ends.
 
     auto operator<=>(owned_query const&) const = default;
@@ -354,6 +364,20 @@
     selector pick;
 };
 
+/// The rollout of a service as this node sees it.
+struct rollout_entry
+{
+    std::uint64_t version = 0; ///< Of the platform's object.
+    rollout value;
+    bool loaded = false;      ///< Read by this node as its driver.
+    bool in_progress = false; ///< A read or write is out.
+    rollout_fault fault = rollout_fault::none; ///< Seen here or by a peer.
+    version_record before;                     ///< What the old version showed.
+    version_record after;                      ///< What the new version showed.
+
+    auto operator<=>(rollout_entry const&) const = default;
+};
+
 /// A service as this node sees it.
 struct service_entry
 {
@@ -363,6 +387,7 @@
     quantile_estimate latency;
     retry_budget budget;
     admission admitted;
+    rollout_entry rollout;
 };
 
 /// A customer and its requests in flight.
--- a/src/core/target.hpp
+++ b/src/core/target.hpp
@@ -44,6 +44,7 @@
     shard_id shard;
     std::string address;
     zone_id zone;
+    std::string version; ///< Back-end version.
     target_limits limits;
     bool zone_out = false; ///< Its availability zone is taken out.
     bool removed = false;  ///< No longer in the configuration.
--- a/src/port/command.hpp
+++ b/src/port/command.hpp
@@ -121,6 +121,31 @@
     auto operator<=>(claims_write const&) const = default;
 };
 
+/// Reads the rollout of a service.
+struct rollout_read
+{
+    service_id service;
+    auto operator<=>(rollout_read const&) const = default;
+};
+
+/// Writes the rollout of a service if its version is still the same.
+struct rollout_write
+{
+    service_id service;
+    std::uint64_t if_version = 0; ///< 0: only if it does not exist.
+    rollout value;
+    auto operator<=>(rollout_write const&) const = default;
+};
+
+/// Counts a finished request towards the customer's objectives.
+struct count_request
+{
+    std::string customer;
+    service_objectives objectives;
+    request_counts counts;
+    auto operator<=>(count_request const&) const = default;
+};
+
 /// Starts or ends watching the platform's configuration.
 struct watch_config
 {
@@ -191,9 +216,28 @@
     auto operator<=>(request_banned const&) const = default;
 };
 
-using fact = std::variant<target_ejected, target_restarted, target_warmed,
-    connection_condemned, peer_joined, peer_suspected, config_accepted,
-    request_banned>;
+/// A rollout went a step, finished or was taken back.
+struct rollout_changed
+{
+    std::string service;
+    std::uint32_t id = 0;
+    std::uint32_t step = 0;
+    rollout_phase phase = rollout_phase::running;
+    rollout_fault fault = rollout_fault::none;
+    auto operator<=>(rollout_changed const&) const = default;
+};
+/// This node sends nothing more to a new version.
+struct version_stopped
+{
+    std::string service;
+    std::uint32_t id = 0;
+    rollout_fault fault = rollout_fault::none;
+    auto operator<=>(version_stopped const&) const = default;
+};
+
+using fact = std::variant<rollout_changed, version_stopped, target_ejected,
+    target_restarted, target_warmed, connection_condemned, peer_joined,
+    peer_suspected, config_accepted, request_banned>;
 
 /// Reports a fact to the log.
 struct note
@@ -202,10 +246,11 @@
     auto operator<=>(note const&) const = default;
 };
 
-using command = std::variant<answer_query, refuse_query, answer_booking,
-    leaf_open, leaf_close, leaf_search, leaf_book, leaf_cancel, peer_send,
-    peer_dial, peer_drop, claims_read, claims_write, watch_config,
-    announce_leaving, exit_now, wake_at, note>;
+using command =
+    std::variant<answer_query, refuse_query, answer_booking, leaf_open,
+        leaf_close, leaf_search, leaf_book, leaf_cancel, peer_send, peer_dial,
+        peer_drop, claims_read, claims_write, watch_config, announce_leaving,
+        exit_now, wake_at, note, rollout_read, rollout_write, count_request>;
 
 using commands = std::vector<command>;
 
--- a/src/port/event.hpp
+++ b/src/port/event.hpp
@@ -159,6 +159,22 @@
     auto operator<=>(claims_failed const&) const = default;
 };
 
+/// The rollout of a service, as now stored.
+struct rollout_stored
+{
+    service_id service;
+    std::uint64_t version = 0; ///< 0 if the object does not exist.
+    rollout value;
+    auto operator<=>(rollout_stored const&) const = default;
+};
+
+/// A read or write of a rollout failed, or its answer was lost.
+struct rollout_failed
+{
+    service_id service;
+    auto operator<=>(rollout_failed const&) const = default;
+};
+
 /// The time asked for by `wake_at` has come.
 struct tick
 {
@@ -180,7 +196,7 @@
 using event = std::variant<caller_query, caller_booking, caller_gone,
     leaf_opened, leaf_closed, leaf_answered, peer_received, config_read,
     instances_listed, claims_stored, claims_written, claims_failed, tick,
-    turn_ended, stop_requested>;
+    turn_ended, stop_requested, rollout_stored, rollout_failed>;
 
 } // namespace knapweedstream
 
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -139,6 +139,26 @@
     auto operator<=>(config_update const&) const = default;
 };
 
+/// State of a service's rollout, as stored in the platform.
+struct rollout_update
+{
+    service_id service;
+    std::uint64_t version = 0; ///< Of the platform's object.
+    rollout value;
+
+    auto operator<=>(rollout_update const&) const = default;
+};
+
+/// The sender saw the new version fail: stop sending to it.
+struct version_fault
+{
+    service_id service;
+    std::uint32_t id = 0; ///< Of the rollout.
+    rollout_fault fault = rollout_fault::none;
+
+    auto operator<=>(version_fault const&) const = default;
+};
+
 /// Asks for configurations newer than those listed.
 struct config_request
 {
@@ -156,7 +176,8 @@
 
 using message = std::variant<sub_query, sub_answer, sub_cancel, heartbeat,
     shard_views, target_warmth, deadly_notice, booking_forward, booking_result,
-    config_update, config_request, peer_suspicion>;
+    config_update, config_request, peer_suspicion, rollout_update,
+    version_fault>;
 
 } // namespace knapweedstream
 
--- /dev/null
+++ b/tests/failure/test_rollouts.cpp
@@ -0,0 +1,257 @@
+/// Rollouts: good versions finish on time, bad ones are taken back.
+#include "../fakes.hpp"
+#include "core/rollout.hpp"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace fakes;
+
+namespace
+{
+
+/// Two old and two new replicas a shard, and a rollout of six seconds.
+auto rollout_world(std::uint64_t seed) -> std::unique_ptr<world>
+{
+    auto w = std::make_unique<world>(seed);
+    w->config.name = "regie";
+    w->add_service(
+        "voorraad", 3, {"gent-dok", "brugge-zuid", "gent-dok", "brugge-zuid"});
+    auto& s = w->config.services[0];
+    for (auto& t : s.targets)
+        t.version =
+            t.name.ends_with("-2") || t.name.ends_with("-3") ? "v2" : "v1";
+    w->add_instance("entry-1", "gent-dok");
+    w->add_instance("entry-2", "brugge-zuid");
+    w->add_instance("entry-3", "gent-dok");
+    w->publish();
+    w->run_for(seconds{2});
+    return w;
+}
+
+auto start_rollout(world& w) -> void
+{
+    auto& r = w.config.services[0].rollout;
+    r.id = 1;
+    r.from = "v1";
+    r.to = "v2";
+    r.steps_percent = {5, 25, 50};
+    r.duration = seconds{6};
+    r.min_samples = 30;
+    w.publish();
+}
+
+auto is_new(fake_leaf const& l) -> bool
+{
+    return l.info.name.ends_with("-2") || l.info.name.ends_with("-3");
+}
+
+/// Sends queries for a time; returns the share that was complete.
+auto traffic(world& w, int n) -> double
+{
+    auto ids = std::vector<std::uint64_t>{};
+    for (auto i = 0; i < n; ++i)
+    {
+        auto const at = static_cast<std::size_t>(i) % w.instances.size();
+        if (w.instances[at]->it)
+            ids.push_back(
+                w.query(at, "voorraad", "q" + std::to_string(i % 20)));
+        w.run_for(milliseconds{10});
+    }
+    w.run_for(milliseconds{300});
+    auto whole = 0.0;
+    for (auto const id : ids)
+        whole += w.callers[id].answer &&
+                         w.callers[id].answer->covered.missing.empty()
+                     ? 1
+                     : 0;
+    return whole / static_cast<double>(ids.size());
+}
+
+auto received_by_new(world const& w) -> std::uint32_t
+{
+    auto n = 0u;
+    for (auto const& [address, l] : w.leafs)
+        n += is_new(l) ? l.received : 0;
+    return n;
+}
+
+auto received_by_all(world const& w) -> std::uint32_t
+{
+    auto n = 0u;
+    for (auto const& [address, l] : w.leafs)
+        n += l.received;
+    return n;
+}
+
+auto state_of(world const& w) -> rollout
+{
+    REQUIRE(w.platform.rollouts.size() == 1);
+    return w.platform.rollouts.begin()->second.value;
+}
+
+/// No step twice, none backwards, nothing after the end.
+auto is_monotonic(std::vector<rollout> const& history) -> bool
+{
+    for (std::size_t i = 1; i < history.size(); ++i)
+    {
+        auto const& a = history[i - 1];
+        auto const& b = history[i];
+        auto const forward = b.id > a.id || b.step > a.step ||
+                             b.phase == rollout_phase::taken_back;
+        if (a.phase != rollout_phase::running && b.id == a.id)
+            return false;
+        if (!forward || b.step > a.step + 1)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a good version gets all traffic by the set time")
+{
+    auto w = rollout_world(30);
+    traffic(*w, 100);
+    CHECK(received_by_new(*w) > 0); // No rollout: any replica serves.
+    start_rollout(*w);
+    w->run_for(milliseconds{500});
+    auto const before = received_by_new(*w);
+    auto const all = received_by_all(*w);
+    CHECK(traffic(*w, 100) == 1);
+    auto const share = static_cast<double>(received_by_new(*w) - before) /
+                       (received_by_all(*w) - all);
+    CHECK(share < 0.15);
+    CHECK(traffic(*w, 600) == 1);
+    CHECK(state_of(*w).phase == rollout_phase::finished);
+    CHECK(state_of(*w).changed_ms - state_of(*w).started_ms <= 6'500);
+    CHECK(is_monotonic(w->platform.history));
+    w->run_for(seconds{1});
+    auto const settled = received_by_all(*w) - received_by_new(*w);
+    traffic(*w, 50);
+    CHECK(received_by_all(*w) - received_by_new(*w) == settled);
+}
+
+TEST_CASE("a bad version gets a small share, then none, and stays back")
+{
+    for (auto const slow : {false, true})
+    {
+        CAPTURE(slow);
+        auto w = rollout_world(31);
+        traffic(*w, 100);
+        start_rollout(*w);
+        w->run_for(milliseconds{500});
+        for (auto& [address, l] : w->leafs)
+            if (is_new(l) && slow)
+                l.latency = us{20'000};
+            else if (is_new(l))
+                l.fail_percent = 50;
+        auto const before = received_by_new(*w);
+        auto const all = received_by_all(*w);
+        CHECK(traffic(*w, 400) == 1);
+        w->run_for(seconds{1});
+        auto const share = static_cast<double>(received_by_new(*w) - before) /
+                           (received_by_all(*w) - all);
+        CHECK(share < 0.15);
+        CHECK(state_of(*w).phase == rollout_phase::taken_back);
+        CHECK(state_of(*w).fault ==
+              (slow ? rollout_fault::latency : rollout_fault::failures));
+        auto const after = received_by_new(*w);
+        CHECK(traffic(*w, 100) == 1);
+        CHECK(received_by_new(*w) == after);
+        CHECK(is_monotonic(w->platform.history));
+    }
+}
+
+TEST_CASE("a bad version is stopped while the platform is down")
+{
+    auto w = rollout_world(32);
+    traffic(*w, 100);
+    start_rollout(*w);
+    w->run_for(milliseconds{500});
+    w->platform.down = true;
+    for (auto& [address, l] : w->leafs)
+        if (is_new(l))
+            l.fail_percent = 100;
+    traffic(*w, 200);
+    auto const after = received_by_new(*w);
+    traffic(*w, 100);
+    CHECK(received_by_new(*w) == after);
+    w->platform.down = false;
+    w->run_for(seconds{3});
+    CHECK(state_of(*w).phase == rollout_phase::taken_back);
+}
+
+TEST_CASE("no step happens twice or backwards with drivers killed, paused "
+          "and answers lost, and the rollout ends on time")
+{
+    for (std::uint64_t seed = 33; seed < 43; ++seed)
+    {
+        CAPTURE(seed);
+        auto w = rollout_world(seed);
+        traffic(*w, 60);
+        start_rollout(*w);
+        for (auto k = 0; k < 3; ++k)
+        {
+            auto const i = static_cast<std::size_t>(w->draw(3));
+            auto const hurt = us{w->draw(4'000'000)};
+            auto const heal = hurt + us{200'000 + w->draw(1'500'000)};
+            if (w->draw(2) == 0)
+            {
+                w->at(hurt, [&w, i] { w->pause(i); });
+                w->at(heal, [&w, i] { w->resume(i); });
+            }
+            else
+            {
+                w->at(hurt, [&w, i] { w->kill(i); });
+                w->at(heal, [&w, i] { w->start(i); });
+            }
+            w->at(hurt, [&w] { ++w->platform.lose_answers; });
+        }
+        traffic(*w, 700);
+        w->run_for(seconds{2});
+        CHECK(state_of(*w).phase == rollout_phase::finished);
+        CHECK(state_of(*w).changed_ms - state_of(*w).started_ms <= 8'500);
+        CHECK(is_monotonic(w->platform.history));
+    }
+}
+
+TEST_CASE("every reachable state of a rollout step keeps its promises")
+{
+    // Exhaustive over clock steps and verdicts: three steps, six clock ticks.
+    auto policy = rollout_policy{};
+    policy.id = 1;
+    policy.steps_percent = {5, 25, 50};
+    policy.duration = milliseconds{600};
+    auto frontier = std::deque<std::pair<rollout, std::int64_t>>{
+        {first_step(policy, 0, {}), 0}};
+    auto states = 0;
+    while (!frontier.empty())
+    {
+        auto const [r, wall] = frontier.front();
+        frontier.pop_front();
+        ++states;
+        if (wall > 1'200)
+            continue;
+        for (auto const fault : {rollout_fault::none, rollout_fault::failures,
+                 rollout_fault::latency})
+        {
+            auto const next = next_step(r, policy, fault, wall + 200, {});
+            if (!next)
+            {
+                frontier.emplace_back(r, wall + 200);
+                continue;
+            }
+            CHECK(r.phase == rollout_phase::running);
+            CHECK(next->step >= r.step);
+            CHECK(next->step <= r.step + 1);
+            CHECK((fault == rollout_fault::none) ==
+                  (next->phase != rollout_phase::taken_back));
+            CHECK(share_percent(*next, policy) <=
+                  (fault == rollout_fault::none ? 100u : 0u));
+            frontier.emplace_back(*next, wall + 200);
+        }
+    }
+    CHECK(states > 100);
+}
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -41,6 +41,7 @@
     bool draining = false;
     bool shedding = false;
     bool mute_bookings = false;
+    std::uint32_t fail_percent = 0; ///< Searches that fail.
     std::string crash_on;
     us crash_after{500};
     std::map<std::string, int> ledger; ///< Runs by booking text.
@@ -62,6 +63,13 @@
         std::vector<claim> claims;
     };
     std::map<std::pair<std::uint64_t, std::uint32_t>, object> buckets;
+    struct stored_rollout
+    {
+        std::uint64_t version = 0;
+        rollout value;
+    };
+    std::map<std::uint64_t, stored_rollout> rollouts;
+    std::vector<rollout> history; ///< States that were stored, in order.
     bool down = false;
     std::uint32_t lose_answers = 0; ///< Next writes: effect, no answer.
     std::uint64_t writes = 0;
@@ -176,7 +184,7 @@
             {
                 auto const id =
                     name + "-" + std::to_string(i) + "-" + std::to_string(r);
-                s.targets.push_back({id, id, zones[r], shard_id{i}});
+                s.targets.push_back({id, id, zones[r], shard_id{i}, {}});
                 leafs[id].info = s.targets.back();
             }
         config.services.push_back(s);
@@ -410,6 +418,8 @@
                 if (has == l->versions.end() || s.at.epoch != l->epoch)
                     return respond(
                         s.connection, s.attempt, leaf_wrong_snapshot{});
+                if (draw(100) < l->fail_percent)
+                    return respond(s.connection, s.attempt, leaf_failed{500});
                 auto rows = shard_rows{s.shard, s.at, {}};
                 rows.shard.value += l->wrong_shard ? 1 : 0;
                 rows.rows.push_back({1.0, row_key(rows.shard, s.at, s.text)});
@@ -494,6 +504,42 @@
             });
     }
 
+    auto store_rollout(std::size_t i, rollout_write const& w) -> void
+    {
+        at(us{1'000 + draw(2'000)},
+            [this, i, w]
+            {
+                if (platform.down)
+                    return later(i, us{100'000}, rollout_failed{w.service});
+                auto& o = platform.rollouts[w.service.value];
+                if (o.version == w.if_version)
+                {
+                    o = {o.version + 1, w.value};
+                    platform.history.push_back(w.value);
+                    if (platform.lose_answers > 0)
+                    {
+                        --platform.lose_answers;
+                        return later(i, us{50'000}, rollout_failed{w.service});
+                    }
+                }
+                later(i, us{1'000},
+                    rollout_stored{w.service, o.version, o.value});
+            });
+    }
+
+    auto load_rollout(std::size_t i, rollout_read const& r) -> void
+    {
+        at(us{1'000 + draw(2'000)},
+            [this, i, r]
+            {
+                if (platform.down)
+                    return later(i, us{100'000}, rollout_failed{r.service});
+                auto const& o = platform.rollouts[r.service.value];
+                later(i, us{1'000},
+                    rollout_stored{r.service, o.version, o.value});
+            });
+    }
+
     auto wake(std::size_t i, time_point when) -> void
     {
         auto& n = *instances[i];
@@ -546,6 +592,8 @@
                 [&](leaf_cancel const& it) { cancel(it); },
                 [&](peer_send const& it) { send(i, it); },
                 [&](claims_read const& it) { load(i, it); },
+                [&](rollout_read const& it) { load_rollout(i, it); },
+                [&](rollout_write const& it) { store_rollout(i, it); },
                 [&](claims_write const& it) { store(i, it); },
                 [&](watch_config const& it) { instances[i]->watching = it.on; },
                 [&](wake_at const& it) { wake(i, it.when); },
--- a/tests/process/processes.hpp
+++ b/tests/process/processes.hpp
@@ -115,6 +115,14 @@
             dir_ + "/platform.log");
     }
 
+    auto path(std::string const& name) const -> std::string
+    {
+        return dir_ + "/" + name;
+    }
+    auto settings(int i) const -> std::string
+    {
+        return path("e" + std::to_string(i) + ".ini");
+    }
     auto platform() const -> std::string { return address(0); }
     auto instance(int i) const -> std::string { return address(1 + i); }
     auto leaf_address(int i) const -> std::string { return address(100 + i); }
@@ -163,6 +171,7 @@
             targets.push_back(json::object{{"name", "t" + std::to_string(i)},
                 {"address", leaf_address(i)},
                 {"zone", "z" + std::to_string(i % replicas_ % 2)},
+                {"version", "v" + std::to_string(i % replicas_)},
                 {"shard", i / replicas_}});
         auto service = json::object{{"name", "s"}, {"shards", shards_},
             {"deadline_ms", 1000},
@@ -172,7 +181,10 @@
         auto o = json::object{
             {"name", "c"}, {"services", json::array{std::move(service)}}};
         for (auto const& it : more)
-            o[it.key()] = it.value();
+            if (it.key() == "rollout")
+                o["services"].as_array()[0].as_object()["rollout"] = it.value();
+            else
+                o[it.key()] = it.value();
         return json::serialize(o);
     }
 
--- a/tests/process/test_processes.cpp
+++ b/tests/process/test_processes.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <csignal>
 
 using namespace processes;
@@ -176,7 +177,92 @@
         socket.close();
     }
     CHECK(c.complete(0, "still"));
-    // A taken port is told, with exit code 1.
-    auto other = process{{KS_BINARY, "run", "/dev/null"}, "/dev/null"};
-    CHECK(other.exit_code(seconds{10}) == 2);
+    // Settings without a key: 2. A taken port: 1.
+    auto empty = process{{KS_BINARY, "run", "/dev/null"}, "/dev/null"};
+    CHECK(empty.exit_code(seconds{10}) == 2);
+    auto taken = process{{KS_BINARY, "run", c.settings(0)}, "/dev/null"};
+    CHECK(taken.exit_code(seconds{10}) == 1);
+}
+
+TEST_CASE("an instance without a platform starts, says so and waits for it")
+{
+    auto c = cluster{24'400};
+    c.control(c.platform(), "down=1");
+    c.start_leafs(1, 1);
+    c.start_instance(0);
+    REQUIRE(wait_for(seconds{10},
+        [&] {
+            return ask(c.instance(0), EVHTTP_REQ_GET, "/health").status == 503;
+        }));
+    CHECK(c.query(0, "x").body.find("unknown_customer") != std::string::npos);
+    c.control(c.platform(), "down=0");
+    REQUIRE(wait_for(seconds{10},
+        [&] { return c.publish(c.configuration()).status == 200; }));
+    CHECK(wait_for(seconds{20}, [&] { return c.ready(0); }));
+    CHECK(c.complete(0, "x"));
+}
+
+TEST_CASE("a record of events replays to the same commands, byte for byte")
+{
+    auto c = cluster{24'600};
+    c.start_leafs(2, 2);
+    auto const record = c.path("e0.rec");
+    c.start_instance(0, "record_path = " + record + "\n");
+    REQUIRE(wait_for(seconds{10},
+        [&] { return c.publish(c.configuration()).status == 200; }));
+    REQUIRE(wait_for(seconds{20}, [&] { return c.ready(0); }));
+    for (auto n = 0; n < 5; ++n)
+        CHECK(c.complete(0, "q" + std::to_string(n)));
+    c.book(0, "k");
+    c.instances[0]->send(SIGTERM);
+    REQUIRE(c.instances[0]->exit_code(seconds{20}) == 0);
+    auto text = std::array<std::string, 2>{};
+    for (auto i = 0; i < 2; ++i)
+    {
+        auto const out = c.path("replay" + std::to_string(i));
+        auto p = process{{KS_REPLAY, record}, out};
+        REQUIRE(p.exit_code(seconds{20}) == 0);
+        auto in = std::ifstream{out};
+        text[static_cast<std::size_t>(i)] =
+            std::string{std::istreambuf_iterator<char>{in}, {}};
+    }
+    CHECK(text[0].size() > 1'000);
+    CHECK(text[0] == text[1]);
+}
+
+TEST_CASE("a zone taken out and a version rolled out through the platform")
+{
+    auto c = cluster{24'800};
+    REQUIRE(c.start(2, 2, 2));
+    CHECK(c.complete(0, "a"));
+    c.publish(c.configuration({{"zones_out", json::array{"z1"}}}));
+    auto const version_is = [&](int i, char const* text)
+    {
+        return ask(c.instance(i), EVHTTP_REQ_GET, "/v1/status")
+                   .body.find(text) != std::string::npos;
+    };
+    REQUIRE(wait_for(seconds{12},
+        [&] {
+            return version_is(0, "\"version\":2") &&
+                   version_is(1, "\"version\":2");
+        }));
+    auto const received = [&](int i)
+    {
+        return c.control(c.leaf_address(i), "").at("received").as_int64();
+    };
+    auto const before = received(1) + received(3);
+    for (auto n = 0; n < 10; ++n)
+        CHECK(c.complete(n % 2, "b" + std::to_string(n)));
+    CHECK(received(1) + received(3) == before);
+    // Back again, and the second replicas take over as version v2.
+    c.publish(c.configuration({{"rollout",
+        json::object{{"id", 1}, {"from", "v0"}, {"to", "v1"},
+            {"steps_percent", json::array{50}}, {"duration_ms", 1'500}}}}));
+    CHECK(wait_for(seconds{20},
+        [&]
+        {
+            c.complete(0, "c");
+            return version_is(0, "\"state\":\"done\"") &&
+                   version_is(1, "\"state\":\"done\"");
+        }));
 }
