Large files split by job; configuration is pulled after a digest notice

Change: routing, ownership, shard views, timers, target health, claims, owner parts and entry runs are files of their own; a change is announced by its digest and the object pulled, once.

--- a/include/knapweedstream/limits.hpp
+++ b/include/knapweedstream/limits.hpp
@@ -1,4 +1,4 @@
-/// Named limits of a node, with units. Settings may override them.
+/// Named limits of a node, with units; settings may give others.
 #ifndef KNAPWEEDSTREAM_LIMITS_HPP
 #define KNAPWEEDSTREAM_LIMITS_HPP
 
--- a/src/adapter/burn_page.hpp
+++ b/src/adapter/burn_page.hpp
@@ -34,11 +34,14 @@
 
 /// JSON of the page `/v1/burn`.
 auto to_json(burn_book const& book) -> std::string;
+/// Decodes the page of an instance.
 auto parse_burn(std::string_view body) -> leaf::result<burn_book>;
 
 /// The report in its three forms.
 auto burn_text(burn_book const& book, std::int64_t last) -> std::string;
+/// The report as JSON.
 auto burn_json(burn_book const& book, std::int64_t last) -> std::string;
+/// The report as one self-contained page.
 auto burn_html(burn_book const& book, std::int64_t last) -> std::string;
 
 } // namespace knapweedstream
--- a/src/adapter/ini.hpp
+++ b/src/adapter/ini.hpp
@@ -58,12 +58,19 @@
 /// Reads a file.
 auto read_file(std::string const& path) -> leaf::result<std::string>;
 
+/// Reads a number.
 auto read_u32(std::string const& text, std::uint32_t& out) -> bool;
+/// Reads a number.
 auto read_u64(std::string const& text, std::uint64_t& out) -> bool;
+/// Reads a number above 0.
 auto read_positive(std::string const& text, std::uint32_t& out) -> bool;
+/// Reads a real number.
 auto read_double(std::string const& text, double& out) -> bool;
+/// Reads `on` or `off`.
 auto read_bool(std::string const& text, bool& out) -> bool;
+/// Reads a text that is not empty.
 auto read_text(std::string const& text, std::string& out) -> bool;
+/// Reads an IP number and port.
 auto read_address(std::string const& text, std::string& out) -> bool;
 
 /// Fills a value from a section; adds what is wrong to `errors`.
--- a/src/adapter/json_api.hpp
+++ b/src/adapter/json_api.hpp
@@ -24,24 +24,38 @@
     auto operator<=>(http_answer const&) const = default;
 };
 
+/// Decodes the body of `POST /v1/query`.
 auto parse_query(std::string_view body) -> leaf::result<query_request>;
+/// Decodes the body of `POST /v1/bookings`.
 auto parse_booking(std::string_view body, std::string_view key)
     -> leaf::result<booking_request>;
+/// Status and body for the caller.
 auto to_http(query_answer const& it) -> http_answer;
+/// Status and body for the caller.
 auto to_http(refusal const& it) -> http_answer;
+/// Status and body for the caller.
 auto to_http(booking_answer const& it) -> http_answer;
 
+/// Decodes a leaf's rows.
 auto parse_rows(std::string_view body) -> leaf::result<std::vector<row>>;
 
+/// Text of the value as stored in the platform.
 auto to_json(customer_config const& it) -> std::string;
+/// Decodes a customer object of the platform.
 auto parse_customer(std::string_view value, std::uint64_t version)
     -> leaf::result<customer_config>;
+/// Text of the value as stored in the platform.
 auto to_json(instance_info const& it) -> std::string;
+/// Decodes the platform's list of instances.
 auto parse_instances(std::string_view body)
     -> leaf::result<std::vector<instance_info>>;
+/// Text of the value as stored in the platform.
 auto to_json(rollout const& it) -> std::string;
+/// Decodes a rollout object.
 auto parse_rollout(std::string_view value) -> leaf::result<rollout>;
+/// Text of the value as stored in the platform.
 auto to_json(std::vector<claim> const& it) -> std::string;
+/// Decodes the claims of a bucket.
 auto parse_claims(std::string_view value) -> leaf::result<std::vector<claim>>;
 
 /// One object of the platform.
@@ -63,7 +77,9 @@
     auto operator<=>(platform_changes const&) const = default;
 };
 
+/// Decodes one object of the platform.
 auto parse_object(std::string_view body) -> leaf::result<platform_object>;
+/// Decodes the answer to a watch.
 auto parse_changes(std::string_view body) -> leaf::result<platform_changes>;
 
 /// Error body: `{"error": code, "detail": text, "not_run": true}`.
--- /dev/null
+++ b/src/adapter/json_fields.hpp
@@ -0,0 +1,75 @@
+/// Reading members of JSON objects from outside: absent, wrong, or a value.
+#ifndef KNAPWEEDSTREAM_ADAPTER_JSON_FIELDS_HPP
+#define KNAPWEEDSTREAM_ADAPTER_JSON_FIELDS_HPP
+
+#include <knapweedstream/time.hpp>
+
+#include <boost/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace knapweedstream
+{
+
+namespace json = boost::json;
+
+/// Object of a text; empty if it is none.
+inline auto parse_object_text(std::string_view text) -> json::object
+{
+    auto ec = json::error_code{};
+    auto v = json::parse(json::string_view{text.data(), text.size()}, ec);
+    return !ec && v.is_object() ? std::move(v.get_object()) : json::object{};
+}
+
+/// Text member; empty if it is none.
+inline auto text_of(json::object const& o, char const* key) -> std::string
+{
+    auto const* v = o.if_contains(key);
+    return v != nullptr && v->is_string() ? std::string(v->get_string())
+                                          : std::string{};
+}
+
+/// Reads a number if it is there.
+///
+/// @returns False if it is there and not a number in range.
+template <class T>
+auto number_of(json::object const& o, char const* key, T& out) -> bool
+{
+    auto const* v = o.if_contains(key);
+    if (v == nullptr)
+        return true;
+    auto ec = json::error_code{};
+    auto const n = v->to_number<T>(ec);
+    if (ec)
+        return false;
+    out = n;
+    return true;
+}
+
+/// Reads milliseconds if they are there; false if out of range.
+inline auto millis_of(json::object const& o, char const* key, milliseconds& out)
+    -> bool
+{
+    auto n = std::int64_t{out.count()};
+    auto const good = number_of(o, key, n) && n >= 0 && n < 1'000'000'000;
+    out = milliseconds{n};
+    return good;
+}
+
+/// List member; empty if it is none.
+inline auto list_of(json::object const& o, char const* key) -> json::array
+{
+    auto const* v = o.if_contains(key);
+    return v != nullptr && v->is_array() ? v->get_array() : json::array{};
+}
+
+/// Object of a value; empty if it is none.
+inline auto object_of(json::value const& v) -> json::object
+{
+    return v.is_object() ? v.get_object() : json::object{};
+}
+
+} // namespace knapweedstream
+
+#endif
--- a/src/adapter/log.hpp
+++ b/src/adapter/log.hpp
@@ -21,6 +21,7 @@
 
 /// Words for a rollout's state and fault.
 auto phase_name(rollout_phase it) -> char const*;
+/// Word for the fault of a rollout.
 auto fault_name(rollout_fault it) -> char const*;
 
 /// Writes the line of a fact that the node reports.
--- a/src/adapter/recorder.hpp
+++ b/src/adapter/recorder.hpp
@@ -46,7 +46,9 @@
     node_init init;
 };
 
+/// Reads the first line of a record.
 auto parse_record_start(std::string const& line) -> leaf::result<record_start>;
+/// Reads a further line of a record.
 auto parse_recorded_event(std::string const& line)
     -> leaf::result<recorded_event>;
 
--- a/src/core/admission.hpp
+++ b/src/core/admission.hpp
@@ -31,11 +31,13 @@
     return a.open < a.limit;
 }
 
+/// One more query is open.
 inline auto with_opened(admission const& a) -> admission
 {
     return {a.limit, a.open + 1, a.last_decrease};
 }
 
+/// One query less is open.
 inline auto with_closed(admission const& a) -> admission
 {
     return {a.limit, a.open - (a.open > 0 ? 1 : 0), a.last_decrease};
--- a/src/core/booking_entry.hpp
+++ b/src/core/booking_entry.hpp
@@ -7,8 +7,10 @@
 namespace knapweedstream
 {
 
+/// A caller sent a booking.
 auto on_caller_booking(node_state& s, caller_booking const& e, time_point now,
     commands& out) -> void;
+/// The executor answered.
 auto on_booking_result(node_state& s, booking_result const& m, commands& out)
     -> void;
 
--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -1,5 +1,6 @@
 #include "core/booking_exec.hpp"
 
+#include "core/claims.hpp"
 #include "core/leaf.hpp"
 #include "core/rollout_driver.hpp"
 
@@ -16,18 +17,6 @@
 constexpr auto max_booking_attempts = 4u; ///< All but one "not run".
 constexpr auto late_answer = seconds{1};  ///< Wait past the deadline.
 
-auto content_of(booking_request const& r) -> fingerprint
-{
-    return fingerprint{hash_name(r.text, hash_name(r.item))};
-}
-
-auto find_claim(std::vector<claim>& claims, std::string const& key) -> claim*
-{
-    auto const it = std::find_if(claims.begin(), claims.end(),
-        [&](claim const& c) { return c.key == key; });
-    return it == claims.end() ? nullptr : &*it;
-}
-
 auto answer(node_state& s, claim_token token, booking_answer const& a) -> void
 {
     auto& e = s.executions.at(token);
@@ -48,12 +37,6 @@
 auto settle(node_state& s, claim_token token, booking_answer const& a,
     commands& out) -> void;
 
-auto new_claim(executed_booking const& e) -> claim
-{
-    return {
-        e.request.key, e.token, e.content, claim_state::claimed, {}, e.wall_s};
-}
-
 /// Answers a booking whose key is claimed by another.
 ///
 /// @returns True if answered; false if its holder is at work here.
@@ -71,13 +54,6 @@
     return true;
 }
 
-enum class step : std::uint8_t
-{
-    finished, ///< Waits for nothing.
-    waits,    ///< Stays in the list of waiting bookings.
-    writes,   ///< Stays, and has changed the claims.
-};
-
 /// Adds the claim of a booking, or answers from the claim of another.
 auto try_claim(node_state& s, executed_booking const& e,
     std::vector<claim>& claims) -> step
@@ -99,26 +75,6 @@
     return step::writes;
 }
 
-/// Writes the outcome into the booking's own claim.
-auto record(executed_booking const& e, std::vector<claim>& claims) -> step
-{
-    auto* held = find_claim(claims, e.request.key);
-    if (held == nullptr || held->token != e.token)
-        return step::finished;
-    auto next = *held;
-    if (auto const* done = std::get_if<booking_done>(&e.outcome))
-    {
-        next.state = claim_state::done;
-        next.reference = done->reference;
-    }
-    else
-        next.state = claim_state::not_run;
-    if (next == *held)
-        return step::finished;
-    *held = next;
-    return step::writes;
-}
-
 auto drop_expired(node_state const& s, std::vector<claim>& claims,
     std::int64_t wall_s) -> void
 {
--- /dev/null
+++ b/src/core/claims.cpp
@@ -0,0 +1,45 @@
+#include "core/claims.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+auto content_of(booking_request const& r) -> fingerprint
+{
+    return fingerprint{hash_name(r.text, hash_name(r.item))};
+}
+
+auto find_claim(std::vector<claim>& claims, std::string const& key) -> claim*
+{
+    auto const it = std::find_if(claims.begin(), claims.end(),
+        [&](claim const& c) { return c.key == key; });
+    return it == claims.end() ? nullptr : &*it;
+}
+
+auto new_claim(executed_booking const& e) -> claim
+{
+    return {
+        e.request.key, e.token, e.content, claim_state::claimed, {}, e.wall_s};
+}
+
+auto record(executed_booking const& e, std::vector<claim>& claims) -> step
+{
+    auto* held = find_claim(claims, e.request.key);
+    if (held == nullptr || held->token != e.token)
+        return step::finished;
+    auto next = *held;
+    if (auto const* done = std::get_if<booking_done>(&e.outcome))
+    {
+        next.state = claim_state::done;
+        next.reference = done->reference;
+    }
+    else
+        next.state = claim_state::not_run;
+    if (next == *held)
+        return step::finished;
+    *held = next;
+    return step::writes;
+}
+
+} // namespace knapweedstream
--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -2,6 +2,7 @@
 
 #include "core/leaf.hpp"
 #include "core/membership.hpp"
+#include "core/ownership.hpp"
 
 #include <algorithm>
 #include <set>
@@ -132,11 +133,10 @@
     s.services.erase(id);
 }
 
-auto spread(node_state& s, customer_config const& config, instance_id from)
-    -> void
+auto spread(node_state& s, instance_id from) -> void
 {
     for (auto const peer : spread_targets(s, spread_fanout, from))
-        post(s, peer, config_update{config});
+        announce_digest(s, peer);
 }
 
 } // namespace
@@ -149,6 +149,15 @@
     return h;
 }
 
+auto ask_configs(node_state& s, instance_id peer, time_point now) -> void
+{
+    constexpr auto patience = milliseconds{100};
+    if (s.config_asked != time_point{} && now - s.config_asked < patience)
+        return;
+    s.config_asked = now;
+    post(s, peer, known_configs(s));
+}
+
 auto known_configs(node_state const& s) -> config_request
 {
     auto r = config_request{};
@@ -179,7 +188,8 @@
     ++s.stats.config_accepted;
     out.push_back(note{config_accepted{config.name, config.version}});
     rebuild_ownership(s, now, out);
-    spread(s, config, from);
+    s.config_asked = {};
+    spread(s, from);
     return true;
 }
 
--- a/src/core/config_store.hpp
+++ b/src/core/config_store.hpp
@@ -10,6 +10,9 @@
 /// Hash of all versions in force, to compare with a peer's.
 auto config_digest(node_state const& s) -> std::uint64_t;
 
+/// Asks a peer for newer configurations, unless another was just asked.
+auto ask_configs(node_state& s, instance_id peer, time_point now) -> void;
+
 /// What this node has, as a request for anything newer.
 auto known_configs(node_state const& s) -> config_request;
 
--- a/src/core/entry.hpp
+++ b/src/core/entry.hpp
@@ -22,10 +22,13 @@
 auto count(node_state const& s, std::string const& customer,
     request_counts const& counts, commands& out) -> void;
 
+/// A caller sent a query.
 auto on_caller_query(node_state& s, caller_query const& e, time_point now,
     commands& out) -> void;
+/// A caller hung up.
 auto on_caller_gone(
     node_state& s, caller_gone const& e, time_point now, commands& out) -> void;
+/// An owner answered.
 auto on_sub_answer(node_state& s, instance_id from, sub_answer const& m,
     time_point now, commands& out) -> void;
 
--- /dev/null
+++ b/src/core/entry_run.cpp
@@ -0,0 +1,273 @@
+#include "core/entry_run.hpp"
+
+#include "core/burn.hpp"
+#include "core/entry.hpp"
+#include "core/membership.hpp"
+#include "core/routing.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto max_canary_shards = 3u;      ///< Canaries tried before the rest.
+constexpr auto canary_share = 4;            ///< Canary's part of the deadline.
+constexpr auto asked_as_suspect = 1u << 31; ///< Bit of `entry_shard::asked`.
+constexpr auto rerun_share = 3; ///< Least part left for a second run.
+
+auto send_sub_query(node_state& s, query_entry& e, instance_id owner,
+    std::vector<shard_id> shards, bool suspected, time_point now) -> void
+{
+    auto const& q = e.value;
+    auto const n = static_cast<std::uint32_t>(shards.size());
+    auto const way_back = duration{s.init.limits.answer_margin};
+    auto const left = std::max(duration{0}, q.deadline - now - way_back);
+    post(s, owner,
+        sub_query{q.id, q.service, q.at, left, q.print, suspected,
+            q.request.text, std::move(shards)});
+    auto const known = std::find_if(e.assignments.begin(), e.assignments.end(),
+        [&](assignment const& it) { return it.owner == owner; });
+    if (known != e.assignments.end())
+        *known = assignment{owner, now, known->open + n};
+    else
+        e.assignments.push_back({owner, now, n});
+    if (owner == s.self)
+        return;
+    probe_if_quiet(s, owner, now);
+    arm(s, now + owner_patience(s, owner), owner_due{q.id, owner});
+}
+
+auto give_up(query_entry& e, shard_id shard, shard_failure reason) -> void
+{
+    auto& it = e.shards[shard.value];
+    it.slot = shard_slot{false, reason};
+    it.owner = {};
+    --e.value.open;
+}
+
+/// Plans to ask all owners again: who is primary may be changing hands.
+///
+/// @returns False if there is no time for it.
+auto ask_later(node_state& s, query_entry& e, shard_id shard, time_point now)
+    -> bool
+{
+    auto const wait = duration{s.init.limits.owner_check};
+    if (e.value.deadline - now <= 2 * wait)
+        return false;
+    e.shards[shard.value].owner = {};
+    e.shards[shard.value].asked &= asked_as_suspect;
+    arm(s, now + wait, ask_due{e.value.id, shard});
+    return true;
+}
+
+auto all_shards(query_entry const& e) -> std::vector<shard_id>
+{
+    auto ids = std::vector<shard_id>{};
+    for (std::uint32_t i = 0; i < e.shards.size(); ++i)
+        if (!e.shards[i].slot.answered)
+            ids.push_back(shard_id{i});
+    return ids;
+}
+
+auto slots_of(query_entry const& e) -> std::vector<shard_slot>
+{
+    auto slots = std::vector<shard_slot>{};
+    slots.reserve(e.shards.size());
+    for (auto const& it : e.shards)
+        slots.push_back(it.slot);
+    return slots;
+}
+
+/// Learns from a query how many more the service bears.
+auto adapt_admission(node_state& s, entry_query const& q,
+    coverage const& covered, time_point now) -> void
+{
+    auto const it = s.services.find(q.service);
+    if (it == s.services.end())
+        return;
+    auto const overloaded =
+        std::any_of(covered.missing.begin(), covered.missing.end(),
+            [](missing_shard const& m)
+            { return m.reason == shard_failure::overload; });
+    auto& a = it->second.admitted;
+    a = overloaded ? with_overload(a, now)
+                   : with_room(a, s.init.limits.max_queries);
+}
+
+auto send_canary(node_state& s, query_entry& e, time_point now) -> void
+{
+    auto const shard = canary_shard(e);
+    auto const& owners =
+        s.services.at(e.value.service).shards[shard.value].owners;
+    auto& it = e.shards[shard.value];
+    if (owners.empty() || !can_work(s, owners.front()))
+        return ask(s, e, {shard}, false, shard_failure::no_replica, now);
+    it.asked |= 1;
+    it.owner = owners.front();
+    send_sub_query(s, e, it.owner, {shard}, false, now);
+}
+
+} // namespace
+
+auto ask(node_state& s, query_entry& e, std::vector<shard_id> const& shards,
+    bool suspected, shard_failure reason, time_point now) -> void
+{
+    auto const& service = s.services.at(e.value.service);
+    auto groups = std::map<instance_id, std::vector<shard_id>>{};
+    for (auto const id : shards)
+    {
+        auto const& shard = service.shards[id.value];
+        auto& it = e.shards[id.value];
+        auto const once = suspected && (it.asked & asked_as_suspect) != 0;
+        auto const i = suspected
+                           ? std::size_t{0}
+                           : next_owner(s, shard, it.asked, e.value.print);
+        if (once || i >= shard.owners.size() || !can_work(s, shard.owners[i]))
+        {
+            if (reason != shard_failure::not_owner || !ask_later(s, e, id, now))
+                give_up(e, id, reason);
+            continue;
+        }
+        it.asked |= 1u << i | (suspected ? asked_as_suspect : 0u);
+        it.owner = shard.owners[i];
+        groups[it.owner].push_back(id);
+    }
+    for (auto& [owner, list] : groups)
+        send_sub_query(s, e, owner, std::move(list), suspected, now);
+}
+
+auto ask_rest(node_state& s, query_entry& e, time_point now) -> void
+{
+    e.value.canary = false;
+    auto rest = std::vector<shard_id>{};
+    for (std::uint32_t i = 0; i < e.shards.size(); ++i)
+        if (!e.shards[i].slot.answered && e.shards[i].asked == 0)
+            rest.push_back(shard_id{i});
+    ask(s, e, rest, false, shard_failure::no_replica, now);
+}
+
+auto start_run(node_state& s, query_entry& e, time_point now) -> void
+{
+    auto const& service = s.services.at(e.value.service);
+    auto const n = service.shards.size();
+    e.shards.assign(n, {});
+    e.assignments.clear();
+    e.answers.clear();
+    e.value.open = static_cast<std::uint32_t>(n);
+    if (e.value.at.index_version == 0)
+    {
+        for (auto const id : all_shards(e))
+            give_up(e, id, shard_failure::no_replica);
+        return;
+    }
+    s.stats.leaf_needed += n;
+    e.value.canary =
+        s.init.policy.canary && n > 1 && !s.harmless.contains(e.value.print);
+    if (!e.value.canary)
+        return ask(s, e, all_shards(e), false, shard_failure::no_replica, now);
+    send_canary(s, e, now);
+    arm(s, now + (e.value.deadline - now) / canary_share,
+        canary_due{e.value.id});
+}
+
+auto rerun(node_state& s, query_entry& e, time_point now) -> bool
+{
+    auto const left = e.value.deadline - now;
+    auto const total = e.value.deadline - e.value.started;
+    if (e.value.id.run + 1 >= s.init.limits.max_runs ||
+        left * rerun_share < total)
+        return false;
+    auto const service = s.services.find(e.value.service);
+    if (service == s.services.end())
+        return false;
+    auto const at = pin(s, service->second);
+    if (at == e.value.at || at.index_version == 0)
+        return false;
+    cancel_run(s, e);
+    ++s.stats.reruns;
+    auto next = e.value;
+    next.at = at;
+    ++next.id.run;
+    next.canary_tries = 0;
+    e.value = next;
+    start_run(s, e, now);
+    return true;
+}
+
+auto map_changed(node_state const& s, query_entry const& e) -> bool
+{
+    auto const it = s.services.find(e.value.service);
+    return it == s.services.end() ||
+           it->second.info.epoch != e.value.at.epoch ||
+           it->second.shards.size() != e.shards.size();
+}
+
+auto next_canary(node_state& s, query_entry& e, shard_id failed, time_point now)
+    -> void
+{
+    if (!e.value.canary || failed != canary_shard(e))
+        return;
+    ++e.value.canary_tries;
+    if (e.value.canary_tries >= max_canary_shards ||
+        e.value.canary_tries >= e.shards.size())
+        ask_rest(s, e, now);
+    else
+        send_canary(s, e, now);
+}
+
+auto cancel_run(node_state& s, query_entry const& e) -> void
+{
+    for (auto const& it : e.assignments)
+        if (it.open > 0)
+            post(s, it.owner, sub_cancel{e.value.id});
+}
+
+auto close_query(node_state& s, query_id id) -> void
+{
+    auto const it = s.queries.find(id);
+    auto const c = s.customers.find(it->second.value.customer);
+    if (c != s.customers.end() && c->second.open > 0)
+        --c->second.open;
+    auto const service = s.services.find(it->second.value.service);
+    if (service != s.services.end())
+        service->second.admitted = with_closed(service->second.admitted);
+    s.queries.erase(it);
+}
+
+auto finish(node_state& s, query_id id, time_point now, commands& out) -> void
+{
+    auto const& e = s.queries.at(id);
+    cancel_run(s, e);
+    auto answer =
+        merge(e.value.at, slots_of(e), e.answers, e.value.request.max_rows);
+    answer.elapsed = now - e.value.started;
+    adapt_admission(s, e.value, answer.covered, now);
+    ++(answer.covered.missing.empty() ? s.stats.complete : s.stats.partial);
+    auto const& customer = e.value.request.customer;
+    auto const c = s.customers.find(e.value.customer);
+    if (c != s.customers.end())
+        count(s, customer, count_answer(answer, c->second.config.objectives),
+            out);
+    out.push_back(answer_query{e.value.caller, std::move(answer)});
+    close_query(s, id);
+}
+
+auto refuse(node_state& s, caller_id caller, std::string const& customer,
+    refusal const& reason, commands& out) -> void
+{
+    ++s.stats.refused;
+    count(s, customer, count_refusal(reason), out);
+    out.push_back(refuse_query{caller, reason});
+}
+
+auto canary_shard(query_entry const& e) -> shard_id
+{
+    auto const n = static_cast<std::uint32_t>(e.shards.size());
+    return shard_id{static_cast<std::uint32_t>(
+        (e.value.print.value + e.value.canary_tries) % n)};
+}
+
+} // namespace knapweedstream
--- a/src/core/leaf.cpp
+++ b/src/core/leaf.cpp
@@ -4,6 +4,8 @@
 #include "core/deadly.hpp"
 #include "core/owner.hpp"
 #include "core/rollout_driver.hpp"
+#include "core/shard_view.hpp"
+#include "core/target_health.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -15,44 +17,6 @@
 namespace
 {
 
-auto alive_replicas(node_state const& s, shard_entry const& shard,
-    time_point now) -> std::size_t
-{
-    return static_cast<std::size_t>(std::count_if(shard.replicas.begin(),
-        shard.replicas.end(),
-        [&](target_id it) { return !is_out(s.targets.at(it).value, now); }));
-}
-
-auto record_failure(
-    node_state& s, target_entry& t, time_point now, commands& out) -> void
-{
-    auto const* shard = find_shard(s, t.value.service, t.value.shard);
-    auto const spare = shard != nullptr && alive_replicas(s, *shard, now) > 1;
-    auto const before = t.value.ejected_until;
-    t.value = with_failure(
-        t.value, s.init.limits, s.init.policy.ejection && spare, now);
-    if (t.value.ejected_until != before)
-        out.push_back(note{target_ejected{t.value.id}});
-}
-
-/// Learns from what the target says of itself.
-auto apply_report(node_state& s, target_entry& t, target_report const& report,
-    commands& out) -> void
-{
-    auto const before = t.value;
-    t.value = with_report(before, report);
-    auto const restarted =
-        before.boot != boot_id{} && before.boot != report.boot;
-    if (restarted)
-    {
-        out.push_back(note{target_restarted{t.value.id, report.boot}});
-        tell_warmth(s, t.value);
-    }
-    if (before.versions != report.versions ||
-        before.draining != report.draining)
-        refresh_view(s, t.value.service, t.value.shard);
-}
-
 auto release(node_state& s, target_entry& t, attempt const& a, time_point now)
     -> void
 {
@@ -121,11 +85,6 @@
     return shard != nullptr && shard->owned;
 }
 
-auto is_booking(attempt const& a) -> bool
-{
-    return a.kind == attempt_kind::booking;
-}
-
 /// Hands an outcome to whoever made the attempt.
 auto deliver(node_state& s, attempt const& a, attempt_end const& end,
     time_point now, commands& out) -> void
@@ -163,37 +122,6 @@
            parts[a.part.index].shard == rows.rows.shard;
 }
 
-auto latency_of(attempt const& a, time_point now) -> double
-{
-    return static_cast<double>((now - a.sent_at).count());
-}
-
-auto record_success(node_state& s, target_entry& t, attempt const& a,
-    time_point now, commands& out) -> void
-{
-    auto const was_warm = is_warm(t.value);
-    auto const latency = latency_of(a, now);
-    t.value = with_success(t.value, latency, now);
-    if (!was_warm && is_warm(t.value))
-    {
-        out.push_back(note{target_warmed{t.value.id}});
-        tell_warmth(s, t.value);
-    }
-    auto const it = s.services.find(t.value.service);
-    if (it != s.services.end() && !is_booking(a))
-        it->second.latency = observe(it->second.latency, latency);
-    record_version(s, t.value, false, latency, out);
-}
-
-auto record_shed(node_state& s, target_entry& t, time_point now) -> void
-{
-    ++s.stats.sheds;
-    auto const was_warm = is_warm(t.value);
-    t.value = with_shed(t.value, now);
-    if (was_warm && !is_warm(t.value))
-        tell_warmth(s, t.value);
-}
-
 /// Updates the target from an outcome and names the attempt's end.
 auto judge(node_state& s, target_entry& t, attempt const& a,
     leaf_outcome const& outcome, time_point now, commands& out) -> attempt_end
@@ -455,70 +383,6 @@
     on_leaf_closed(s, {e.connection, true}, now, out);
 }
 
-auto on_warmth(node_state& s, target_warmth const& m, time_point now,
-    commands& out) -> void
-{
-    auto const it = s.targets.find(m.target);
-    if (it == s.targets.end())
-        return;
-    auto& t = it->second;
-    t.value = with_warmth(t.value, m.boot, m.warm);
-    if (auto* shard = find_shard(s, t.value.service, t.value.shard))
-        serve_queue(s, *shard, now, out);
-}
-
-auto tell_warmth(node_state& s, target const& t) -> void
-{
-    auto const* shard = find_shard(s, t.service, t.shard);
-    if (shard == nullptr || !shard->owned)
-        return;
-    for (auto const owner : shard->owners)
-        if (owner != s.self)
-            post(s, owner, target_warmth{t.id, t.boot, is_warm(t)});
-    refresh_view(s, t.service, t.shard);
-}
-
-auto refresh_view(node_state& s, service_id service, shard_id id) -> void
-{
-    auto* shard = find_shard(s, service, id);
-    if (shard == nullptr || !shard->owned)
-        return;
-    auto view = shard_view{};
-    view.service = service;
-    view.shard = id;
-    view.epoch = s.services.at(service).info.epoch;
-    for (auto const it : shard->replicas)
-    {
-        auto const& t = s.targets.at(it).value;
-        if (t.zone_out || t.draining)
-            continue;
-        view.versions.insert(
-            view.versions.end(), t.versions.begin(), t.versions.end());
-        view.warming = view.warming || (shard->share.primary &&
-                                           !t.versions.empty() && !is_warm(t));
-    }
-    std::sort(view.versions.begin(), view.versions.end());
-    view.versions.erase(std::unique(view.versions.begin(), view.versions.end()),
-        view.versions.end());
-    if (view == shard->told)
-        return;
-    shard->told = view;
-    take_view(*shard, s.self, view);
-    for (auto const& [peer, m] : s.members)
-        if (m.state == member_state::alive)
-            post(s, peer, shard_views{{view}});
-}
-
-auto take_view(shard_entry& shard, instance_id from, shard_view const& view)
-    -> void
-{
-    shard.views[from] = view.versions;
-    if (view.warming)
-        shard.warming_by = from;
-    else if (shard.warming_by == from)
-        shard.warming_by = {};
-}
-
 auto serve_queue(
     node_state& s, shard_entry& shard, time_point now, commands& out) -> void
 {
--- a/src/core/leaf.hpp
+++ b/src/core/leaf.hpp
@@ -60,28 +60,21 @@
     return &s.targets.at(candidates[choice.index].target);
 }
 
+/// A connection stands; work that waits may go.
 auto on_leaf_opened(
     node_state& s, leaf_opened const& e, time_point now, commands& out) -> void;
+/// A connection was lost, or could not be opened.
 auto on_leaf_closed(
     node_state& s, leaf_closed const& e, time_point now, commands& out) -> void;
+/// A target answered.
 auto on_leaf_answered(node_state& s, leaf_answered const& e, time_point now,
     commands& out) -> void;
+/// A cancelled attempt is still silent: condemns its connection.
 auto on_cancel_due(
     node_state& s, cancel_due const& e, time_point now, commands& out) -> void;
+/// A connection has taken too long to open.
 auto on_open_due(
     node_state& s, open_due const& e, time_point now, commands& out) -> void;
-auto on_warmth(node_state& s, target_warmth const& m, time_point now,
-    commands& out) -> void;
-
-/// Tells co-owners what this node knows of a target's warmth.
-auto tell_warmth(node_state& s, target const& t) -> void;
-
-/// Recomputes which versions a shard can serve; tells peers if it changed.
-auto refresh_view(node_state& s, service_id service, shard_id shard) -> void;
-
-/// Stores what an owner tells of a shard.
-auto take_view(shard_entry& shard, instance_id from, shard_view const& view)
-    -> void;
 
 /// Gives work that waits for a connection of the shard to free ones.
 auto serve_queue(
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -3,6 +3,8 @@
 #include "core/config_store.hpp"
 #include "core/leaf.hpp"
 #include "core/owner.hpp"
+#include "core/ownership.hpp"
+#include "core/shard_view.hpp"
 
 #include <algorithm>
 
@@ -13,7 +15,6 @@
 {
 
 constexpr auto rtt_multiple = 4.0; ///< Patience in round trips.
-constexpr auto min_share = 2u;     ///< Concurrency worth an owner.
 constexpr auto watchers = 3u;      ///< Instances that watch.
 constexpr auto watch_key = std::uint64_t{0x77617463};
 
@@ -33,71 +34,6 @@
     post(s, id, make_heartbeat(s, false, ++s.heartbeat_sequence));
 }
 
-auto zone_is_out(node_state const& s, std::string const& zone) -> bool
-{
-    return std::any_of(s.customers.begin(), s.customers.end(),
-        [&](auto const& it)
-        {
-            auto const& out = it.second.config.zones_out;
-            return std::find(out.begin(), out.end(), zone) != out.end();
-        });
-}
-
-/// In-flight requests that all owners together may have on one target.
-auto total_concurrency(target_limits const& limits, node_limits const& node)
-    -> std::uint32_t
-{
-    auto const by_slots = limits.slots * node.queue_depth_per_slot;
-    auto const by_connections = std::max(1u, limits.connections / 4);
-    return std::max(1u, std::min(by_slots, by_connections));
-}
-
-auto owner_count(std::uint32_t total, std::size_t live, node_limits const& node)
-    -> std::uint32_t
-{
-    auto const wanted = std::max(2u, total / min_share);
-    auto const most = std::min<std::size_t>(node.max_owners, live);
-    auto const n = std::min<std::size_t>({wanted, most, total});
-    return static_cast<std::uint32_t>(std::max<std::size_t>(1, n));
-}
-
-auto assign(node_state& s, service_id id, service_entry& service,
-    std::vector<rendezvous_node> const& live, commands& out) -> void
-{
-    auto const total = total_concurrency(service.info.limits, s.init.limits);
-    auto const n = owner_count(total, live.size(), s.init.limits);
-    for (std::uint32_t i = 0; i < service.shards.size(); ++i)
-    {
-        auto& shard = service.shards[i];
-        auto const before = shard.owned;
-        shard.owners = rendezvous(hash_name("shard", id.value + i), live, n);
-        shard.owned = std::find(shard.owners.begin(), shard.owners.end(),
-                          s.self) != shard.owners.end();
-        shard.share.primary = shard.owned && shard.owners.front() == s.self;
-        shard.share.concurrency = std::max(
-            1u, total / static_cast<std::uint32_t>(shard.owners.size()));
-        if (!before || shard.owned)
-            continue;
-        shard.told = {};
-        for (auto const it : shard.replicas)
-            close_connections(s, it, out);
-    }
-}
-
-auto serve_shards(node_state& s, service_id id, time_point now, commands& out)
-    -> void
-{
-    auto const n = s.services.at(id).shards.size();
-    for (std::uint32_t i = 0; i < n; ++i)
-    {
-        auto& shard = s.services.at(id).shards[i];
-        for (auto const it : shard.replicas)
-            open_connections(s, it, now, out);
-        refresh_view(s, id, shard_id{i});
-        review_queue(s, shard, now, out);
-    }
-}
-
 auto choose_watchers(node_state& s, commands& out) -> void
 {
     auto const chosen = rendezvous(watch_key, owner_candidates(s), watchers);
@@ -177,22 +113,9 @@
 
 } // namespace
 
-auto owner_candidates(node_state const& s) -> std::vector<rendezvous_node>
+auto announce_digest(node_state& s, instance_id peer) -> void
 {
-    auto all = std::vector<rendezvous_node>{};
-    auto staying = std::vector<rendezvous_node>{};
-    auto const add = [&](instance_id id, std::string const& zone)
-    {
-        auto const it = rendezvous_node{id, id_of<zone_id>(zone)};
-        all.push_back(it);
-        if (!zone_is_out(s, zone))
-            staying.push_back(it);
-    };
-    add(s.self, s.init.self.zone);
-    for (auto const& [id, m] : s.members)
-        if (takes_work(m))
-            add(id, m.info.zone);
-    return staying.empty() ? all : staying;
+    post(s, peer, make_heartbeat(s, true, 0));
 }
 
 auto spread_targets(node_state& s, std::uint32_t n, instance_id except)
@@ -289,7 +212,7 @@
     auto const left = it.info.leaving != m.self.leaving;
     if (it.info.peer_address != m.self.peer_address)
         out.push_back(peer_dial{from, m.self.peer_address});
-    if (m.reply)
+    if (m.reply && m.sequence != 0)
         it = with_rtt(it, it.last_probed, now);
     it.info = m.self;
     it.incarnation = m.incarnation;
@@ -301,7 +224,7 @@
     if (!m.reply)
         post(s, from, make_heartbeat(s, true, m.sequence));
     if (m.config_digest != config_digest(s))
-        post(s, from, known_configs(s));
+        ask_configs(s, from, now);
 }
 
 auto on_heartbeat_due(node_state& s, time_point now, commands& out) -> void
@@ -386,17 +309,4 @@
             m.unanswered_since = now;
 }
 
-auto rebuild_ownership(node_state& s, time_point now, commands& out) -> void
-{
-    auto const live = owner_candidates(s);
-    auto ids = std::vector<service_id>{};
-    for (auto& [id, service] : s.services)
-        ids.push_back(id);
-    std::sort(ids.begin(), ids.end());
-    for (auto const id : ids)
-        assign(s, id, s.services.at(id), live, out);
-    for (auto const id : ids)
-        serve_shards(s, id, now, out);
-}
-
 } // namespace knapweedstream
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -25,16 +25,19 @@
 auto check_peer(node_state& s, instance_id id, time_point now, commands& out)
     -> bool;
 
-/// Instances that may own shards.
-auto owner_candidates(node_state const& s) -> std::vector<rendezvous_node>;
+/// Tells a peer which versions are in force; it asks for what it lacks.
+auto announce_digest(node_state& s, instance_id peer) -> void;
 
 /// Random live peers, to be told of something.
 auto spread_targets(node_state& s, std::uint32_t n, instance_id except = {})
     -> std::vector<instance_id>;
 
+/// A peer probed this node, or answered its probe.
 auto on_heartbeat(node_state& s, instance_id from, heartbeat const& m,
     time_point now, commands& out) -> void;
+/// Time for a round of probes.
 auto on_heartbeat_due(node_state& s, time_point now, commands& out) -> void;
+/// The platform listed the instances.
 auto on_instances_listed(node_state& s, instances_listed const& e,
     time_point now, commands& out) -> void;
 /// A peer found another silent: probes it at once.
@@ -44,6 +47,7 @@
 /// Looks whether the probed peer has answered.
 auto on_peer_due(
     node_state& s, peer_due const& e, time_point now, commands& out) -> void;
+/// An owner told what its shards can serve.
 auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
     -> void;
 
@@ -54,9 +58,6 @@
 /// The process was stopped for a while: nobody else is to blame.
 auto forgive_silence(node_state& s, time_point now) -> void;
 
-/// Assigns shards to owners anew after a change of members or configuration.
-auto rebuild_ownership(node_state& s, time_point now, commands& out) -> void;
-
 } // namespace knapweedstream
 
 #endif
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -9,6 +9,7 @@
 #include "core/membership.hpp"
 #include "core/owner.hpp"
 #include "core/rollout_driver.hpp"
+#include "core/shard_view.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
--- /dev/null
+++ b/src/core/owner_parts.cpp
@@ -0,0 +1,300 @@
+#include "core/owner_parts.hpp"
+
+#include "core/deadly.hpp"
+#include "core/leaf.hpp"
+#include "core/rollout_driver.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto warm_up_samples = 20u; ///< Before the quantile is trusted.
+constexpr auto least_hedge_delay = duration{1'000};
+
+auto was_tried(part const& p, target_id id) -> bool
+{
+    return std::find(p.tried.begin(), p.tried.end(), id) != p.tried.end();
+}
+
+auto with_attempt(part const& p, attempt const& a) -> part
+{
+    auto next = p;
+    next.state = part_state::running;
+    next.tried[next.attempts % next.tried.size()] = a.to;
+    ++next.attempts;
+    auto const free =
+        std::find(next.running.begin(), next.running.end(), attempt_id{});
+    if (free != next.running.end())
+        *free = a.id;
+    return next;
+}
+
+auto mark_flush(node_state& s, sub_key const& key, owned_entry& e) -> void
+{
+    if (e.flush)
+        return;
+    e.flush = true;
+    s.to_flush.push_back(key);
+}
+
+auto serves(target const& t, snapshot at) -> bool
+{
+    return std::find(t.versions.begin(), t.versions.end(), at.index_version) !=
+           t.versions.end();
+}
+
+/// Chooses a replica of the wanted version that was not tried, else any that
+/// may serve the part.
+auto choose_replica(node_state& s, owned_query const& owned, part const& p,
+    shard_entry& shard, bool is_hedge, time_point now) -> target_entry*
+{
+    auto const& q = owned.request;
+    auto const& policy = s.services.at(q.service).info.rollout;
+    auto const suspected = is_suspected(s, q.print);
+    auto choice = owned.version;
+    auto const usable = [&](target const& t)
+    {
+        return serves(t, q.at) && fits(t, policy, choice) &&
+               (!suspected || s.targets.at(t.id).suspect == attempt_id{});
+    };
+    auto const fresh = [&](target const& t)
+    {
+        return usable(t) && !was_tried(p, t.id);
+    };
+    auto const choose = [&]() -> target_entry*
+    {
+        auto* t = choose_target(s, shard, now, fresh);
+        if (t == nullptr && !is_hedge && running_count(p) == 0)
+            t = choose_target(s, shard, now, usable);
+        return t;
+    };
+    auto* t = choose();
+    if (t == nullptr && choice == version_choice::new_first)
+    {
+        choice = version_choice::old_only;
+        t = choose();
+    }
+    return t;
+}
+
+/// Sends a part to a replica that has room.
+auto dispatch(node_state& s, part_key const& key, attempt_kind kind,
+    time_point now, commands& out) -> bool
+{
+    auto& e = s.owned.at(key.sub);
+    auto& q = e.value.request;
+    auto& p = e.parts[key.index];
+    auto* shard = find_shard(s, q.service, p.shard);
+    if (shard == nullptr || !shard->owned)
+        return false;
+    auto const suspected = is_suspected(s, q.print);
+    if (suspected && s.suspicions.at(q.print).running)
+        return false;
+    auto* t =
+        choose_replica(s, e.value, p, *shard, kind == attempt_kind::hedge, now);
+    if (t == nullptr)
+        return false;
+    auto wanted = attempt{};
+    wanted.part = key;
+    wanted.kind = kind;
+    wanted.print = q.print;
+    auto const a = start_attempt(s, *t, wanted, now);
+    p = with_attempt(p, a);
+    if (suspected)
+        suspect_started(s, *t, a);
+    out.push_back(leaf_search{
+        a.over, a.id, p.shard, q.at, e.value.deadline - now, q.text});
+    return true;
+}
+
+/// True if the queue is so long that the part would be served too late.
+auto too_late(node_state const& s, shard_entry const& shard,
+    time_point deadline, time_point now) -> bool
+{
+    auto total = 0.0;
+    auto latency = 0.0;
+    for (auto const id : shard.replicas)
+    {
+        auto const& t = s.targets.at(id);
+        if (is_out(t.value, now) || t.connections == t.opening)
+            continue;
+        total += limit_of(s, t.value, shard, now);
+        latency = std::max(latency, t.value.latency_us);
+    }
+    auto const wait = static_cast<double>(shard.queue.size()) * latency /
+                      std::max(1.0, total);
+    return wait > static_cast<double>((deadline - now).count());
+}
+
+} // namespace
+
+auto find_part(node_state& s, part_key const& key) -> part*
+{
+    auto const it = s.owned.find(key.sub);
+    if (it == s.owned.end() || key.index >= it->second.parts.size())
+        return nullptr;
+    return &it->second.parts[key.index];
+}
+
+auto running_count(part const& p) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(p.running.begin(),
+        p.running.end(), [](attempt_id it) { return it != attempt_id{}; }));
+}
+
+auto without_attempt(part const& p, attempt_id id) -> part
+{
+    auto next = p;
+    std::replace(next.running.begin(), next.running.end(), id, attempt_id{});
+    return next;
+}
+
+auto fail_part(node_state& s, part_key const& key, shard_failure reason,
+    time_point now, commands& out) -> void
+{
+    auto const it = s.owned.find(key.sub);
+    if (it == s.owned.end())
+        return;
+    auto& e = it->second;
+    if (e.parts[key.index].state == part_state::ended)
+        return;
+    e.value.pending.failed.push_back({e.parts[key.index].shard, reason});
+    end_part(s, key, e, now, out);
+}
+
+auto end_part(node_state& s, part_key const& key, owned_entry& e,
+    time_point now, commands& out) -> void
+{
+    auto& p = e.parts[key.index];
+    for (auto const id : p.running)
+        cancel_attempt(s, id, now, out);
+    p.state = part_state::ended;
+    p.running = {};
+    --e.value.open_parts;
+    mark_flush(s, key.sub, e);
+}
+
+auto dispatch_primary(
+    node_state& s, part_key const& key, time_point now, commands& out) -> bool
+{
+    auto const first = s.owned.at(key.sub).parts[key.index].attempts == 0;
+    auto const kind = first ? attempt_kind::primary : attempt_kind::retry;
+    if (!dispatch(s, key, kind, now, out))
+        return false;
+    auto const& e = s.owned.at(key.sub);
+    auto& service = s.services.at(e.value.request.service);
+    if (first)
+        service.budget = deposit(service.budget);
+    else
+        ++s.stats.retries;
+    if (s.init.policy.hedging)
+        arm_hedge(
+            s, key.sub, now + hedge_delay(service, e.value.deadline, now));
+    return true;
+}
+
+auto pay_extra(service_entry& service) -> bool
+{
+    auto const left = withdraw(service.budget);
+    if (!left)
+        return false;
+    service.budget = *left;
+    return true;
+}
+
+auto hopeless(node_state const& s, shard_entry const& shard, snapshot at,
+    time_point now) -> std::optional<shard_failure>
+{
+    if (!shard.owned)
+        return shard_failure::not_owner;
+    auto reason = shard_failure::no_replica;
+    for (auto const id : shard.replicas)
+    {
+        auto const& t = s.targets.at(id);
+        auto const connected = t.connections > t.opening;
+        if (is_out(t.value, now) || t.connections == 0)
+            continue;
+        if (connected && !serves(t.value, at))
+            reason = shard_failure::snapshot;
+        else if (limit_of(s, t.value, shard, now) == 0)
+            reason = shard_failure::not_owner;
+        else
+            return std::nullopt;
+    }
+    return reason;
+}
+
+auto place(node_state& s, part_key const& key, time_point now, commands& out)
+    -> void
+{
+    auto const& e = s.owned.at(key.sub);
+    auto const& p = e.parts[key.index];
+    auto const at = e.value.request.at;
+    auto* shard = find_shard(s, e.value.request.service, p.shard);
+    if (shard == nullptr)
+        return fail_part(s, key, shard_failure::not_owner, now, out);
+    if (shard->queue.empty() && dispatch_primary(s, key, now, out))
+        return;
+    if (auto const reason = hopeless(s, *shard, at, now))
+        return fail_part(s, key, *reason, now, out);
+    if (too_late(s, *shard, e.value.deadline, now))
+        return fail_part(s, key, shard_failure::overload, now, out);
+    shard->queue.push_back(key);
+    s.owned.at(key.sub).parts[key.index].state = part_state::queued;
+}
+
+auto arm_hedge(node_state& s, sub_key const& key, time_point when) -> void
+{
+    auto& e = s.owned.at(key);
+    if (e.hedge_armed)
+        return;
+    e.hedge_armed = true;
+    arm(s, when, hedge_due{key});
+}
+
+auto hedge_delay(service_entry const& service, time_point deadline,
+    time_point now) -> duration
+{
+    if (service.latency.samples < warm_up_samples)
+        return std::max(least_hedge_delay, (deadline - now) / 4);
+    auto const us = static_cast<duration::rep>(service.latency.value_us);
+    return std::max(least_hedge_delay, duration{us});
+}
+
+auto hedge(node_state& s, part_key const& key, bool last_chance, time_point now,
+    commands& out) -> bool
+{
+    auto const& q = s.owned.at(key.sub).value.request;
+    auto const& p = s.owned.at(key.sub).parts[key.index];
+    auto const* shard = find_shard(s, q.service, p.shard);
+    if (shard == nullptr || !shard->queue.empty())
+        return false;
+    auto& budget = s.services.at(q.service).budget;
+    if (!last_chance && budget.tokens < 1)
+        return false;
+    if (!dispatch(s, key, attempt_kind::hedge, now, out))
+        return false;
+    budget = withdraw(budget).value_or(budget);
+    ++s.stats.hedges;
+    return true;
+}
+
+auto may_hedge(node_state const& s, part const& p) -> bool
+{
+    return p.state == part_state::running && running_count(p) == 1 &&
+           p.attempts < s.init.limits.max_attempts_per_shard;
+}
+
+auto sent_at(node_state const& s, part const& p) -> time_point
+{
+    for (auto const id : p.running)
+        if (auto const it = s.attempts.find(id); it != s.attempts.end())
+            return it->second.sent_at;
+    return {};
+}
+
+} // namespace knapweedstream
--- a/src/core/rollout.hpp
+++ b/src/core/rollout.hpp
@@ -19,6 +19,7 @@
     auto operator<=>(version_record const&) const = default;
 };
 
+/// The record with one more request.
 auto with_result(version_record const& r, bool failed, double latency_us)
     -> version_record;
 
--- a/src/core/rollout_driver.cpp
+++ b/src/core/rollout_driver.cpp
@@ -1,6 +1,7 @@
 #include "core/rollout_driver.hpp"
 
 #include "core/membership.hpp"
+#include "core/ownership.hpp"
 
 #include <algorithm>
 #include <array>
@@ -45,7 +46,8 @@
             post(s, peer, m);
 }
 
-auto write(service_id id, rollout_entry& e, rollout const& next, commands& out) -> void
+auto write(service_id id, rollout_entry& e, rollout const& next, commands& out)
+    -> void
 {
     e.in_progress = true;
     out.push_back(rollout_write{id, e.version, next});
--- a/src/core/rollout_driver.hpp
+++ b/src/core/rollout_driver.hpp
@@ -22,11 +22,15 @@
 /// Drives the rollouts that fall to this node; called at each heartbeat round.
 auto drive_rollouts(node_state& s, time_point now, commands& out) -> void;
 
+/// The platform told the state of a rollout.
 auto on_rollout_stored(node_state& s, rollout_stored const& e, commands& out)
     -> void;
+/// A read or write of a rollout failed, or its answer was lost.
 auto on_rollout_failed(node_state& s, rollout_failed const& e) -> void;
+/// A peer told the state of a rollout.
 auto on_rollout_update(node_state& s, instance_id from, rollout_update const& m,
     commands& out) -> void;
+/// A peer saw the new version fail.
 auto on_version_fault(node_state& s, version_fault const& m, commands& out)
     -> void;
 
--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,63 @@
+#include "core/routing.hpp"
+
+#include "core/membership.hpp"
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+/// Versions that a shard can serve, as told by those of its owners that live.
+auto served_by(node_state const& s, shard_entry const& shard)
+    -> std::vector<std::uint64_t>
+{
+    auto all = std::vector<std::uint64_t>{};
+    for (auto const owner : shard.owners)
+    {
+        auto const it = shard.views.find(owner);
+        if (it != shard.views.end() && can_work(s, owner))
+            all.insert(all.end(), it->second.begin(), it->second.end());
+    }
+    return all;
+}
+
+} // namespace
+
+auto pin(node_state const& s, service_entry const& service) -> snapshot
+{
+    auto served = std::vector<std::vector<std::uint64_t>>{};
+    served.reserve(service.shards.size());
+    for (auto const& it : service.shards)
+        served.push_back(served_by(s, it));
+    return {service.info.epoch, choose_version(served)};
+}
+
+/// Best owner of the shard that has not been asked in this run: this node,
+/// then one in its zone, then the highest rank. Half of the requests go to an
+/// owner that has a replica to warm.
+auto next_owner(node_state const& s, shard_entry const& shard,
+    std::uint32_t asked, fingerprint print) -> std::size_t
+{
+    auto const to_warm = (print.value & 1) != 0;
+    auto best = shard.owners.size();
+    auto best_score = -1;
+    for (std::size_t i = 0; i < shard.owners.size(); ++i)
+    {
+        auto const id = shard.owners[i];
+        if ((asked >> i & 1) != 0 || !can_work(s, id))
+            continue;
+        auto const local = id == s.self;
+        auto const near = !local && in_own_zone(s, id);
+        auto const warms = to_warm && id == shard.warming_by;
+        auto const score = warms ? 3 : local ? 2 : near ? 1 : 0;
+        if (score > best_score)
+        {
+            best = i;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace knapweedstream
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -165,9 +165,14 @@
             return;
         n.paused = false;
         auto const missed = std::exchange(n.while_paused, {});
-        give(i, tick{});
+        // Timers and what has arrived meanwhile may come in either order.
+        auto const timers_first = draw(2) == 0;
+        if (timers_first)
+            give(i, tick{});
         for (auto const& e : missed)
             give(i, e);
+        if (!timers_first)
+            give(i, tick{});
     }
 
     /// A service with replicas in the zones in turn.
--- a/tests/process/processes.hpp
+++ b/tests/process/processes.hpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -107,14 +108,27 @@
 public:
     explicit cluster(std::uint16_t base) : base_(base)
     {
-        char name[] = "/tmp/ks-test-XXXXXX";
-        dir_ = mkdtemp(name);
+        auto const name =
+            "ks-test-" + std::to_string(getpid()) + "-" + std::to_string(base);
+        dir_ = (std::filesystem::temp_directory_path() / name).string();
+        std::filesystem::create_directories(dir_);
         platform_ = std::make_unique<process>(
             std::vector<std::string>{KS_STANDIN, "platform", "--port",
                 std::to_string(base), "--lag-ms", "100"},
             dir_ + "/platform.log");
     }
 
+    ~cluster()
+    {
+        instances.clear();
+        leafs.clear();
+        platform_.reset();
+        std::filesystem::remove_all(dir_);
+    }
+
+    cluster(cluster const&) = delete;
+    auto operator=(cluster const&) -> cluster& = delete;
+
     auto path(std::string const& name) const -> std::string
     {
         return dir_ + "/" + name;
