Lost shard views are asked for again; zone orders are checked; 413 is typed

Cause: with 64 instances one was never ready: views that came before its configuration were dropped and not sent again. Change: heartbeats carry a digest of the sender's views, and all are asked for when it differs; templates whose zones out leave a shard without a target are refused; bodies above the limit get 413.

--- a/src/adapter/caller_server.cpp
+++ b/src/adapter/caller_server.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr auto backlog = 1024;
+constexpr auto body_slack = std::uint64_t{4};
 
 auto body_of(evhtp_request_t* r) -> std::string_view
 {
@@ -35,6 +36,12 @@
     return {400, error_body("bad_request", what)};
 }
 
+auto body_too_large(std::uint32_t limit) -> http_answer
+{
+    return {413, error_body("body_too_large",
+                     "at most " + std::to_string(limit) + " bytes")};
+}
+
 auto wrong_method() -> http_answer
 {
     return {405, error_body("method_not_allowed", "see docs/PROTOCOLS.md")};
@@ -48,7 +55,9 @@
       pages_(std::move(pages))
 {
     evhtp_set_gencb(http_, on_request, this);
-    evhtp_set_max_body_size(http_, limits_.max_body_bytes);
+    // Bodies a little too large get an answer, far larger ones a closed
+    // connection.
+    evhtp_set_max_body_size(http_, limits_.max_body_bytes * body_slack);
 }
 
 caller_server::~caller_server()
@@ -92,6 +101,9 @@
     {
         if (method != htp_method_POST)
             return send(r, wrong_method(), "application/json");
+        if (body_of(r).size() > limits_.max_body_bytes)
+            return send(
+                r, body_too_large(limits_.max_body_bytes), "application/json");
         return is_query ? take_query(r, body_of(r))
                         : take_booking(r, body_of(r));
     }
--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -30,7 +30,8 @@
     static constexpr auto names = std::array{"sub_query", "sub_answer",
         "sub_cancel", "heartbeat", "shard_views", "target_warmth",
         "deadly_notice", "booking_forward", "booking_result", "config_update",
-        "config_request", "peer_suspicion", "rollout_update", "version_fault"};
+        "config_request", "peer_suspicion", "rollout_update", "version_fault",
+        "views_request"};
     static_assert(names.size() == std::variant_size_v<message>);
     return names[index];
 }
--- a/src/adapter/template.cpp
+++ b/src/adapter/template.cpp
@@ -239,6 +239,12 @@
             "two versions that targets above have"});
 }
 
+auto is_zone_out(customer_config const& c, std::string const& zone) -> bool
+{
+    return std::find(c.zones_out.begin(), c.zones_out.end(), zone) !=
+           c.zones_out.end();
+}
+
 auto check_customer(ini_file const& file, customer_config const& c,
     std::vector<ini_error>& errors) -> void
 {
@@ -247,11 +253,21 @@
     for (auto const& s : c.services)
         for (std::uint32_t i = 0; i < s.shards; ++i)
         {
-            auto const has = std::any_of(s.targets.begin(), s.targets.end(),
-                [&](target_info const& t) { return t.shard.value == i; });
+            auto has = false;
+            auto stays = false;
+            for (auto const& t : s.targets)
+            {
+                auto const here = t.shard.value == i;
+                has = has || here;
+                stays = stays || (here && !is_zone_out(c, t.zone));
+            }
+            auto const shard = "shard " + std::to_string(i);
             if (!has)
                 errors.push_back({file.path, 0, "service " + s.name, "shards",
-                    "a target for shard " + std::to_string(i)});
+                    "a target for " + shard});
+            else if (!stays)
+                errors.push_back({file.path, 0, "service " + s.name, "shards",
+                    "a target outside the zones taken out for " + shard});
         }
 }
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -23,7 +23,8 @@
 {
     auto self = s.init.self;
     self.leaving = s.leaving;
-    return {self, s.init.incarnation, sequence, reply, config_digest(s)};
+    return {self, s.init.incarnation, sequence, reply, config_digest(s),
+        view_digest(s, s.self)};
 }
 
 auto probe(node_state& s, instance_id id, time_point now) -> void
@@ -48,17 +49,7 @@
 /// Brings a peer that has just appeared up to date.
 auto welcome(node_state& s, instance_id id) -> void
 {
-    auto views = shard_views{};
-    for (auto const& [service, entry] : s.services)
-        for (std::uint32_t i = 0; i < entry.shards.size(); ++i)
-        {
-            auto const& shard = entry.shards[i];
-            if (shard.owned && !shard.told.versions.empty())
-                views.views.push_back(shard.told);
-        }
-    std::sort(views.views.begin(), views.views.end());
-    if (!views.views.empty())
-        post(s, id, std::move(views));
+    send_views(s, id);
     auto warm_targets = std::vector<target_warmth>{};
     for (auto const& [key, t] : s.targets)
         if (is_warm(t.value))
@@ -223,6 +214,8 @@
         welcome(s, from);
     if (!m.reply)
         post(s, from, make_heartbeat(s, true, m.sequence));
+    if (m.view_digest != view_digest(s, from))
+        post(s, from, views_request{});
     if (m.config_digest != config_digest(s))
         ask_configs(s, from, now);
 }
@@ -289,19 +282,6 @@
     check_peer(s, e.peer, now, out);
 }
 
-auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
-    -> void
-{
-    for (auto const& it : m.views)
-    {
-        auto const found = s.services.find(it.service);
-        if (found == s.services.end() || found->second.info.epoch != it.epoch ||
-            it.shard.value >= found->second.shards.size())
-            continue;
-        take_view(found->second.shards[it.shard.value], from, it);
-    }
-}
-
 auto forgive_silence(node_state& s, time_point now) -> void
 {
     for (auto& [id, m] : s.members)
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -47,9 +47,6 @@
 /// Looks whether the probed peer has answered.
 auto on_peer_due(
     node_state& s, peer_due const& e, time_point now, commands& out) -> void;
-/// An owner told what its shards can serve.
-auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
-    -> void;
 
 /// Notes that the instance sent something.
 auto heard_from(node_state& s, instance_id from, time_point now, commands& out)
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -44,6 +44,7 @@
             [&](rollout_update const& it)
             { on_rollout_update(s, from, it, out); },
             [&](version_fault const& it) { on_version_fault(s, it, out); },
+            [&](views_request const&) { send_views(s, from); },
             [&](peer_suspicion const& it) { on_peer_suspicion(s, it, now); },
             [&](config_request const& it)
             {
@@ -85,7 +86,8 @@
             auto self = s.init.self;
             self.leaving = true;
             post(s, id,
-                heartbeat{self, s.init.incarnation, 0, true, config_digest(s)});
+                heartbeat{self, s.init.incarnation, 0, true, config_digest(s),
+                    view_digest(s, s.self)});
         }
     arm(s, now, drain_due{});
 }
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -60,6 +60,7 @@
         if (!before || shard.owned)
             continue;
         shard.told = {};
+        take_view(shard, s.self, {});
         for (auto const it : shard.replicas)
             close_connections(s, it, out);
     }
--- a/src/core/shard_view.cpp
+++ b/src/core/shard_view.cpp
@@ -58,17 +58,67 @@
     take_view(*shard, s.self, view);
     for (auto const& [peer, m] : s.members)
         if (m.state == member_state::alive)
-            post(s, peer, shard_views{{view}});
+            post(s, peer, shard_views{{view}, false});
 }
 
 auto take_view(shard_entry& shard, instance_id from, shard_view const& view)
     -> void
 {
-    shard.views[from] = view.versions;
+    if (view.versions.empty())
+        shard.views.erase(from);
+    else
+        shard.views[from] = view.versions;
     if (view.warming)
         shard.warming_by = from;
     else if (shard.warming_by == from)
         shard.warming_by = {};
 }
 
+auto view_digest(node_state const& s, instance_id from) -> std::uint64_t
+{
+    auto digest = std::uint64_t{0};
+    for (auto const& [service, entry] : s.services)
+        for (std::uint32_t i = 0; i < entry.shards.size(); ++i)
+        {
+            auto const& shard = entry.shards[i];
+            auto const it = shard.views.find(from);
+            if (it == shard.views.end() || it->second.empty())
+                continue;
+            auto h = hash_name("view", service.value + i);
+            for (auto const version : it->second)
+                h = hash_name("version", h ^ version);
+            // Order of services differs between nodes; exclusive or does not.
+            digest ^= shard.warming_by == from ? ~h : h;
+        }
+    return digest;
+}
+
+auto send_views(node_state& s, instance_id to) -> void
+{
+    auto m = shard_views{{}, true};
+    for (auto const& [service, entry] : s.services)
+        for (auto const& shard : entry.shards)
+            if (shard.owned && !shard.told.versions.empty())
+                m.views.push_back(shard.told);
+    std::sort(m.views.begin(), m.views.end());
+    post(s, to, std::move(m));
+}
+
+auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
+    -> void
+{
+    if (m.all)
+        for (auto& [service, entry] : s.services)
+            for (auto& shard : entry.shards)
+                take_view(shard, from, {});
+    for (auto const& it : m.views)
+    {
+        auto const found = s.services.find(it.service);
+        if (found == s.services.end() || found->second.info.epoch != it.epoch ||
+            it.shard.value >= found->second.shards.size())
+            continue;
+        take_view(found->second.shards[it.shard.value], from, it);
+    }
+}
+
 } // namespace knapweedstream
--- a/src/core/shard_view.hpp
+++ b/src/core/shard_view.hpp
@@ -22,6 +22,16 @@
 auto take_view(shard_entry& shard, instance_id from, shard_view const& view)
     -> void;
 
+/// Hash of the views that an instance has told, to compare with its own.
+auto view_digest(node_state const& s, instance_id from) -> std::uint64_t;
+
+/// Sends all views of this node to a peer.
+auto send_views(node_state& s, instance_id to) -> void;
+
+/// An owner told what its shards can serve.
+auto on_shard_views(node_state& s, instance_id from, shard_views const& m)
+    -> void;
+
 } // namespace knapweedstream
 
 #endif
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -61,6 +61,7 @@
     std::uint64_t sequence = 0;      ///< Echoed by the reply.
     bool reply = false;              ///< This is the answer to a probe.
     std::uint64_t config_digest = 0; ///< Hash of all versions in force.
+    std::uint64_t view_digest = 0;   ///< Hash of the sender's shard views.
 
     auto operator<=>(heartbeat const&) const = default;
 };
@@ -81,10 +82,17 @@
 struct shard_views
 {
     std::vector<shard_view> views;
+    bool all = false; ///< The sender has no others.
 
     auto operator<=>(shard_views const&) const = default;
 };
 
+/// Asks an owner for all its views.
+struct views_request
+{
+    auto operator<=>(views_request const&) const = default;
+};
+
 /// Owner to co-owners: the target's warmth in this boot.
 struct target_warmth
 {
@@ -177,7 +185,7 @@
 using message = std::variant<sub_query, sub_answer, sub_cancel, heartbeat,
     shard_views, target_warmth, deadly_notice, booking_forward, booking_result,
     config_update, config_request, peer_suspicion, rollout_update,
-    version_fault>;
+    version_fault, views_request>;
 
 } // namespace knapweedstream
 
--- a/tests/failure/test_queries.cpp
+++ b/tests/failure/test_queries.cpp
@@ -346,3 +346,21 @@
     w->run_for(milliseconds{300});
     CHECK(complete(w->callers[id]));
 }
+
+TEST_CASE("views of shards that were lost on the way are asked for again")
+{
+    auto w = standard_world(16);
+    // An instance starts and hears its peers before it has a configuration.
+    w->kill(1);
+    auto const config = w->config;
+    w->config = {};
+    w->start(1);
+    w->run_for(milliseconds{40});
+    w->config = config;
+    w->read_config(1, config);
+    w->run_for(seconds{1});
+    CHECK(w->instances[1]->it->gauges().ready);
+    auto const id = w->query(1, "voorraad", "warm-1");
+    w->run_for(milliseconds{300});
+    CHECK(complete(w->callers[id]));
+}
--- a/tests/process/test_processes.cpp
+++ b/tests/process/test_processes.cpp
@@ -160,7 +160,8 @@
               .body.find("unknown_service") != std::string::npos);
     CHECK(post("/v1/query", R"({"customer":"c","service":"s","deadline_ms":1})")
               .status == 400);
-    CHECK(post("/v1/query", std::string(200'000, 'x')).status != 200);
+    CHECK(post("/v1/query", std::string(200'000, 'x')).status == 413);
+    CHECK(post("/v1/query", std::string(2'000'000, 'x')).status != 200);
     CHECK(post("/v1/bookings", R"({"customer":"c","service":"s"})").status ==
           400);
     CHECK(ask(to, EVHTTP_REQ_GET, "/v1/query").status == 405);
--- a/tests/unit/test_adapters.cpp
+++ b/tests/unit/test_adapters.cpp
@@ -134,7 +134,7 @@
                                  {7}, true, "text\"", {{0}, {3}}},
             sub_answer{{{5}, 1}, {{{0}, {1, 9}, {{0.5, "k"}}}},
                 {{{3}, shard_failure::snapshot}}},
-            heartbeat{{"a", "b", "c", true}, 1, 2, true, 3}};
+            heartbeat{{"a", "b", "c", true}, 1, 2, true, 3, 4}};
     auto const text = encode_batch({42}, messages, traffic);
     auto const b = value_of(decode<batch>(text, "batch"));
     CHECK(b.from == instance_id{42});
@@ -174,3 +174,35 @@
     CHECK(to_http(refusal{over_admission{4}}).status == 429);
     CHECK(to_http(booking_answer{booking_unknown{}}).status == 202);
 }
+
+TEST_CASE("zones taken out that leave a shard without targets are refused")
+{
+    auto const e = template_errors(
+        std::string{good_template} + "[zone gent-dok]\nstate = out\n");
+    REQUIRE(e.size() == 1);
+    CHECK(e[0].wanted == "a target outside the zones taken out for shard 0");
+}
+
+TEST_CASE("objectives and rollouts in templates")
+{
+    auto const two = std::string{good_template} +
+                     "version = v1\n"
+                     "[target voorraad v-0-b]\naddress = 127.0.0.1:7002\n"
+                     "zone = gent-dok\nshard = 0\nversion = v2\n"
+                     "[objectives]\nlatency_ms = 59\nlatency_target = 0.99\n"
+                     "[rollout voorraad]\nid = 3\nfrom = v1\nto = v2\n"
+                     "steps_percent = 1,10,50\nduration_ms = 60000\n";
+    auto const c = value_of(parse_template("t.ini", two));
+    CHECK(c.objectives.latency == milliseconds{59});
+    CHECK(c.services[0].rollout.steps_percent ==
+          std::vector<std::uint32_t>{1, 10, 50});
+    CHECK(value_of(parse_customer(to_json(c), 1)).services == c.services);
+    auto const wrong = two + "max_latency_ratio = 0.5\n"
+                             "[rollout unheard]\nid = 1\n";
+    CHECK(template_errors(wrong).size() == 2);
+    auto const same = template_errors(std::string{good_template} +
+                                      "[rollout voorraad]\nid = 1\nfrom = a\n"
+                                      "to = a\nsteps_percent = 50,10\n"
+                                      "duration_ms = 1\n");
+    CHECK(same.size() == 2);
+}
