Instances hear of each other by heartbeats; a finished rollout keeps to the new version

Cause: with 64 instances started together only 36 of 63 peers were known, since each read the lagging list once; and after a rollout one request in 1,353 still fell back to the old version. Change: a heartbeat names one random live member, the list is read three times at start; once a rollout has finished the old version serves only shards that the new one cannot serve at all.

--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -13,6 +13,7 @@
 constexpr auto watch_wait = seconds{10};
 constexpr auto watch_timeout = seconds{15};
 constexpr auto list_interval = seconds{2};
+constexpr auto first_lists = 3u; ///< Read by each instance; then by watchers.
 constexpr auto retry_interval = milliseconds{500};
 constexpr auto claim_connections = std::size_t{4};
 
@@ -83,12 +84,12 @@
                 log(log_level::error, "platform", "Instance list unreadable.");
             });
     };
-    if (announced_ && !watch_)
+    if (lists_ >= first_lists && !watch_)
     {
         list_timer_.after(list_interval);
         return;
     }
-    announced_ = true;
+    ++lists_;
     send(control_, {EVHTTP_REQ_GET, "/v1/instances", {}, {}}, done);
 }
 
--- a/src/adapter/platform_client.hpp
+++ b/src/adapter/platform_client.hpp
@@ -50,7 +50,7 @@
     loop_event announce_timer_;
     bool watch_ = false;
     bool watch_out_ = false;
-    bool announced_ = false;
+    std::uint32_t lists_ = 0; ///< Times the list was asked for.
     std::uint64_t revision_ = 0;
     std::uint64_t calls_ = 0;
 };
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -18,13 +18,26 @@
 constexpr auto watchers = 3u;      ///< Instances that watch.
 constexpr auto watch_key = std::uint64_t{0x77617463};
 
+/// A live member drawn at random, so that all hear of all in time.
+auto any_member(node_state& s) -> std::vector<instance_info>
+{
+    if (s.members.empty())
+        return {};
+    auto it = s.members.begin();
+    std::advance(it,
+        static_cast<std::ptrdiff_t>(draw_below(s.random, s.members.size())));
+    if (!takes_work(it->second))
+        return {};
+    return {it->second.info};
+}
+
 auto make_heartbeat(node_state& s, bool reply, std::uint64_t sequence)
     -> heartbeat
 {
     auto self = s.init.self;
     self.leaving = s.leaving;
     return {self, s.init.incarnation, sequence, reply, config_digest(s),
-        view_digest(s, s.self)};
+        view_digest(s, s.self), any_member(s)};
 }
 
 auto probe(node_state& s, instance_id id, time_point now) -> void
@@ -70,6 +83,17 @@
     out.push_back(peer_dial{id, info.peer_address});
 }
 
+/// Probes an instance that others know and this node does not.
+auto meet(node_state& s, instance_info const& info, time_point now,
+    commands& out) -> void
+{
+    auto const id = id_of<instance_id>(info.name);
+    if (id == s.self || s.members.contains(id))
+        return;
+    add_member(s, info, now, out);
+    probe(s, id, now);
+}
+
 auto suspect_member(
     node_state& s, instance_id id, time_point now, commands& out) -> void
 {
@@ -214,6 +238,8 @@
         welcome(s, from);
     if (!m.reply)
         post(s, from, make_heartbeat(s, true, m.sequence));
+    for (auto const& known : m.known)
+        meet(s, known, now, out);
     if (m.view_digest != view_digest(s, from))
         post(s, from, views_request{});
     if (m.config_digest != config_digest(s))
@@ -249,8 +275,7 @@
             known->second.listed_at = now;
             continue;
         }
-        add_member(s, it, now, out);
-        probe(s, id, now);
+        meet(s, it, now, out);
     }
     auto const forget_after = seconds{60};
     auto gone = std::vector<instance_id>{};
--- a/src/core/owner_parts.cpp
+++ b/src/core/owner_parts.cpp
@@ -47,6 +47,23 @@
            t.versions.end();
 }
 
+/// Once a rollout has finished the old version serves only a shard that the
+/// new one cannot serve at all.
+auto may_fall_back(node_state const& s, shard_entry const& shard,
+    rollout_entry const& e, rollout_policy const& policy, time_point now)
+    -> bool
+{
+    if (e.value.phase == rollout_phase::running)
+        return true;
+    return std::none_of(shard.replicas.begin(), shard.replicas.end(),
+        [&](target_id id)
+        {
+            auto const& t = s.targets.at(id);
+            return t.value.version == policy.to && !is_out(t.value, now) &&
+                   t.connections > t.opening;
+        });
+}
+
 /// Chooses a replica of the wanted version that was not tried, else any that
 /// may serve the part.
 auto choose_replica(node_state& s, owned_query const& owned, part const& p,
@@ -73,7 +90,8 @@
         return t;
     };
     auto* t = choose();
-    if (t == nullptr && choice == version_choice::new_first)
+    if (t == nullptr && choice == version_choice::new_first &&
+        may_fall_back(s, shard, s.services.at(q.service).rollout, policy, now))
     {
         choice = version_choice::old_only;
         t = choose();
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -57,11 +57,12 @@
 struct heartbeat
 {
     instance_info self;
-    std::uint64_t incarnation = 0;   ///< New at each process start.
-    std::uint64_t sequence = 0;      ///< Echoed by the reply.
-    bool reply = false;              ///< This is the answer to a probe.
-    std::uint64_t config_digest = 0; ///< Hash of all versions in force.
-    std::uint64_t view_digest = 0;   ///< Hash of the sender's shard views.
+    std::uint64_t incarnation = 0;      ///< New at each process start.
+    std::uint64_t sequence = 0;         ///< Echoed by the reply.
+    bool reply = false;                 ///< This is the answer to a probe.
+    std::uint64_t config_digest = 0;    ///< Hash of all versions in force.
+    std::uint64_t view_digest = 0;      ///< Hash of the sender's shard views.
+    std::vector<instance_info> known{}; ///< A member that the sender knows.
 
     auto operator<=>(heartbeat const&) const = default;
 };
--- a/tests/failure/test_queries.cpp
+++ b/tests/failure/test_queries.cpp
@@ -364,3 +364,17 @@
     w->run_for(milliseconds{300});
     CHECK(complete(w->callers[id]));
 }
+
+TEST_CASE("instances that the list does not name hear of each other")
+{
+    auto w = std::make_unique<world>(17);
+    w->config.name = "regie";
+    w->add_service("voorraad", 2, {"gent-dok", "brugge-zuid"});
+    w->listed_only_first = true;
+    for (auto i = 0; i < 12; ++i)
+        w->add_instance("entry-" + std::to_string(i), "gent-dok");
+    w->publish();
+    w->run_for(seconds{8});
+    for (auto const& n : w->instances)
+        CHECK(n->it->gauges().peers_alive == 11);
+}
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -114,6 +114,7 @@
     time_point now{us{1'000'000}};
     customer_config config;
     std::vector<std::pair<time_point, std::string>> work_log; ///< Address.
+    bool listed_only_first = false;    ///< The list names one instance.
     std::function<void()> after_event; ///< Checked after each event.
 
     auto add_instance(std::string const& name, std::string const& zone)
@@ -136,7 +137,8 @@
         give(i, tick{});
         auto listed = std::vector<instance_info>{};
         for (auto const& it : instances)
-            listed.push_back(it->info);
+            if (!listed_only_first || it == instances.front())
+                listed.push_back(it->info);
         for (std::size_t k = 0; k < instances.size(); ++k)
             give(k, instances_listed{listed});
         if (!config.name.empty())
