--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -57,14 +57,6 @@
 {
 }
 
-peer_link::~peer_link()
-{
-    readable_.reset();
-    for (auto const& [id, socket] : out_)
-        nng_close(socket);
-    nng_close(in_);
-}
-
 auto peer_link::start() -> leaf::result<void>
 {
     auto fd = 0;
@@ -81,7 +73,12 @@
 
 auto peer_link::run(peer_dial const& c) -> void
 {
-    run(peer_drop{c.peer});
+    auto const known = sockets_.find(c.address);
+    if (known != sockets_.end())
+    {
+        out_.insert_or_assign(c.peer, known->second);
+        return;
+    }
     auto socket = nng_socket{};
     if (nng_push0_open(&socket) != 0)
         return;
@@ -90,16 +87,13 @@
     nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, most_reconnect_ms);
     auto const url = "tcp://" + c.address;
     nng_dial(socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
-    out_.emplace(c.peer, socket);
+    sockets_.emplace(c.address, socket);
+    out_.insert_or_assign(c.peer, socket);
 }
 
 auto peer_link::run(peer_drop const& c) -> void
 {
-    auto const it = out_.find(c.peer);
-    if (it == out_.end())
-        return;
-    nng_close(it->second);
-    out_.erase(it);
+    out_.erase(c.peer);
 }
 
 auto peer_link::run(peer_send const& c) -> void
--- a/src/adapter/peer_link.hpp
+++ b/src/adapter/peer_link.hpp
@@ -38,7 +38,6 @@
 {
 public:
     peer_link(event_base* base, instance_info const& self, event_sink sink);
-    ~peer_link();
     peer_link(peer_link const&) = delete;
     auto operator=(peer_link const&) -> peer_link& = delete;
 
@@ -62,6 +61,9 @@
     nng_socket in_ = NNG_SOCKET_INITIALIZER;
     std::unique_ptr<loop_event> readable_;
     std::unordered_map<instance_id, nng_socket> out_;
+    /// By address; never closed, since `nng_close` of nng 1.5 may wait for
+    /// ever while a dialer reconnects.
+    std::unordered_map<std::string, nng_socket> sockets_;
     peer_traffic_table sent_{};
     std::uint64_t received_ = 0;
     std::uint64_t dropped_ = 0;
--- a/src/adapter/recorder.hpp
+++ b/src/adapter/recorder.hpp
@@ -25,6 +25,9 @@
 
     auto add(event const& e, time_point now) -> void;
 
+    /// Writes out what is buffered.
+    auto flush() -> void { out_.flush(); }
+
 private:
     auto write(std::string const& line) -> void;
 
--- a/src/app/cli_run.cpp
+++ b/src/app/cli_run.cpp
@@ -3,6 +3,7 @@
 #include "app/cli_options.hpp"
 #include "app/runtime.hpp"
 
+#include <cstdlib>
 #include <iostream>
 
 namespace knapweedstream
@@ -29,7 +30,10 @@
     start_log(settings.level);
     auto instance = runtime{settings};
     BOOST_LEAF_CHECK(instance.run());
-    return 0;
+    std::cout.flush();
+    // All work is done. Destructors are not run, since closing an nng socket
+    // may wait for ever (see peer_link).
+    std::_Exit(0);
 }
 
 auto check_files(arguments const& args) -> leaf::result<int>
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -125,6 +125,7 @@
     platform_.start();
     push(tick{});
     event_base_dispatch(base_.get());
+    record_.flush();
     log(log_level::info, "node", "Stopped. name=" + settings_.self.name);
     return {};
 }
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -49,10 +49,10 @@
         ++s.stats.stale_answers;
         return;
     }
-    auto const was_open = e.shards[i].owner != instance_id{};
+    e.value.open -= e.shards[i].open ? 1 : 0;
+    e.shards[i].open = false;
     e.shards[i].slot = shard_slot{true, {}};
     e.shards[i].owner = {};
-    e.value.open -= was_open ? 1 : 0;
     e.answers.push_back(rows);
     if (!e.value.canary)
         return;
--- a/src/core/entry_run.cpp
+++ b/src/core/entry_run.cpp
@@ -45,7 +45,8 @@
     auto& it = e.shards[shard.value];
     it.slot = shard_slot{false, reason};
     it.owner = {};
-    --e.value.open;
+    e.value.open -= it.open ? 1 : 0;
+    it.open = false;
 }
 
 /// Plans to ask all owners again: who is primary may be changing hands.
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -134,6 +134,7 @@
 struct entry_shard
 {
     shard_slot slot;
+    bool open = true;        ///< Neither answered nor given up.
     instance_id owner;       ///< Asked now; 0 if nobody is.
     std::uint32_t asked = 0; ///< Owners asked in this run, as a bit set.
 
--- a/tests/failure/test_queries.cpp
+++ b/tests/failure/test_queries.cpp
@@ -378,3 +378,27 @@
     for (auto const& n : w->instances)
         CHECK(n->it->gauges().peers_alive == 11);
 }
+
+TEST_CASE("an answer that comes while its shard waits to be asked again counts "
+          "and ends the query at once")
+{
+    auto w = standard_world(18, 3);
+    // Both directions to the owners are slow to heal: the entry suspects them,
+    // plans to ask again, and then their answers arrive after all.
+    auto late = 0;
+    for (auto n = 0; n < 20; ++n)
+    {
+        auto const i = static_cast<std::size_t>(n) % 3;
+        auto const id = w->query(
+            i, "voorraad", "warm-" + std::to_string(n), milliseconds{1'000});
+        w->at(us{500}, [&w, i] { w->pause((i + 1) % 3); });
+        w->at(us{500}, [&w, i] { w->pause((i + 2) % 3); });
+        w->at(milliseconds{45}, [&w, i] { w->resume((i + 1) % 3); });
+        w->at(milliseconds{45}, [&w, i] { w->resume((i + 2) % 3); });
+        w->run_for(milliseconds{400});
+        late += complete(w->callers[id]) ? 0 : 1;
+        w->run_for(milliseconds{800});
+        CHECK(complete(w->callers[id]));
+    }
+    CHECK(late == 0);
+}
