One function each for a service's handle and an item's shard

Cause: the handle of a service was spelled out in three files and the shard of an item in two; had they drifted, a booking's executor and its claim bucket would have been of different shards. Change: service_of and shard_of_item in core/routing serve all of them. Conclusion: behaviour is unchanged.

--- a/src/core/booking_entry.cpp
+++ b/src/core/booking_entry.cpp
@@ -3,6 +3,7 @@
 #include "core/burn.hpp"
 #include "core/entry.hpp"
 #include "core/membership.hpp"
+#include "core/routing.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -61,7 +62,7 @@
     std::string const& item) -> instance_id
 {
     auto const n = service.shards.size();
-    auto const& shard = service.shards[hash_name(item) % n];
+    auto const& shard = service.shards[shard_of_item(item, n).value];
     for (auto const owner : shard.owners)
         if (can_work(s, owner))
             return owner;
--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -3,6 +3,7 @@
 #include "core/claims.hpp"
 #include "core/leaf.hpp"
 #include "core/rollout_driver.hpp"
+#include "core/routing.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -237,7 +238,7 @@
 {
     auto const& r = m.request;
     auto const customer = id_of<customer_id>(r.customer);
-    auto const service = service_id{hash_name(r.service, customer.value)};
+    auto const service = service_of(customer, r.service);
     auto const it = s.services.find(service);
     if (it == s.services.end())
     {
@@ -250,8 +251,7 @@
     e.entry = from;
     e.id = m.id;
     e.request = r;
-    e.bucket = {
-        service, shard_id{static_cast<std::uint32_t>(hash_name(r.item) % n)}};
+    e.bucket = {service, shard_of_item(r.item, n)};
     e.content = content_of(r);
     e.token = fresh_id<claim_token>(s);
     e.deadline = now + m.time_left;
--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -3,6 +3,7 @@
 #include "core/leaf.hpp"
 #include "core/membership.hpp"
 #include "core/ownership.hpp"
+#include "core/routing.hpp"
 
 #include <algorithm>
 #include <set>
@@ -93,7 +94,7 @@
     service_info const& info, commands& out) -> service_id
 {
     auto const customer = id_of<customer_id>(c.name);
-    auto const id = service_id{hash_name(info.name, customer.value)};
+    auto const id = service_of(customer, info.name);
     auto& entry = s.services[id];
     auto const fresh = entry.info.name.empty();
     auto const remapped = !fresh && (entry.info.epoch != info.epoch ||
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -127,8 +127,7 @@
 auto find_service(node_state const& s, std::string_view customer,
     std::string_view service) -> service_id
 {
-    auto const id =
-        service_id{hash_name(service, id_of<customer_id>(customer).value)};
+    auto const id = service_of(id_of<customer_id>(customer), service);
     return s.services.contains(id) ? id : service_id{};
 }
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -24,6 +24,16 @@
 
 } // namespace
 
+auto service_of(customer_id customer, std::string_view service) -> service_id
+{
+    return service_id{hash_name(service, customer.value)};
+}
+
+auto shard_of_item(std::string_view item, std::size_t n) -> shard_id
+{
+    return shard_id{static_cast<std::uint32_t>(hash_name(item) % n)};
+}
+
 auto pin(node_state const& s, service_entry const& service) -> snapshot
 {
     auto served = std::vector<std::vector<std::uint64_t>>{};
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -7,6 +7,12 @@
 namespace knapweedstream
 {
 
+/// Handle of a customer's service.
+auto service_of(customer_id customer, std::string_view service) -> service_id;
+
+/// Shard that holds an item, of `n` shards.
+auto shard_of_item(std::string_view item, std::size_t n) -> shard_id;
+
 /// Snapshot that most shards of the service can serve at present.
 auto pin(node_state const& s, service_entry const& service) -> snapshot;
 
