--- /dev/null
+++ b/src/adapter/dispatch_metrics.cpp
@@ -0,0 +1,106 @@
+#include "adapter/dispatch_metrics.hpp"
+
+#include <array>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+auto outcome_word(dispatch::request_ended const& it) -> std::string
+{
+    constexpr auto words =
+        std::array{"complete", "partial", "refused", "failed", "abandoned"};
+    return words.at(static_cast<std::size_t>(it.how));
+}
+
+auto stats_text(dispatch::dispatch_stats const& s) -> std::string
+{
+    using d = dispatch::dispatch_stats;
+    struct entry
+    {
+        char const* name;
+        std::uint64_t d::*member;
+    };
+    constexpr auto table = std::array{entry{"requests_total", &d::requests},
+        entry{"requests_complete_total", &d::complete},
+        entry{"requests_partial_total", &d::partial},
+        entry{"requests_refused_total", &d::refused},
+        entry{"requests_failed_total", &d::failed},
+        entry{"requests_abandoned_total", &d::abandoned},
+        entry{"target_first_requests_total", &d::first_sends},
+        entry{"target_hedges_total", &d::hedges},
+        entry{"target_retries_total", &d::retries},
+        entry{"retry_budget_refusals_total", &d::budget_refusals},
+        entry{"target_overload_replies_total", &d::overload_replies},
+        entry{"target_lost_attempts_total", &d::lost_attempts},
+        entry{"target_unusable_replies_total", &d::unusable_replies},
+        entry{"target_connects_total", &d::connects},
+        entry{"target_connect_failures_total", &d::connect_failures},
+        entry{"store_failures_total", &d::store_failures},
+        entry{"configs_total", &d::configs}};
+    auto text = std::string{};
+    for (auto const& it : table)
+        text += counter_text(it.name, s.*it.member);
+    return text;
+}
+
+auto gauges_text(dispatch::dispatch_gauges const& g) -> std::string
+{
+    return gauge_text("requests_open", g.requests_open) +
+           gauge_text("parts_waiting", g.parts_waiting) +
+           gauge_text("target_connections", g.connections) +
+           gauge_text("targets", g.targets) +
+           gauge_text("instances", g.instances) +
+           gauge_text("config_version", g.config_version) +
+           gauge_text("ready", g.ready ? 1 : 0) +
+           gauge_text("stopping", g.stopping ? 1 : 0);
+}
+
+} // namespace
+
+auto request_metrics::observe(dispatch::fact const& it) -> void
+{
+    auto const* e = std::get_if<dispatch::request_ended>(&it);
+    if (e == nullptr)
+        return;
+    auto& r = routes_[e->route.empty() ? "none" : e->route];
+    ++r.outcomes[outcome_word(*e)];
+    r.latency.add(static_cast<double>(e->elapsed.count()) / 1e3);
+}
+
+auto request_metrics::text() const -> std::string
+{
+    auto out = std::string{};
+    for (auto const& [name, it] : routes_)
+    {
+        auto const label = "route=\"" + name + "\"";
+        for (auto const& [outcome, n] : it.outcomes)
+            out += sample_text("route_requests_total{" + label + ",outcome=\"" +
+                                   outcome + "\"}",
+                std::to_string(n));
+        out += it.latency.text("route_latency_ms", label);
+    }
+    return out;
+}
+
+auto metrics_text(dispatch::dispatch_stats const& stats,
+    dispatch::dispatch_gauges const& gauges, dispatch_figures const& figures,
+    request_metrics const& requests) -> std::string
+{
+    return stats_text(stats) + gauges_text(gauges) +
+           counter_text("store_calls_total", figures.store_calls) +
+           counter_text("callers_accepted_total", figures.callers.accepted) +
+           gauge_text("callers_open", figures.callers.open) +
+           counter_text("callers_malformed_total", figures.callers.malformed) +
+           counter_text("callers_timeouts_total", figures.callers.timeouts) +
+           counter_text(
+               "log_lines_left_out_total", figures.log_lines_left_out) +
+           sample_text(
+               "process_cpu_seconds_total", std::to_string(figures.cpu_s)) +
+           gauge_text("resident_bytes", figures.resident_bytes) +
+           requests.text();
+}
+
+} // namespace knapweedstream
--- a/src/adapter/event_loop.hpp
+++ b/src/adapter/event_loop.hpp
@@ -47,6 +47,9 @@
     /// Runs the callback after `wait`; replaces an earlier call.
     auto after(duration wait) -> void;
 
+    /// Takes back an earlier `after`.
+    auto stop() -> void { event_del(event_.get()); }
+
     /// Runs the callback when the events that are ready now are handled.
     auto soon() -> void;
 
--- /dev/null
+++ b/src/adapter/http_link.cpp
@@ -0,0 +1,76 @@
+#include "adapter/http_link.hpp"
+
+namespace knapweedstream
+{
+
+http_link::http_link(event_base* base, std::string const& address,
+    stream_options const& options, read_limits const& limits, callbacks f)
+    : f_(std::move(f)), reader_(message_kind::response, limits),
+      stream_(base, address, options,
+          {[this]
+              {
+                  opened_ = true;
+                  if (f_.opened)
+                      f_.opened();
+              },
+              [this](std::string_view bytes) { on_received(bytes); }, {},
+              [this](stream_end how)
+              {
+                  on_ended(how);
+              }})
+{
+}
+
+auto http_link::send(std::string_view text, bool to_head) -> void
+{
+    busy_ = true;
+    request_bytes_ = text.size();
+    reader_.expect_no_body(to_head);
+    stream_.write(text);
+}
+
+auto http_link::is_unsent() const -> bool
+{
+    return busy_ && stream_.unwritten() >= request_bytes_;
+}
+
+auto http_link::on_received(std::string_view bytes) -> void
+{
+    if (!busy_)
+        return finish(link_end::garbled);
+    auto const n = reader_.feed(bytes);
+    if (reader_.error())
+        return finish(link_end::garbled);
+    if (reader_.is_complete())
+        deliver(n == bytes.size());
+}
+
+auto http_link::deliver(bool reusable) -> void
+{
+    busy_ = false;
+    auto const m = reader_.take();
+    // An answer before the request was written out leaves bytes of it behind.
+    auto const whole = stream_.unwritten() == 0;
+    f_.replied(m, reusable && whole && m.keep_alive && stream_.is_open());
+}
+
+auto http_link::on_ended(stream_end how) -> void
+{
+    if (how == stream_end::refused || !opened_)
+        return f_.ended(link_end::refused);
+    if (how == stream_end::closed && busy_)
+    {
+        reader_.end();
+        if (reader_.is_complete())
+            deliver(false);
+    }
+    f_.ended(how == stream_end::closed ? link_end::closed : link_end::reset);
+}
+
+auto http_link::finish(link_end how) -> void
+{
+    stream_.close();
+    f_.ended(how);
+}
+
+} // namespace knapweedstream
--- /dev/null
+++ b/src/adapter/http_message.cpp
@@ -0,0 +1,149 @@
+#include "adapter/http_message.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto head_bytes = std::size_t{512}; ///< Usual size of a head.
+
+auto lower(char c) -> char
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
+}
+
+auto is_hop_by_hop(std::string_view name) -> bool
+{
+    constexpr auto names =
+        std::array<std::string_view, 10>{"connection", "keep-alive",
+            "proxy-connection", "proxy-authenticate", "proxy-authorization",
+            "te", "trailer", "transfer-encoding", "upgrade", "content-length"};
+    return std::any_of(names.begin(), names.end(),
+        [&](std::string_view it) { return same_name(it, name); });
+}
+
+/// True if a list such as `close, X-A` holds the name.
+auto lists(std::string_view list, std::string_view name) -> bool
+{
+    while (!list.empty())
+    {
+        auto const comma = std::min(list.find(','), list.size());
+        auto it = list.substr(0, comma);
+        while (!it.empty() && (it.front() == ' ' || it.front() == '\t'))
+            it.remove_prefix(1);
+        while (!it.empty() && (it.back() == ' ' || it.back() == '\t'))
+            it.remove_suffix(1);
+        if (same_name(it, name))
+            return true;
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+auto reason_of(std::uint32_t status) -> std::string_view
+{
+    switch (status)
+    {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+auto add_field(std::string& out, std::string_view name, std::string_view value)
+    -> void
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace
+
+auto same_name(std::string_view a, std::string_view b) -> bool
+{
+    return a.size() == b.size() &&
+           std::equal(a.begin(), a.end(), b.begin(),
+               [](char x, char y) { return lower(x) == lower(y); });
+}
+
+auto find_field(http_message const& m, std::string_view name)
+    -> std::string_view
+{
+    for (auto const& it : m.fields)
+        if (same_name(it.name, name))
+            return it.value;
+    return {};
+}
+
+auto has_field(http_message const& m, std::string_view name) -> bool
+{
+    return std::any_of(m.fields.begin(), m.fields.end(),
+        [&](header_field const& it) { return same_name(it.name, name); });
+}
+
+auto end_to_end_fields(http_message const& m) -> std::vector<header_field>
+{
+    auto const connection = find_field(m, "Connection");
+    auto kept = std::vector<header_field>{};
+    kept.reserve(m.fields.size());
+    for (auto const& it : m.fields)
+        if (!is_hop_by_hop(it.name) && !lists(connection, it.name))
+            kept.push_back(it);
+    return kept;
+}
+
+auto request_text(http_message const& m) -> std::string
+{
+    auto out = std::string{};
+    out.reserve(head_bytes + m.body.size());
+    out.append(m.method).append(" ").append(m.target).append(" HTTP/1.1\r\n");
+    for (auto const& it : m.fields)
+        add_field(out, it.name, it.value);
+    if (!m.body.empty() || (m.method != "GET" && m.method != "HEAD"))
+        add_field(out, "Content-Length", std::to_string(m.body.size()));
+    out.append("\r\n").append(m.body);
+    return out;
+}
+
+auto response_text(http_message const& m, bool to_head) -> std::string
+{
+    auto out = std::string{};
+    out.reserve(head_bytes + m.body.size());
+    out.append("HTTP/1.1 ").append(std::to_string(m.status));
+    out.append(" ").append(reason_of(m.status)).append("\r\n");
+    for (auto const& it : m.fields)
+        add_field(out, it.name, it.value);
+    add_field(out, "Content-Length", std::to_string(m.body.size()));
+    if (!m.keep_alive)
+        add_field(out, "Connection", "close");
+    out.append("\r\n");
+    if (!to_head)
+        out.append(m.body);
+    return out;
+}
+
+} // namespace knapweedstream
--- a/src/adapter/log.cpp
+++ b/src/adapter/log.cpp
@@ -1,14 +1,19 @@
 #include "adapter/log.hpp"
 
+#include "adapter/event_loop.hpp"
+
 #include <knapweedstream/overloaded.hpp>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
-#include <iostream>
+#include <unistd.h>
 
 namespace knapweedstream
 {
@@ -43,18 +48,54 @@
     return buf;
 }
 
+/// The one writer of this process: the log is its standard output.
+auto writer() -> log_writer&
+{
+    static auto it = log_writer{STDOUT_FILENO, {}};
+    return it;
+}
+
+/// Hands formatted lines to the writer.
+class writer_backend
+    : public boost::log::sinks::basic_formatted_sink_backend<char,
+          boost::log::sinks::synchronized_feeding>
+{
+public:
+    auto consume(boost::log::record_view const&, std::string const& line)
+        -> void
+    {
+        writer().add(line, present());
+    }
+};
+
 } // namespace
 
-auto start_log(log_level least) -> void
+auto start_log(log_level least, log_bounds const& bounds) -> void
 {
+    namespace expr = boost::log::expressions;
+    using sink = boost::log::sinks::synchronous_sink<writer_backend>;
+    writer().set_bounds(bounds);
     boost::log::add_common_attributes();
-    boost::log::add_console_log(std::clog,
-        boost::log::keywords::format = "%TimeStamp% %Severity% %Message%",
-        boost::log::keywords::auto_flush = true);
+    auto it = boost::make_shared<sink>(boost::make_shared<writer_backend>());
+    it->set_formatter(expr::stream
+                      << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%H:%M:%S.%f")
+                      << " " << trivial::severity << " " << expr::smessage);
+    boost::log::core::get()->add_sink(it);
     boost::log::core::get()->set_filter(
         trivial::severity >= severity_of(least));
 }
 
+auto flush_log() -> void
+{
+    writer().flush();
+}
+
+auto log_lines_left_out() -> std::uint64_t
+{
+    return writer().left_out();
+}
+
 auto log(log_level level, std::string_view part, std::string_view text) -> void
 {
     BOOST_LOG_STREAM_WITH_PARAMS(trivial::logger::get(),
--- a/src/adapter/log.hpp
+++ b/src/adapter/log.hpp
@@ -2,6 +2,7 @@
 #ifndef KNAPWEEDSTREAM_ADAPTER_LOG_HPP
 #define KNAPWEEDSTREAM_ADAPTER_LOG_HPP
 
+#include "adapter/log_writer.hpp"
 #include "adapter/settings.hpp"
 #include "port/command.hpp"
 
@@ -10,8 +11,14 @@
 namespace knapweedstream
 {
 
-/// Starts logging to standard error.
-auto start_log(log_level least) -> void;
+/// Starts logging to standard output.
+auto start_log(log_level least, log_bounds const& bounds = {}) -> void;
+
+/// Writes what the reader of the log takes without waiting.
+auto flush_log() -> void;
+
+/// Lines left out since the start: too many a second, or nobody reads.
+auto log_lines_left_out() -> std::uint64_t;
 
 /// Writes a line.
 ///
--- /dev/null
+++ b/src/adapter/log_writer.cpp
@@ -0,0 +1,70 @@
+#include "adapter/log_writer.hpp"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+/// A pipe that is ready takes so much without blocking.
+constexpr auto chunk_bytes = std::size_t{4'096};
+
+} // namespace
+
+auto log_writer::admit(time_point now) -> bool
+{
+    if (now - second_began_ >= seconds{1})
+    {
+        second_began_ = now;
+        lines_ = 0;
+        tell_left_out();
+    }
+    return ++lines_ <= bounds_.lines_per_s;
+}
+
+auto log_writer::tell_left_out() -> void
+{
+    if (left_out_now_ == 0 || buffer_.size() >= bounds_.buffer_bytes)
+        return;
+    buffer_.append("log: Lines left out. count=")
+        .append(std::to_string(left_out_now_))
+        .append("\n");
+    left_out_now_ = 0;
+}
+
+auto log_writer::add(std::string_view line, time_point now) -> void
+{
+    if (!admit(now) || buffer_.size() + line.size() > bounds_.buffer_bytes)
+    {
+        ++left_out_;
+        ++left_out_now_;
+        return;
+    }
+    buffer_.append(line).push_back('\n');
+    if (buffer_.size() >= chunk_bytes)
+        flush();
+}
+
+auto log_writer::flush() -> void
+{
+    auto done = std::size_t{0};
+    while (done < buffer_.size())
+    {
+        auto p = pollfd{fd_, POLLOUT, 0};
+        if (poll(&p, 1, 0) <= 0 || (p.revents & POLLOUT) == 0)
+            break;
+        auto const n = write(fd_, buffer_.data() + done,
+            std::min(chunk_bytes, buffer_.size() - done));
+        if (n <= 0)
+            break;
+        done += static_cast<std::size_t>(n);
+    }
+    buffer_.erase(0, done);
+}
+
+} // namespace knapweedstream
--- a/src/adapter/metrics.cpp
+++ b/src/adapter/metrics.cpp
@@ -1,5 +1,7 @@
 #include "adapter/metrics.hpp"
 
+#include "adapter/metrics_text.hpp"
+
 #include <array>
 
 namespace knapweedstream
@@ -11,25 +13,6 @@
 namespace acc = boost::accumulators;
 
 constexpr auto quantiles = std::array{0.5, 0.9, 0.99, 0.999};
-constexpr auto prefix = "knapweedstream_";
-
-auto line(std::string const& name, std::string const& value) -> std::string
-{
-    return prefix + name + " " + value + "\n";
-}
-
-auto counter(char const* name, std::uint64_t value) -> std::string
-{
-    return "# TYPE " + (prefix + std::string{name}) + " counter\n" +
-           line(name, std::to_string(value));
-}
-
-auto gauge(char const* name, std::uint64_t value) -> std::string
-{
-    return "# TYPE " + (prefix + std::string{name}) + " gauge\n" +
-           line(name, std::to_string(value));
-}
-
 auto node_text(node_stats const& s) -> std::string
 {
     struct entry
@@ -61,19 +44,19 @@
             entry{"configs_accepted_total", &node_stats::config_accepted}};
     auto text = std::string{};
     for (auto const& it : table)
-        text += counter(it.name, s.*it.member);
+        text += counter_text(it.name, s.*it.member);
     return text;
 }
 
 auto gauges_text(node_gauges const& g) -> std::string
 {
-    return gauge("queries_open", g.queries_open) +
-           gauge("leaf_connections", g.connections) +
-           gauge("peers_alive", g.peers_alive) +
-           gauge("targets_owned", g.targets_owned) +
-           gauge("targets_warm", g.targets_warm) +
-           gauge("ready", g.ready ? 1 : 0) +
-           gauge("leaving", g.leaving ? 1 : 0);
+    return gauge_text("queries_open", g.queries_open) +
+           gauge_text("leaf_connections", g.connections) +
+           gauge_text("peers_alive", g.peers_alive) +
+           gauge_text("targets_owned", g.targets_owned) +
+           gauge_text("targets_warm", g.targets_warm) +
+           gauge_text("ready", g.ready ? 1 : 0) +
+           gauge_text("leaving", g.leaving ? 1 : 0);
 }
 
 auto traffic_text(process_figures const& f) -> std::string
@@ -82,9 +65,9 @@
     for (std::size_t i = 0; i < f.peer_sent.size(); ++i)
     {
         auto const label = std::string{"{kind=\""} + message_name(i) + "\"}";
-        text += line("peer_messages_sent_total" + label,
+        text += sample_text("peer_messages_sent_total" + label,
             std::to_string(f.peer_sent[i].messages));
-        text += line("peer_bytes_sent_total" + label,
+        text += sample_text("peer_bytes_sent_total" + label,
             std::to_string(f.peer_sent[i].bytes));
     }
     return text;
@@ -99,17 +82,17 @@
 
 auto distribution::text(std::string const& name) const -> std::string
 {
-    auto out = "# TYPE " + (prefix + name) + " summary\n";
+    auto out = "# TYPE knapweedstream_" + name + " summary\n";
     if (acc::count(set_) > 0)
         for (std::size_t i = 0; i < quantiles.size(); ++i)
         {
             auto const q = std::to_string(quantiles[i]);
             auto const v = acc::extended_p_square(set_)[i];
-            out += line(name + "{quantile=\"" + q.substr(0, 5) + "\"}",
+            out += sample_text(name + "{quantile=\"" + q.substr(0, 5) + "\"}",
                 std::to_string(v));
         }
-    out += line(name + "_sum", std::to_string(acc::sum(set_)));
-    out += line(name + "_count", std::to_string(acc::count(set_)));
+    out += sample_text(name + "_sum", std::to_string(acc::sum(set_)));
+    out += sample_text(name + "_count", std::to_string(acc::count(set_)));
     return out;
 }
 
@@ -118,15 +101,17 @@
     distribution const& coverage) -> std::string
 {
     return node_text(stats) + gauges_text(gauges) + traffic_text(figures) +
-           counter("peer_bytes_received_total", figures.peer_received_bytes) +
-           counter("peer_batches_dropped_total", figures.peer_dropped) +
-           counter("platform_calls_total", figures.platform_calls) +
-           line("control_cpu_seconds_total",
+           counter_text(
+               "peer_bytes_received_total", figures.peer_received_bytes) +
+           counter_text("peer_batches_dropped_total", figures.peer_dropped) +
+           counter_text("platform_calls_total", figures.platform_calls) +
+           sample_text("control_cpu_seconds_total",
                std::to_string(figures.control_cpu_s)) +
-           line("data_cpu_seconds_total", std::to_string(figures.data_cpu_s)) +
-           line("process_cpu_seconds_total",
+           sample_text(
+               "data_cpu_seconds_total", std::to_string(figures.data_cpu_s)) +
+           sample_text("process_cpu_seconds_total",
                std::to_string(figures.process_cpu_s)) +
-           gauge("resident_bytes", figures.resident_bytes) +
+           gauge_text("resident_bytes", figures.resident_bytes) +
            latency.text("query_latency_us") + coverage.text("query_coverage");
 }
 
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -12,17 +12,6 @@
 
 using settings_key = ini_key<instance_settings>;
 
-auto read_level(std::string const& text, log_level& out) -> bool
-{
-    static auto const names = std::map<std::string, log_level>{
-        {"debug", log_level::debug}, {"info", log_level::info},
-        {"warning", log_level::warning}, {"error", log_level::error}};
-    auto const it = names.find(text);
-    if (it != names.end())
-        out = it->second;
-    return it != names.end();
-}
-
 auto read_selector(std::string const& text, selector_kind& out) -> bool
 {
     static auto const names =
@@ -166,6 +155,17 @@
 
 } // namespace
 
+auto read_level(std::string const& text, log_level& out) -> bool
+{
+    static auto const names = std::map<std::string, log_level>{
+        {"debug", log_level::debug}, {"info", log_level::info},
+        {"warning", log_level::warning}, {"error", log_level::error}};
+    auto const it = names.find(text);
+    if (it != names.end())
+        out = it->second;
+    return it != names.end();
+}
+
 auto parse_settings(std::string const& path, std::string const& text)
     -> leaf::result<instance_settings>
 {
--- a/src/adapter/settings.hpp
+++ b/src/adapter/settings.hpp
@@ -19,6 +19,9 @@
     error,
 };
 
+/// Reads the name of a severity.
+auto read_level(std::string const& text, log_level& out) -> bool;
+
 /// Settings of one instance.
 struct instance_settings
 {
--- /dev/null
+++ b/src/adapter/target_links.cpp
@@ -0,0 +1,102 @@
+#include "adapter/target_links.hpp"
+
+namespace knapweedstream
+{
+
+namespace
+{
+
+constexpr auto unacked_limit = milliseconds{2'000};
+constexpr auto max_reply_header = std::size_t{64} << 10;
+constexpr auto max_reply_body = std::size_t{16} << 20;
+
+auto to_connection_end(link_end how) -> dispatch::connection_end
+{
+    switch (how)
+    {
+    case link_end::refused:
+        return dispatch::connection_end::refused;
+    case link_end::closed:
+        return dispatch::connection_end::closed;
+    case link_end::reset:
+        return dispatch::connection_end::reset;
+    case link_end::garbled:
+        return dispatch::connection_end::garbled;
+    }
+    return dispatch::connection_end::reset;
+}
+
+} // namespace
+
+target_links::target_links(
+    event_base* base, target_dialect dialect, dispatch_sink sink)
+    : base_(base), dialect_(std::move(dialect)), sink_(std::move(sink))
+{
+}
+
+auto target_links::run(dispatch::open_connection const& c) -> void
+{
+    auto const id = c.connection;
+    auto link = std::make_unique<http_link>(base_, c.address,
+        stream_options{unacked_limit, seconds{0}},
+        read_limits{max_reply_header, max_reply_body},
+        http_link::callbacks{[this, id]
+            { sink_(dispatch::connection_opened{id}); },
+            [this, id](http_message const& m, bool reusable)
+            { on_replied(id, m, reusable); },
+            [this, id](link_end how)
+            {
+                on_ended(id, how);
+            }});
+    entries_.emplace(id, entry{std::move(link), {}, {}});
+}
+
+auto target_links::run(dispatch::close_connection const& c) -> void
+{
+    release(c.connection);
+}
+
+auto target_links::run(dispatch::send_request const& c) -> void
+{
+    auto const it = entries_.find(c.connection);
+    if (it == entries_.end() || !it->second.link->is_open())
+        return;
+    it->second.attempt = c.attempt;
+    it->second.request_id = c.request->id;
+    it->second.link->send(dialect_.encode(*c.request, c.target, c.time_left),
+        c.request->method == "HEAD");
+}
+
+auto target_links::on_replied(
+    connection_id id, http_message const& m, bool reusable) -> void
+{
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    auto decoded = dialect_.decode(m, it->second.request_id);
+    sink_(dispatch::target_replied{id, it->second.attempt,
+        std::move(decoded.reply), reusable && decoded.reusable,
+        decoded.idle_limit});
+}
+
+auto target_links::on_ended(connection_id id, link_end how) -> void
+{
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    auto const unsent = it->second.link->is_unsent();
+    release(id);
+    sink_(dispatch::connection_closed{id, to_connection_end(how), unsent});
+}
+
+auto target_links::release(connection_id id) -> void
+{
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    it->second.link->close();
+    closed_.push_back(std::move(it->second.link));
+    entries_.erase(it);
+}
+
+} // namespace knapweedstream
--- a/src/app/cli_run.cpp
+++ b/src/app/cli_run.cpp
@@ -1,8 +1,11 @@
 #include "adapter/ini.hpp"
 #include "adapter/log.hpp"
 #include "app/cli_options.hpp"
+#include "app/dispatch_runtime.hpp"
 #include "app/runtime.hpp"
 
+#include <knapweedstream/overloaded.hpp>
+
 #include <cstdlib>
 #include <iostream>
 
@@ -12,10 +15,28 @@
 namespace
 {
 
-auto load_settings(std::string const& path) -> leaf::result<instance_settings>
+auto load_settings(std::string const& path) -> leaf::result<any_settings>
 {
     BOOST_LEAF_AUTO(text, read_file(path));
-    return parse_settings(path, text);
+    return parse_any_settings(path, text);
+}
+
+auto serve(instance_settings const& settings) -> leaf::result<void>
+{
+    start_log(settings.level);
+    auto instance = runtime{settings};
+    BOOST_LEAF_CHECK(instance.run());
+    // All work is done. Destructors are not run, since closing an nng socket
+    // may wait for ever (see peer_link).
+    std::_Exit(0);
+}
+
+auto serve(dispatch_settings const& settings, std::string const& path)
+    -> leaf::result<void>
+{
+    start_log(settings.level, {settings.log_lines_per_s});
+    auto instance = dispatch_runtime{settings, path};
+    return instance.run();
 }
 
 } // namespace
@@ -26,14 +47,16 @@
     options.add_options()("settings", po::value<std::string>()->required(),
         "settings file (INI)");
     BOOST_LEAF_AUTO(v, parse_options(args, "run", options, "settings"));
-    BOOST_LEAF_AUTO(settings, load_settings(text_option(v, "settings")));
-    start_log(settings.level);
-    auto instance = runtime{settings};
-    BOOST_LEAF_CHECK(instance.run());
-    std::cout.flush();
-    // All work is done. Destructors are not run, since closing an nng socket
-    // may wait for ever (see peer_link).
-    std::_Exit(0);
+    auto const path = text_option(v, "settings");
+    BOOST_LEAF_AUTO(settings, load_settings(path));
+    BOOST_LEAF_CHECK(std::visit(
+        overloaded{[](instance_settings const& it) { return serve(it); },
+            [&](dispatch_settings const& it)
+            {
+                return serve(it, path);
+            }},
+        settings));
+    return 0;
 }
 
 auto check_files(arguments const& args) -> leaf::result<int>
@@ -69,7 +92,7 @@
         }
         return {};
     };
-    BOOST_LEAF_CHECK(check("settings", parse_settings));
+    BOOST_LEAF_CHECK(check("settings", parse_any_settings));
     BOOST_LEAF_CHECK(check("template", parse_template));
     if (!wrong.list.empty())
         return leaf::new_error(wrong);
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -1,16 +1,13 @@
 #include "app/runtime.hpp"
 
 #include "adapter/log.hpp"
+#include "adapter/process_usage.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
 #include <boost/json.hpp>
 
-#include <sys/resource.h>
-#include <unistd.h>
-
 #include <csignal>
-#include <fstream>
 #include <random>
 
 namespace knapweedstream
@@ -28,18 +25,6 @@
     return {s.self, high | device() | 1, s.limits, s.policy, offset};
 }
 
-auto cpu_seconds() -> double
-{
-    auto u = rusage{};
-    getrusage(RUSAGE_SELF, &u);
-    auto const seconds_of = [](timeval const& t)
-    {
-        return static_cast<double>(t.tv_sec) +
-               1e-6 * static_cast<double>(t.tv_usec);
-    };
-    return seconds_of(u.ru_utime) + seconds_of(u.ru_stime);
-}
-
 auto thread_cpu() -> double
 {
     auto t = timespec{};
@@ -48,15 +33,6 @@
            1e-9 * static_cast<double>(t.tv_nsec);
 }
 
-auto resident_bytes() -> std::uint64_t
-{
-    auto in = std::ifstream{"/proc/self/statm"};
-    auto total = std::uint64_t{};
-    auto resident = std::uint64_t{};
-    in >> total >> resident;
-    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
-}
-
 auto is_data(message const& m) -> bool
 {
     return std::holds_alternative<sub_query>(m) ||
@@ -127,6 +103,7 @@
     event_base_dispatch(base_.get());
     record_.flush();
     log(log_level::info, "node", "Stopped. name=" + settings_.self.name);
+    flush_log();
     return {};
 }
 
@@ -169,6 +146,7 @@
 auto runtime::end_turn() -> void
 {
     turn_asked_ = false;
+    flush_log();
     leafs_.collect();
     push(turn_ended{});
 }
--- /dev/null
+++ b/src/core/dispatch/answers.cpp
@@ -0,0 +1,250 @@
+#include "core/dispatch/answers.hpp"
+
+#include "core/dispatch/route_table.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto not_ready_delay = milliseconds{500};
+constexpr auto no_target_delay = milliseconds{400};
+constexpr auto overload_delay = milliseconds{150};
+constexpr auto share_rounding = 1e-9;
+
+auto enough(request_entry const& e, std::uint32_t parts) -> bool
+{
+    auto const* shards = std::get_if<to_shards>(&e.value.by->to);
+    auto const floor = shards == nullptr ? 1.0 : shards->min_coverage;
+    return parts > 0 && static_cast<double>(parts) + share_rounding >=
+                            floor * static_cast<double>(e.parts.size());
+}
+
+auto is_due(request_entry const& e, time_point now) -> bool
+{
+    if (e.open == 0 || now >= e.value.deadline)
+        return true;
+    if (!enough(e, e.good + e.open))
+        return true;
+    return now >= e.value.objective && enough(e, e.good);
+}
+
+auto merged(request_entry const& e, to_shards const& to) -> answer_merged
+{
+    auto a = answer_merged{};
+    auto parts = std::vector<std::string_view>{};
+    for (std::size_t i = 0; i < e.parts.size(); ++i)
+        if (e.parts[i].state == part_state::answered)
+        {
+            a.signatures.push_back(e.answers[i].signature);
+            parts.push_back(e.answers[i].body);
+        }
+    a.missing = static_cast<std::uint32_t>(e.parts.size() - parts.size());
+    a.records = merge_records(parts, to.top_k);
+    return a;
+}
+
+auto failure_of(request_entry const& e, time_point now) -> failure_reason
+{
+    if (std::holds_alternative<to_shards>(e.value.by->to))
+        return failure_reason::coverage;
+    return now >= e.value.deadline ? failure_reason::timeout
+                                   : failure_reason::connection_lost;
+}
+
+/// True if an attempt may have run, or may still do so.
+auto has_run(request_entry const& e) -> bool
+{
+    return std::any_of(e.parts.begin(), e.parts.end(),
+        [](part const& p) { return p.runs > 0; });
+}
+
+auto answer_of(dispatch_state const& s, request_entry const& e, time_point now)
+    -> caller_answer
+{
+    auto const* shards = std::get_if<to_shards>(&e.value.by->to);
+    if (shards != nullptr && enough(e, e.good))
+        return merged(e, *shards);
+    if (shards == nullptr && e.good > 0)
+        return answer_relayed{e.answers.front()};
+    if (shards == nullptr && e.failure.status != 0)
+        return answer_relayed{e.failure};
+    if (!has_run(e))
+        return answer_refused{
+            e.refusal, retry_delay(s, e.refusal, e.parts, now)};
+    return answer_failed{failure_of(e, now)};
+}
+
+auto summary_of(dispatch_state const& s, part const& p, time_point now)
+    -> part_summary
+{
+    auto const service = s.services.find(p.service);
+    auto const target = s.targets.find(p.last);
+    auto const end = p.ended_at == time_point{} ? now : p.ended_at;
+    auto sum = part_summary{};
+    sum.service = service == s.services.end() ? "" : service->second.name;
+    sum.target = target == s.targets.end() ? "" : target->second.info.name;
+    sum.sent = p.sends;
+    sum.took = p.sends == 0 ? duration{0} : end - p.first_sent;
+    sum.answered = p.state == part_state::answered;
+    return sum;
+}
+
+auto describe_end(dispatch_state& s, caller_answer const& a, request_ended& end)
+    -> void
+{
+    std::visit(overloaded{[&](answer_refused const& it)
+                   {
+                       ++s.stats.refused;
+                       end.how = request_end::refused;
+                       end.reason = name_of(it.reason);
+                       end.retry_after = it.retry_after;
+                   },
+                   [&](answer_relayed const& it)
+                   {
+                       auto const good =
+                           it.message.status >= 200 && it.message.status < 300;
+                       ++(good ? s.stats.complete : s.stats.failed);
+                       end.how =
+                           good ? request_end::complete : request_end::failed;
+                       end.status = it.message.status;
+                   },
+                   [&](answer_merged const& it)
+                   {
+                       ++(it.missing == 0 ? s.stats.complete : s.stats.partial);
+                       end.how = it.missing == 0 ? request_end::complete
+                                                 : request_end::partial;
+                   },
+                   [&](answer_failed const& it)
+                   {
+                       ++s.stats.failed;
+                       end.how = request_end::failed;
+                       end.reason = name_of(it.reason);
+                   }},
+        a);
+}
+
+auto ended(dispatch_state const& s, request_entry const& e, time_point now)
+    -> request_ended
+{
+    auto end = request_ended{};
+    end.request = e.value.request->id;
+    end.route = e.value.by->name;
+    end.config = e.value.config->version;
+    end.elapsed = now - e.value.started;
+    end.deadline = e.value.deadline - e.value.started;
+    for (auto const& p : e.parts)
+        end.parts.push_back(summary_of(s, p, now));
+    return end;
+}
+
+auto give_up_attempts(dispatch_state& s, request_entry const& e, time_point now)
+    -> void
+{
+    auto const once = e.value.by->repeat == repeatability::at_most_once;
+    for (auto const& p : e.parts)
+        for (auto const id : p.running)
+            if (auto const it = s.attempts.find(id);
+                it != s.attempts.end() && !it->second.abandoned)
+            {
+                it->second.abandoned = true;
+                auto const patience = duration{s.init.limits.loser_patience};
+                arm(s, once ? e.value.deadline + patience : now + patience,
+                    loser_due{id});
+            }
+}
+
+auto erase(dispatch_state& s, request_key key) -> void
+{
+    s.callers.erase(s.requests.at(key).value.caller);
+    s.requests.erase(key);
+}
+
+} // namespace
+
+auto conclude(dispatch_state& s, request_key key, time_point now, commands& out)
+    -> void
+{
+    auto const it = s.requests.find(key);
+    if (it == s.requests.end() || !is_due(it->second, now))
+        return;
+    auto const& e = it->second;
+    auto answer = answer_of(s, e, now);
+    auto end = ended(s, e, now);
+    describe_end(s, answer, end);
+    give_up_attempts(s, e, now);
+    out.push_back(answer_caller{e.value.caller, std::move(answer)});
+    out.push_back(note{std::move(end)});
+    erase(s, key);
+}
+
+auto drop_request(
+    dispatch_state& s, request_key key, time_point now, commands& out) -> void
+{
+    auto const& e = s.requests.at(key);
+    auto end = ended(s, e, now);
+    end.how = request_end::abandoned;
+    ++s.stats.abandoned;
+    give_up_attempts(s, e, now);
+    out.push_back(note{std::move(end)});
+    erase(s, key);
+}
+
+auto refuse(dispatch_state& s, caller_request const& e, route const* by,
+    answer_refused const& why, commands& out) -> void
+{
+    ++s.stats.refused;
+    auto end = request_ended{};
+    end.request = e.request->id;
+    end.route = by == nullptr ? "" : by->name;
+    end.config = s.config == nullptr ? 0 : s.config->version;
+    end.how = request_end::refused;
+    end.reason = name_of(why.reason);
+    end.retry_after = why.retry_after;
+    out.push_back(answer_caller{e.caller, why});
+    out.push_back(note{std::move(end)});
+}
+
+auto retry_delay(dispatch_state const&, refusal_reason why,
+    std::vector<part> const&, time_point) -> duration
+{
+    switch (why)
+    {
+    case refusal_reason::not_ready:
+        return not_ready_delay;
+    case refusal_reason::no_target:
+    case refusal_reason::out_of_region:
+        return no_target_delay;
+    case refusal_reason::overloaded:
+    case refusal_reason::no_budget:
+        return overload_delay;
+    case refusal_reason::no_route:
+    case refusal_reason::bad_request:
+    case refusal_reason::deadly:
+        return duration{0};
+    }
+    return duration{0};
+}
+
+auto name_of(refusal_reason it) -> char const*
+{
+    constexpr auto names = std::array{"not_ready", "no_route", "bad_request",
+        "no_target", "overloaded", "no_budget", "deadly", "out_of_region"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+auto name_of(failure_reason it) -> char const*
+{
+    constexpr auto names =
+        std::array{"timeout", "connection_lost", "target_failed", "coverage"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/src/core/dispatch/answers.hpp
@@ -0,0 +1,33 @@
+/// The answer to a request: when it is due, what it holds, what is logged.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_ANSWERS_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_ANSWERS_HPP
+
+#include "core/dispatch/tables.hpp"
+
+namespace knapweedstream::dispatch
+{
+
+/// Answers the request if nothing better is to be expected in time.
+auto conclude(dispatch_state& s, request_key key, time_point now, commands& out)
+    -> void;
+
+/// Ends a request without an answer, since its caller is gone.
+auto drop_request(
+    dispatch_state& s, request_key key, time_point now, commands& out) -> void;
+
+/// Refuses a request that was never opened.
+auto refuse(dispatch_state& s, caller_request const& e, route const* by,
+    answer_refused const& why, commands& out) -> void;
+
+/// When a refused caller should come back.
+auto retry_delay(dispatch_state const& s, refusal_reason why,
+    std::vector<part> const& parts, time_point now) -> duration;
+
+/// Words for the log.
+auto name_of(refusal_reason it) -> char const*;
+/// Words for the log.
+auto name_of(failure_reason it) -> char const*;
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/catalog.cpp
@@ -0,0 +1,308 @@
+#include "core/dispatch/catalog.hpp"
+
+#include "core/dispatch/placing.hpp"
+#include "core/dispatch/pool.hpp"
+#include "core/dispatch/route_table.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto trouble_memory = seconds{10}; ///< After an outage, a vanished
+                                             ///< registration may come back.
+
+auto service_entry_of(dispatch_state& s, std::string const& name)
+    -> service_entry&
+{
+    auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
+    if (fresh)
+    {
+        auto const& b = s.init.bounds;
+        it->second.name = name;
+        it->second.budget =
+            retry_budget{0, b.retry_budget_ratio, budget_burst(s)};
+        it->second.budget.tokens = it->second.budget.burst;
+    }
+    return it->second;
+}
+
+auto is_evacuated(dispatch_state const& s, std::string const& zone) -> bool
+{
+    return s.evacuated.contains(zone);
+}
+
+auto region_of(dispatch_state const& s, std::string const& zone) -> std::string
+{
+    auto const it = s.init.regions.find(zone);
+    return it == s.init.regions.end() ? std::string{} : it->second;
+}
+
+auto proximity_to(dispatch_state const& s, std::string const& zone) -> proximity
+{
+    if (zone == s.init.self.zone)
+        return proximity::zone;
+    return region_of(s, zone) == s.init.self.region ? proximity::region
+                                                    : proximity::far;
+}
+
+auto tell_target(target_entry const& t, target_view view, commands& out) -> void
+{
+    out.push_back(
+        note{target_judged{t.info.name, t.info.service, t.info.address, view,
+            "zone=" + t.info.zone + " version=" + t.info.version, t.revision}});
+}
+
+auto remove_target(
+    dispatch_state& s, target_id id, time_point now, commands& out) -> void
+{
+    auto const it = s.targets.find(id);
+    if (it == s.targets.end())
+        return;
+    auto& t = it->second;
+    close_idle(s, t, out);
+    tell_target(t, target_view::gone, out);
+    auto const service = t.service;
+    std::erase(s.services.at(service).targets, id);
+    t.listed = false;
+    if (t.links == 0)
+        s.targets.erase(it);
+    else
+        t.info.draining = true;
+    serve_queue(s, service, now, out);
+}
+
+/// A registration vanished. Around an outage of the store it may come back.
+auto let_go(dispatch_state& s, target_id id, time_point now, commands& out)
+    -> void
+{
+    auto const it = s.targets.find(id);
+    if (it == s.targets.end() || it->second.lapses != time_point::max())
+        return;
+    auto const trouble = s.last_trouble.find(store_kind::targets);
+    auto const recent = trouble != s.last_trouble.end() &&
+                        now - trouble->second < duration{trouble_memory};
+    if (!recent)
+        return remove_target(s, id, now, out);
+    it->second.lapses = now + s.init.limits.lapse_grace;
+    arm(s, it->second.lapses, target_due{id});
+}
+
+auto is_restart(target_registration const& a, target_registration const& b)
+    -> bool
+{
+    return a.born_ms != b.born_ms || a.address != b.address ||
+           a.service != b.service;
+}
+
+auto take_target(dispatch_state& s, target_registration const& r,
+    std::uint64_t revision, time_point now, commands& out) -> void
+{
+    auto const id = id_of<target_id>(r.name);
+    auto const known = s.targets.find(id);
+    if (known != s.targets.end() && is_restart(known->second.info, r))
+        remove_target(s, id, now, out);
+    auto const [it, fresh] = s.targets.try_emplace(id);
+    auto& t = it->second;
+    auto const drains = r.draining && !t.info.draining;
+    if (fresh || !t.listed)
+    {
+        auto& service = service_entry_of(s, r.service);
+        t.id = id;
+        t.service = id_of<service_id>(r.service);
+        service.targets.push_back(id);
+        t.listed = true;
+    }
+    t.info = r;
+    t.revision = revision;
+    t.where = proximity_to(s, r.zone);
+    t.region = region_of(s, r.zone);
+    t.evacuated = is_evacuated(s, r.zone);
+    t.lapses = time_point::max();
+    t.cold_until = now + r.cold_for;
+    if (fresh)
+        tell_target(t, target_view::registered, out);
+    if (drains)
+        tell_target(t, target_view::draining, out);
+    if (!is_usable(t, now))
+        close_idle(s, t, out);
+    keep_spare(s, t, now, out);
+}
+
+auto mark_routed(dispatch_state& s) -> void
+{
+    for (auto& [id, it] : s.services)
+        it.routed = false;
+    for (auto const& r : s.config->routes)
+        for (auto const& name : services_of(r))
+            service_entry_of(s, name).routed = true;
+    for (auto const& p : s.config->services)
+        service_entry_of(s, p.name).policy = p;
+}
+
+auto take_config(dispatch_state& s, routing_config const& c,
+    std::uint64_t revision, time_point now, commands& out) -> void
+{
+    if (s.config != nullptr && c.version <= s.config->version)
+    {
+        if (c.version < s.config->version)
+            out.push_back(note{config_ignored{c.version, s.config->version}});
+        return;
+    }
+    ++s.stats.configs;
+    s.config = std::make_shared<routing_config const>(c);
+    s.config_revision = revision;
+    mark_routed(s);
+    out.push_back(limit_callers{c.limits});
+    out.push_back(note{config_in_force{c.version, revision, c.routes.size()}});
+    for (auto& [id, t] : s.targets)
+        keep_spare(s, t, now, out);
+}
+
+auto set_evacuated(dispatch_state& s, std::string const& zone, bool on,
+    std::uint64_t revision, time_point now, commands& out) -> void
+{
+    if (on == is_evacuated(s, zone))
+        return;
+    if (on)
+        s.evacuated.insert(zone);
+    else
+        s.evacuated.erase(zone);
+    out.push_back(note{zone_changed{zone, on, revision}});
+    for (auto& [id, t] : s.targets)
+        if (t.info.zone == zone)
+        {
+            t.evacuated = on;
+            if (on)
+                close_idle(s, t, out);
+            keep_spare(s, t, now, out);
+        }
+}
+
+auto set_instance(dispatch_state& s, std::string const& name,
+    instance_record const* r) -> void
+{
+    if (r != nullptr)
+        s.instances[name] = *r;
+    else
+        s.instances.erase(name);
+    for (auto& [id, it] : s.services)
+        it.budget.burst = budget_burst(s);
+}
+
+auto take_object(dispatch_state& s, store_kind kind, stored_object const& o,
+    time_point now, commands& out) -> void
+{
+    std::visit(
+        overloaded{[&](unreadable_object const& it)
+            {
+                out.push_back(note{object_skipped{kind, o.name, it.reason}});
+            },
+            [&](routing_config const& it)
+            { take_config(s, it, o.revision, now, out); },
+            [&](target_registration const& it)
+            { take_target(s, it, o.revision, now, out); },
+            [&](zone_evacuation const& it)
+            { set_evacuated(s, it.zone, true, o.revision, now, out); },
+            [&](rollout_order const&) {},
+            [&](instance_record const& it)
+            {
+                set_instance(s, o.name, &it);
+            }},
+        o.value);
+}
+
+/// An object is gone, or can no longer be read.
+auto drop_object(dispatch_state& s, store_kind kind, std::string const& name,
+    std::uint64_t revision, time_point now, commands& out) -> void
+{
+    switch (kind)
+    {
+    case store_kind::targets:
+        return let_go(s, id_of<target_id>(name), now, out);
+    case store_kind::evacuations:
+        return set_evacuated(s, name, false, revision, now, out);
+    case store_kind::instances:
+        return set_instance(s, name, nullptr);
+    case store_kind::configuration:
+    case store_kind::rollouts:
+        return;
+    }
+}
+
+auto known_names(dispatch_state const& s, store_kind kind)
+    -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{};
+    if (kind == store_kind::targets)
+        for (auto const& [id, it] : s.targets)
+            names.push_back(it.info.name);
+    if (kind == store_kind::evacuations)
+        names.assign(s.evacuated.begin(), s.evacuated.end());
+    if (kind == store_kind::instances)
+        for (auto const& [name, it] : s.instances)
+            names.push_back(name);
+    return names;
+}
+
+} // namespace
+
+auto take_change(dispatch_state& s, store_kind kind, stored_change const& c,
+    time_point now, commands& out) -> void
+{
+    auto const& o = c.object;
+    auto& seen = s.revisions[kind][o.name];
+    if (o.revision < seen)
+        return;
+    seen = o.revision;
+    auto const readable = !std::holds_alternative<unreadable_object>(o.value);
+    if (c.deleted || !readable)
+        drop_object(s, kind, o.name, o.revision, now, out);
+    if (!c.deleted)
+        take_object(s, kind, o, now, out);
+    if (c.deleted)
+        s.revisions[kind].erase(o.name);
+}
+
+auto take_list(dispatch_state& s, store_kind kind,
+    std::span<stored_object const> objects, time_point now, commands& out)
+    -> void
+{
+    auto listed = std::set<std::string>{};
+    for (auto const& it : objects)
+    {
+        listed.insert(it.name);
+        take_change(s, kind, {it, false}, now, out);
+    }
+    for (auto const& name : known_names(s, kind))
+        if (!listed.contains(name))
+        {
+            s.revisions[kind].erase(name);
+            drop_object(s, kind, name, 0, now, out);
+        }
+}
+
+auto on_target_due(dispatch_state& s, target_due const& e, time_point now,
+    commands& out) -> void
+{
+    auto const it = s.targets.find(e.target);
+    if (it == s.targets.end())
+        return;
+    if (now >= it->second.lapses)
+        return remove_target(s, e.target, now, out);
+    keep_spare(s, it->second, now, out);
+}
+
+auto knows_enough(dispatch_state const& s) -> bool
+{
+    auto const it = s.follows.find(store_kind::targets);
+    return s.config != nullptr && it != s.follows.end() &&
+           it->second.revision != 0;
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/src/core/dispatch/choice.cpp
@@ -0,0 +1,64 @@
+#include "core/dispatch/choice.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto retry_cost = milliseconds{120}; ///< Of a failed request.
+constexpr auto stall_cost = milliseconds{250}; ///< A stall's length to come.
+constexpr auto jitter_steps = 16u;  ///< Resolution of the choice by chance.
+constexpr auto jitter_share = 0.15; ///< Of the expected time.
+
+auto scaled(duration d, double by) -> duration
+{
+    return duration{
+        static_cast<duration::rep>(static_cast<double>(d.count()) * by)};
+}
+
+/// Requests beyond the target's slots wait for those before them.
+auto queue_factor(candidate const& c) -> double
+{
+    auto const slots = std::max(1u, c.slots);
+    return c.in_flight < slots ? 1.0
+                               : 1.0 + (1.0 + c.in_flight - slots) / slots;
+}
+
+} // namespace
+
+auto expected_time(candidate const& c) -> duration
+{
+    auto t = scaled(c.typical, c.slowness * queue_factor(c));
+    t += scaled(retry_cost, c.failure_rate);
+    t += c.penalty;
+    if (c.silence > c.patience)
+        t += stall_cost;
+    if (!c.idle)
+        t += c.may_open ? c.opening : c.typical;
+    return t;
+}
+
+auto choose(std::span<candidate const> from, random_state& r)
+    -> std::optional<std::size_t>
+{
+    auto best = std::optional<std::size_t>{};
+    auto least = duration::max();
+    for (std::size_t i = 0; i < from.size(); ++i)
+    {
+        auto const chance = static_cast<double>(draw_below(r, jitter_steps)) /
+                            static_cast<double>(jitter_steps);
+        auto const t =
+            scaled(expected_time(from[i]), 1.0 + jitter_share * chance);
+        if (t < least)
+        {
+            least = t;
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/src/core/dispatch/dispatcher.hpp
@@ -0,0 +1,102 @@
+/// The dispatcher: takes callers' requests to targets by routes. One event in,
+/// commands out; no I/O, no clock.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_DISPATCHER_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_DISPATCHER_HPP
+
+#include "core/dispatch/limits.hpp"
+#include "port/dispatch_command.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace knapweedstream::dispatch
+{
+
+/// What a dispatcher is started with.
+struct dispatcher_init
+{
+    instance_record self;
+    std::map<std::string, std::string> regions; ///< By availability zone.
+    std::uint64_t seed = 1;
+    dispatch_limits limits;
+    dispatch_bounds bounds;
+
+    auto operator<=>(dispatcher_init const&) const = default;
+};
+
+/// Counters since the start.
+struct dispatch_stats
+{
+    std::uint64_t requests = 0;
+    std::uint64_t complete = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t abandoned = 0; ///< Callers hung up.
+    std::uint64_t first_sends = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t budget_refusals = 0; ///< Extra sends that were not paid.
+    std::uint64_t overload_replies = 0;
+    std::uint64_t lost_attempts = 0;
+    std::uint64_t unusable_replies = 0;
+    std::uint64_t connects = 0;
+    std::uint64_t connect_failures = 0;
+    std::uint64_t store_failures = 0;
+    std::uint64_t configs = 0;
+
+    auto operator<=>(dispatch_stats const&) const = default;
+};
+
+/// Gauges at the time of asking.
+struct dispatch_gauges
+{
+    std::uint64_t requests_open = 0;
+    std::uint64_t parts_waiting = 0;
+    std::uint64_t connections = 0;
+    std::uint64_t targets = 0;
+    std::uint64_t instances = 0;
+    std::uint64_t config_version = 0;
+    bool ready = false;
+    bool stopping = false;
+
+    auto operator<=>(dispatch_gauges const&) const = default;
+};
+
+struct dispatch_state;
+
+/// Decides for one instance.
+class dispatcher
+{
+public:
+    explicit dispatcher(dispatcher_init const& init);
+    ~dispatcher();
+    dispatcher(dispatcher&&) noexcept;
+    auto operator=(dispatcher&&) noexcept -> dispatcher&;
+    dispatcher(dispatcher const&) = delete;
+    auto operator=(dispatcher const&) -> dispatcher& = delete;
+
+    /// Begins to follow the store; to be called once, first.
+    auto start(time_point now) -> commands;
+
+    /// Handles one event.
+    ///
+    /// @param[in] now Present time, never before that of earlier calls.
+    /// @returns What is to be done, in order.
+    auto handle(event const& e, time_point now) -> commands;
+
+    /// Takes changed settings; connections and requests go on.
+    auto reconfigure(
+        dispatch_limits const& limits, dispatch_bounds const& bounds) -> void;
+
+    auto stats() const -> dispatch_stats const&;
+    auto gauges() const -> dispatch_gauges;
+
+private:
+    std::unique_ptr<dispatch_state> state_;
+};
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/follow.hpp
@@ -0,0 +1,81 @@
+/// Following one kind of the store's objects: list, then watch, again after
+/// failures. Decides which call comes next and when.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_FOLLOW_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_FOLLOW_HPP
+
+#include "core/dispatch/limits.hpp"
+#include "port/dispatch_command.hpp"
+
+#include <variant>
+
+namespace knapweedstream::dispatch
+{
+
+/// Pages of a list are being read.
+struct listing
+{
+    std::uint64_t revision = 0; ///< Of the first page; 0 before it.
+    std::vector<stored_object> objects;
+    auto operator<=>(listing const&) const = default;
+};
+
+/// A watch waits for changes.
+struct watching
+{
+    auto operator<=>(watching const&) const = default;
+};
+
+/// The next call waits.
+struct pausing
+{
+    time_point until;
+    auto operator<=>(pausing const&) const = default;
+};
+
+using follow_phase = std::variant<pausing, listing, watching>;
+
+/// How far an instance follows a kind.
+struct followed
+{
+    store_kind kind = store_kind::configuration;
+    follow_phase phase;
+    std::uint64_t revision = 0; ///< Watched from; 0: a list is needed.
+    std::uint32_t failures = 0; ///< In a row.
+
+    auto operator<=>(followed const&) const = default;
+};
+
+/// A step: what is known after it, and the call that it makes.
+struct follow_step
+{
+    followed next;
+    commands out;
+};
+
+/// Makes the call that is due.
+auto resume(followed const& f, dispatch_limits const& limits, time_point now)
+    -> follow_step;
+
+/// Takes a page in.
+///
+/// @returns The next step; the list is whole when its phase is no `listing`.
+auto with_page(followed const& f, store_listed const& page,
+    dispatch_limits const& limits) -> follow_step;
+
+/// Continues after changes.
+auto with_changes(followed const& f, store_changed const& e,
+    dispatch_limits const& limits, time_point now) -> follow_step;
+
+/// Starts over, since the changes are gone.
+auto without_history(followed const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step;
+
+/// Waits after a failure.
+///
+/// @param[in] jitter From 0 to 1; spreads the instances' calls.
+auto with_failure(followed const& f, dispatch_limits const& limits,
+    double jitter, time_point now) -> follow_step;
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/health.cpp
@@ -0,0 +1,120 @@
+#include "core/dispatch/health.hpp"
+
+#include <knapweedstream/overloaded.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto slowness_weight = 0.35; ///< Of the newest latency.
+constexpr auto failure_weight = 0.15;  ///< Of the newest outcome.
+constexpr auto min_ratio = 0.2;
+constexpr auto max_ratio = 30.0;
+constexpr auto most_doublings = 8u;
+
+auto fade(target_health const& h, dispatch_limits const& limits, time_point now)
+    -> double
+{
+    auto const age = std::chrono::duration<double>(now - h.observed);
+    auto const half = std::chrono::duration<double>(limits.estimate_half_life);
+    return std::exp2(-std::max(0.0, age / half));
+}
+
+auto with_outcome(target_health const& h, bool failed,
+    dispatch_limits const& limits, time_point now) -> target_health
+{
+    auto next = h;
+    next.slowness = slowness_at(h, limits, now);
+    next.failure_rate = failure_rate_at(h, limits, now) * (1 - failure_weight) +
+                        (failed ? failure_weight : 0);
+    next.observed = now;
+    return next;
+}
+
+} // namespace
+
+auto with_sent(target_health const& h, time_point now) -> target_health
+{
+    auto next = h;
+    if (h.in_flight == 0)
+        next.silent_since = now;
+    ++next.in_flight;
+    return next;
+}
+
+auto with_dropped(target_health const& h) -> target_health
+{
+    auto next = h;
+    next.in_flight -= h.in_flight > 0 ? 1 : 0;
+    return next;
+}
+
+auto with_reply(target_health const& h, double ratio, bool failed,
+    dispatch_limits const& limits, time_point now) -> target_health
+{
+    auto next = with_outcome(with_dropped(h), failed, limits, now);
+    if (ratio > 0)
+        next.slowness +=
+            slowness_weight *
+            (std::clamp(ratio, min_ratio, max_ratio) - next.slowness);
+    next.silent_since = now;
+    next.state = sound{};
+    return next;
+}
+
+auto with_lost(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> target_health
+{
+    return with_outcome(with_dropped(h), true, limits, now);
+}
+
+auto with_silence(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> target_health
+{
+    auto next = with_outcome(with_dropped(h), true, limits, now);
+    auto const times = std::visit(overloaded{[](sound const&) { return 1u; },
+                                      [](suspended const& it)
+                                      {
+                                          return it.times + 1;
+                                      }},
+        h.state);
+    auto const doubled =
+        limits.suspension_first * (1 << std::min(times - 1, most_doublings));
+    next.state =
+        suspended{now + std::min(doubled, limits.suspension_most), times};
+    return next;
+}
+
+auto slowness_at(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> double
+{
+    return 1 + (h.slowness - 1) * fade(h, limits, now);
+}
+
+auto failure_rate_at(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> double
+{
+    return h.failure_rate * fade(h, limits, now);
+}
+
+auto is_trusted(target_health const& h, time_point now) -> bool
+{
+    return std::visit(overloaded{[](sound const&) { return true; },
+                          [&](suspended const& it)
+                          {
+                              return now >= it.until && h.in_flight == 0;
+                          }},
+        h.state);
+}
+
+auto silence(target_health const& h, time_point now) -> duration
+{
+    return h.in_flight == 0 ? duration{0} : now - h.silent_since;
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/src/core/dispatch/limits.hpp
@@ -0,0 +1,70 @@
+/// Named limits of the dispatcher, with units.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_LIMITS_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_LIMITS_HPP
+
+#include <knapweedstream/time.hpp>
+
+#include <compare>
+#include <cstdint>
+
+namespace knapweedstream::dispatch
+{
+
+/// Limits that hold for one instance.
+struct dispatch_limits
+{
+    milliseconds answer_margin{12}; ///< Kept for the way back to the caller.
+    std::uint32_t max_requests = 2'000; ///< Open at once.
+
+    double hedge_quantile = 0.95;     ///< Hedge after this quantile of latency,
+    double min_hedge_factor = 1.3;    ///< but not before this many medians
+    double max_hedge_factor = 2.5;    ///< and not after this many.
+    milliseconds first_patience{50};  ///< Before any latency is known.
+    milliseconds far_penalty{12};     ///< A far target must be faster by this.
+    milliseconds loser_patience{400}; ///< An abandoned attempt may still end.
+    std::uint32_t spare_sends = 2;    ///< Sends of a shard beyond its attempts.
+
+    milliseconds connect_timeout{400}; ///< Opening a connection.
+    milliseconds reopen_first{50};     ///< Wait after a failed opening;
+    milliseconds reopen_most{1'000};   ///< doubles up to this.
+    milliseconds idle_margin{1'000};   ///< Closed before the target does it.
+    milliseconds fresh_for{2'000};     ///< Idle time that an at-most-once
+                                       ///< request accepts.
+    std::uint32_t near_share = 2;      ///< Connections to near targets, in
+                                       ///< parts of those to far ones.
+    double connection_share = 0.85;    ///< Of a target's limit that is used.
+
+    milliseconds suspension_first{300};     ///< A silent target gets a pause;
+    milliseconds suspension_most{2'000};    ///< doubles up to this.
+    milliseconds estimate_half_life{2'000}; ///< A target's bad figures fade.
+    milliseconds lapse_grace{2'200}; ///< A registration that vanished around
+                                     ///< an outage may come back.
+
+    milliseconds watch_wait{8'000};       ///< A watch waits for changes.
+    milliseconds watch_pause{100};        ///< Between watches that bring some.
+    milliseconds store_retry_first{200};  ///< Wait after a failed call;
+    milliseconds store_retry_most{1'000}; ///< doubles up to this.
+
+    auto operator<=>(dispatch_limits const&) const = default;
+};
+
+/// Bounds that the operators state; sums over all instances.
+struct dispatch_bounds
+{
+    double retry_budget_ratio = 0.2;       ///< Extra sends to a service, per
+                                           ///< request for it,
+    std::uint32_t retry_budget_extra = 50; ///< and on top of that, in a window.
+    milliseconds budget_window{10'000};
+    milliseconds drain{4'000};   ///< A leaving target gets nothing after it.
+    milliseconds grace{6'000};   ///< From SIGTERM to SIGKILL.
+    double warmup_factor = 1.5;  ///< A cold target's rate may be exceeded by
+    double warmup_slack = 5;     ///< this factor and this much a second.
+    double exposure_share = 0.1; ///< Of requests that a new version may get
+    std::uint32_t exposure_slack = 50; ///< before it is known to be good.
+
+    auto operator<=>(dispatch_bounds const&) const = default;
+};
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/placing.hpp
@@ -0,0 +1,40 @@
+/// Placing: which target gets a part of a request, and which parts wait.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_PLACING_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_PLACING_HPP
+
+#include "core/dispatch/tables.hpp"
+
+namespace knapweedstream::dispatch
+{
+
+/// What became of an attempt to place a part.
+enum class placed : std::uint8_t
+{
+    sent,    ///< On an idle connection.
+    queued,  ///< Until a connection is free.
+    nowhere, ///< No target can be used.
+};
+
+/// True if a target of the service can be used for the request now.
+auto has_target(dispatch_state const& s, service_id service,
+    open_request const& r, time_point now) -> bool;
+
+/// Sends a part to the best target, or queues it.
+auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
+    time_point now, commands& out) -> placed;
+
+/// Sends the queued parts of a service for which a connection is free; parts
+/// that no target can take any more fail.
+auto serve_queue(dispatch_state& s, service_id service, time_point now,
+    commands& out) -> void;
+
+/// True if the service's budget pays for an extra request.
+auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind)
+    -> bool;
+
+/// Part of a request in flight, or null.
+auto find_part(dispatch_state& s, part_key const& key) -> part*;
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/pool.cpp
@@ -0,0 +1,277 @@
+#include "core/dispatch/pool.hpp"
+
+#include "core/dispatch/placing.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto max_opening = 3u;       ///< Connections opening to one target.
+constexpr auto unknown_accepted = 30u; ///< If the service states no limit.
+constexpr auto slow_from = 3.0;        ///< Slowness that is told as slow,
+constexpr auto slow_until = 1.5;       ///< and as recovered.
+constexpr auto failing_from = 0.3;     ///< Failure rate, likewise.
+constexpr auto failing_until = 0.1;
+constexpr auto opening_weight = 0.3; ///< Of the newest opening time.
+
+auto fleet_around(dispatch_state const& s, target_entry const& t) -> fleet_size
+{
+    auto n = fleet_size{0, 0};
+    for (auto const& [name, it] : s.instances)
+        ++(it.region == t.region ? n.near : n.far);
+    if (!s.instances.contains(s.init.self.name))
+        ++(s.init.self.region == t.region ? n.near : n.far);
+    return n;
+}
+
+auto link_limit(dispatch_state const& s, target_entry const& t) -> std::uint32_t
+{
+    auto const it = s.services.find(t.service);
+    auto const accepted =
+        it == s.services.end() ? 0 : it->second.policy.max_connections;
+    return connection_share(accepted, fleet_around(s, t),
+        s.init.self.region == t.region, s.init.limits);
+}
+
+auto smoothed(duration old, duration sample) -> duration
+{
+    if (old == duration{0})
+        return sample;
+    auto const d = static_cast<double>((sample - old).count());
+    return old + duration{static_cast<duration::rep>(d * opening_weight)};
+}
+
+auto present_view(dispatch_state const& s, target_entry const& t,
+    time_point now) -> target_view
+{
+    auto const& limits = s.init.limits;
+    auto const slow = slowness_at(t.health, limits, now);
+    auto const failing = failure_rate_at(t.health, limits, now);
+    if (t.open_failures > 0 && t.links == t.opening)
+        return target_view::down;
+    if (std::holds_alternative<suspended>(t.health.state))
+        return target_view::stalled;
+    if (failing > failing_from)
+        return target_view::failing;
+    if (slow > slow_from)
+        return target_view::slow;
+    auto const calm = slow < slow_until && failing < failing_until;
+    return calm ? target_view::recovered : t.told;
+}
+
+} // namespace
+
+auto connection_share(std::uint32_t accepted, fleet_size const& fleet,
+    bool is_near, dispatch_limits const& limits) -> std::uint32_t
+{
+    auto const total = accepted == 0 ? unknown_accepted : accepted;
+    auto const parts = fleet.near * limits.near_share + fleet.far;
+    auto const unit = limits.connection_share * total / std::max(1u, parts);
+    auto const mine = unit * (is_near ? limits.near_share : 1u);
+    return std::max(1u, static_cast<std::uint32_t>(mine));
+}
+
+auto is_usable(target_entry const& t, time_point now) -> bool
+{
+    return !t.info.draining && !t.evacuated && now < t.lapses;
+}
+
+auto is_reachable(target_entry const& t, time_point now) -> bool
+{
+    return t.links > t.opening || now >= t.open_after;
+}
+
+auto may_open(dispatch_state const& s, target_entry const& t, time_point now)
+    -> bool
+{
+    return now >= t.open_after && t.opening < max_opening &&
+           (t.open_failures == 0 || t.opening == 0) &&
+           t.links < link_limit(s, t);
+}
+
+auto open_link(
+    dispatch_state& s, target_entry& t, time_point now, commands& out) -> void
+{
+    auto l = link{};
+    l.id = next_handle<connection_id>(s);
+    l.to = t.id;
+    l.since = now;
+    s.links.emplace(l.id, l);
+    ++t.links;
+    ++t.opening;
+    ++s.stats.connects;
+    out.push_back(open_connection{l.id, t.info.address});
+    arm(s, now + s.init.limits.connect_timeout, link_due{l.id});
+}
+
+auto keep_spare(
+    dispatch_state& s, target_entry& t, time_point now, commands& out) -> void
+{
+    auto const it = s.services.find(t.service);
+    auto const routed = it != s.services.end() && it->second.routed;
+    if (routed && is_usable(t, now) && t.idle.empty() && t.opening == 0 &&
+        t.links == 0 && may_open(s, t, now))
+        open_link(s, t, now, out);
+}
+
+auto forget_link(dispatch_state& s, link const& l) -> void
+{
+    auto const it = s.targets.find(l.to);
+    if (it != s.targets.end())
+    {
+        auto& t = it->second;
+        t.links -= t.links > 0 ? 1 : 0;
+        if (l.state == link_state::opening)
+            t.opening -= t.opening > 0 ? 1 : 0;
+        std::erase(t.idle, l.id);
+    }
+    s.links.erase(l.id);
+}
+
+auto close_link(dispatch_state& s, connection_id id, commands& out) -> void
+{
+    auto const it = s.links.find(id);
+    if (it == s.links.end())
+        return;
+    auto const l = it->second;
+    forget_link(s, l);
+    out.push_back(close_connection{id});
+}
+
+auto close_idle(dispatch_state& s, target_entry& t, commands& out) -> void
+{
+    auto const idle = t.idle;
+    for (auto const id : idle)
+        close_link(s, id, out);
+}
+
+auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now,
+    commands& out) -> connection_id
+{
+    while (!t.idle.empty())
+    {
+        auto const id = t.idle.back();
+        auto const& l = s.links.at(id);
+        if (now >= l.usable_until)
+        {
+            close_link(s, id, out);
+            continue;
+        }
+        if (fresh && now - l.since > s.init.limits.fresh_for)
+            return {};
+        t.idle.pop_back();
+        return id;
+    }
+    return {};
+}
+
+auto give_back(dispatch_state& s, link const& l, duration idle_limit,
+    time_point now) -> void
+{
+    auto next = l;
+    next.state = link_state::idle;
+    next.attempt = {};
+    next.since = now;
+    auto const margin = duration{s.init.limits.idle_margin};
+    next.usable_until =
+        idle_limit == duration{0}
+            ? time_point::max()
+            : now + std::max(idle_limit - margin, idle_limit / 2);
+    s.links.at(l.id) = next;
+    s.targets.at(l.to).idle.push_back(l.id);
+    if (next.usable_until != time_point::max())
+        arm(s, next.usable_until, link_due{l.id});
+}
+
+auto on_opened(dispatch_state& s, connection_opened const& e, time_point now,
+    commands& out) -> void
+{
+    auto const it = s.links.find(e.connection);
+    if (it == s.links.end())
+    {
+        out.push_back(close_connection{e.connection});
+        return;
+    }
+    auto& t = s.targets.at(it->second.to);
+    t.opening -= t.opening > 0 ? 1 : 0;
+    t.opening_takes = smoothed(t.opening_takes, now - it->second.since);
+    t.open_failures = 0;
+    t.open_after = time_point{};
+    give_back(s, it->second, duration{0}, now);
+    tell_view(s, t, now, out);
+    if (!is_usable(t, now))
+        return close_idle(s, t, out);
+    serve_queue(s, t.service, now, out);
+}
+
+auto on_not_opened(
+    dispatch_state& s, link const& l, time_point now, commands& out) -> void
+{
+    forget_link(s, l);
+    auto const it = s.targets.find(l.to);
+    if (it == s.targets.end())
+        return;
+    auto& t = it->second;
+    auto const& limits = s.init.limits;
+    constexpr auto most_doublings = 6u;
+    auto const wait = std::min(
+        limits.reopen_first * (1 << std::min(t.open_failures, most_doublings)),
+        limits.reopen_most);
+    ++t.open_failures;
+    ++s.stats.connect_failures;
+    t.open_after = now + wait;
+    arm(s, t.open_after, target_due{t.id});
+    tell_view(s, t, now, out);
+    serve_queue(s, t.service, now, out);
+}
+
+auto on_link_due(
+    dispatch_state& s, link_due const& e, time_point now, commands& out) -> void
+{
+    auto const it = s.links.find(e.connection);
+    if (it == s.links.end())
+        return;
+    auto const l = it->second;
+    auto const late = l.state == link_state::opening &&
+                      now - l.since >= duration{s.init.limits.connect_timeout};
+    if (late)
+    {
+        out.push_back(close_connection{l.id});
+        return on_not_opened(s, l, now, out);
+    }
+    if (l.state != link_state::idle || now < l.usable_until)
+        return;
+    close_link(s, l.id, out);
+    auto const t = s.targets.find(l.to);
+    if (t != s.targets.end())
+        keep_spare(s, t->second, now, out);
+}
+
+auto tell_view(
+    dispatch_state& s, target_entry& t, time_point now, commands& out) -> void
+{
+    auto const view = present_view(s, t, now);
+    auto const was_bad =
+        t.told >= target_view::slow && t.told <= target_view::down;
+    if (view == t.told || (view == target_view::recovered && !was_bad))
+        return;
+    t.told = view;
+    auto const& h = t.health;
+    auto const age = std::chrono::duration_cast<milliseconds>(now - h.observed);
+    out.push_back(
+        note{target_judged{t.info.name, t.info.service, t.info.address, view,
+            "slowness=" + std::to_string(slowness_at(h, s.init.limits, now)) +
+                " failure_rate=" +
+                std::to_string(failure_rate_at(h, s.init.limits, now)) +
+                " open_failures=" + std::to_string(t.open_failures) +
+                " in_flight=" + std::to_string(h.in_flight) +
+                " age_ms=" + std::to_string(age.count()),
+            t.revision}});
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/src/port/dispatch_command.hpp
@@ -0,0 +1,127 @@
+/// What the dispatcher asks of its adapters.
+#ifndef KNAPWEEDSTREAM_PORT_DISPATCH_COMMAND_HPP
+#define KNAPWEEDSTREAM_PORT_DISPATCH_COMMAND_HPP
+
+#include "port/dispatch_fact.hpp"
+
+#include <variant>
+#include <vector>
+
+namespace knapweedstream::dispatch
+{
+
+/// Answers a caller; its last message.
+struct answer_caller
+{
+    caller_id caller;
+    caller_answer answer;
+    auto operator<=>(answer_caller const&) const = default;
+};
+
+/// Opens a connection to a target.
+struct open_connection
+{
+    connection_id connection;
+    std::string address;
+    auto operator<=>(open_connection const&) const = default;
+};
+
+/// Closes a connection; a request in flight on it is given up.
+struct close_connection
+{
+    connection_id connection;
+    auto operator<=>(close_connection const&) const = default;
+};
+
+/// Sends a request on an idle connection.
+struct send_request
+{
+    connection_id connection;
+    attempt_id attempt;
+    std::string target; ///< Name of the target that is to run it.
+    routed_request_ptr request;
+    milliseconds time_left{0}; ///< Until the target is to give up.
+    auto operator<=>(send_request const&) const = default;
+};
+
+/// Lists a kind.
+struct store_list
+{
+    store_kind kind = store_kind::configuration;
+    std::string after; ///< Continues after this name; empty: from the start.
+    auto operator<=>(store_list const&) const = default;
+};
+
+/// Waits for changes of a kind.
+struct store_watch
+{
+    store_kind kind = store_kind::configuration;
+    std::uint64_t revision = 0; ///< Changes after this one.
+    milliseconds wait{0};
+    auto operator<=>(store_watch const&) const = default;
+};
+
+/// Writes this instance's record.
+struct store_record
+{
+    instance_record record;
+    bool exists = false; ///< Replaces one; otherwise it is made.
+    auto operator<=>(store_record const&) const = default;
+};
+
+/// Removes an instance's record.
+struct store_remove
+{
+    std::string name;
+    auto operator<=>(store_remove const&) const = default;
+};
+
+/// Limits on what callers send, from now on.
+struct limit_callers
+{
+    caller_limits limits;
+    auto operator<=>(limit_callers const&) const = default;
+};
+
+/// The instance may or may not be given new callers.
+struct set_ready
+{
+    bool ready = false;
+    auto operator<=>(set_ready const&) const = default;
+};
+
+/// Callers' connections are to be closed after their next answer.
+struct retire_callers
+{
+    auto operator<=>(retire_callers const&) const = default;
+};
+
+/// The instance has finished its work and may exit.
+struct exit_now
+{
+    auto operator<=>(exit_now const&) const = default;
+};
+
+/// A `tick` is wanted at this time.
+struct wake_at
+{
+    time_point when;
+    auto operator<=>(wake_at const&) const = default;
+};
+
+/// Reports a fact to the log and the metrics.
+struct note
+{
+    fact what;
+    auto operator<=>(note const&) const = default;
+};
+
+using command = std::variant<answer_caller, open_connection, close_connection,
+    send_request, store_list, store_watch, store_record, store_remove,
+    limit_callers, set_ready, retire_callers, exit_now, wake_at, note>;
+
+using commands = std::vector<command>;
+
+} // namespace knapweedstream::dispatch
+
+#endif
