--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -9,7 +9,7 @@
 install_packages() {
   local need=(libevent-dev libevhtp-dev libnng-dev libboost-log1.81-dev
     libboost-program-options1.81-dev libboost-json1.81-dev doctest-dev
-    librapidcheck-dev libxxhash-dev ninja-build cmake g++ pkg-config
+    librapidcheck-dev libxxhash-dev libhttp-parser-dev ninja-build cmake g++ pkg-config
     clang-format clang-tidy)
   local missing=()
   for it in "${need[@]}"; do
--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -1,5 +1,6 @@
 #include "adapter/http_reader.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace knapweedstream
@@ -17,6 +18,14 @@
     return static_cast<http_reader*>(p->data);
 }
 
+/// The parser lets spaces in field names pass.
+auto has_bad_name(http_message const& m) -> bool
+{
+    return std::any_of(m.fields.begin(), m.fields.end(),
+        [](header_field const& it)
+        { return it.name.find_first_of(" \t") != std::string::npos; });
+}
+
 auto is_interim(http_parser const& p) -> bool
 {
     return p.status_code >= 100 && p.status_code < 200;
@@ -73,7 +82,10 @@
     if (complete_ || error_)
         return;
     http_parser_execute(&parser_, &settings(), nullptr, 0);
-    http_parser_pause(&parser_, 0);
+    if (complete_)
+        http_parser_pause(&parser_, 0);
+    else
+        error_ = read_error::malformed;
 }
 
 auto http_reader::take() -> http_message
@@ -144,6 +156,8 @@
         m.method = http_method_str(static_cast<http_method>(p->method));
     else
         m.status = p->status_code;
+    if (has_bad_name(m))
+        return self->fail(read_error::malformed);
     self->head_done_ = true;
     auto const limit = self->limits_.body_bytes;
     auto const stated = (p->flags & F_CONTENTLENGTH) != 0;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -122,34 +122,49 @@
         arm(s, now + s.init.limits.store_retry_most, record_due{});
 }
 
+/// From the stop order until callers' connections are closed.
+auto retire_time(dispatch_state const& s) -> duration
+{
+    auto const last = duration{s.init.bounds.grace} - duration{grace_margin};
+    return std::min(duration{retire_after}, last - duration{quiet_time});
+}
+
 auto on_stop(dispatch_state& s, time_point now, commands& out) -> void
 {
     if (s.stop.asked)
         return;
-    s.stop = stopping{true, now, false};
+    s.stop = stopping{true, now, false, false};
     update_ready(s, out);
     out.push_back(store_remove{s.init.self.name});
     arm(s, now + stop_check, stop_due{});
 }
 
-/// Leaves when callers have had time to go elsewhere and nothing is open.
+/// Lets callers' connections go when callers have had time to go elsewhere.
 auto on_stop_due(dispatch_state& s, time_point now, commands& out) -> void
 {
-    auto const waited = now - s.stop.since;
-    auto const last = duration{s.init.bounds.grace} - duration{grace_margin};
-    auto const retire =
-        std::min(duration{retire_after}, last - duration{quiet_time});
-    if (waited >= retire && !s.stop.retired)
+    if (now - s.stop.since >= retire_time(s) && !s.stop.retired)
     {
         s.stop.retired = true;
         out.push_back(retire_callers{});
     }
+    arm(s, now + stop_check, stop_due{});
+}
+
+/// Leaves once no caller has asked for anything for a while. To be called
+/// when all that is due has been handled, so that no request is cut.
+auto leave_if_quiet(dispatch_state& s, time_point now, commands& out) -> void
+{
+    if (!s.stop.retired || s.stop.left)
+        return;
+    auto const last = duration{s.init.bounds.grace} - duration{grace_margin};
     auto const quiet =
-        s.requests.empty() && waited >= retire + duration{quiet_time};
-    if (quiet || waited >= last)
-        out.push_back(exit_now{});
-    else
-        arm(s, now + stop_check, stop_due{});
+        s.requests.empty() &&
+        now - std::max(s.last_request, s.stop.since + retire_time(s)) >=
+            duration{quiet_time};
+    if (!quiet && now - s.stop.since < last)
+        return;
+    s.stop.left = true;
+    out.push_back(exit_now{});
 }
 
 auto fire(dispatch_state& s, timer const& t, time_point now, commands& out)
@@ -265,6 +280,7 @@
     auto out = commands{};
     run_timers(*state_, now, out);
     dispatch_event(*state_, e, now, out);
+    leave_if_quiet(*state_, now, out);
     ask_tick(*state_, now, out);
     return out;
 }
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -362,6 +362,7 @@
     time_point now, commands& out) -> void
 {
     ++s.stats.requests;
+    s.last_request = now;
     if (s.config == nullptr)
         return refuse(s, e, nullptr,
             {refusal_reason::not_ready,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -216,6 +216,9 @@
     bool asked = false;
     time_point since;
     bool retired = false; ///< Callers' connections were retired.
+    bool left = false;    ///< The exit was ordered.
+
+    auto operator<=>(stopping const&) const = default;
 };
 
 /// All tables of a dispatcher.
@@ -227,6 +230,7 @@
     std::uint64_t next_id = 1;
     stopping stop;
     bool ready = false;
+    time_point last_request; ///< When a caller last asked for anything.
     time_point armed;
     std::uint64_t timer_order = 0;
     std::priority_queue<timed, std::vector<timed>, std::greater<>> timers;
--- /dev/null
+++ b/tests/dispatch/rig.cpp
@@ -0,0 +1,194 @@
+#include "dispatch/rig.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+auto make_init(dispatch_limits const& limits, std::string const& zone)
+    -> dispatcher_init
+{
+    auto i = dispatcher_init{};
+    i.regions = {{"a", "north"}, {"b", "south"}, {"c", "west"}};
+    i.self = {"me", zone, i.regions[zone]};
+    i.limits = limits;
+    return i;
+}
+
+} // namespace
+
+rig::rig(dispatch_limits const& limits, std::string zone)
+    : core(make_init(limits, zone))
+{
+    carry_out(core.start(now));
+}
+
+auto rig::begin(routing_config const& c,
+    std::vector<target_registration> const& targets) -> void
+{
+    auto objects = std::vector<stored_object>{};
+    for (auto const& it : targets)
+        objects.push_back({it.name, ++revision_, it});
+    feed(store_listed{
+        store_kind::configuration, {{"main", ++revision_, c}}, "", revision_});
+    feed(store_listed{store_kind::targets, objects, "", revision_});
+    for (auto const k :
+        {store_kind::evacuations, store_kind::rollouts, store_kind::instances})
+        feed(store_listed{k, {}, "", revision_});
+}
+
+auto rig::feed(event const& e) -> void
+{
+    waiting_.push_back(e);
+    while (!waiting_.empty())
+    {
+        auto const next = waiting_.front();
+        waiting_.pop_front();
+        carry_out(core.handle(next, now));
+    }
+}
+
+auto rig::advance(duration d) -> void
+{
+    auto const end = now + d;
+    while (wake_ && *wake_ <= end)
+    {
+        now = std::max(now, *wake_);
+        wake_.reset();
+        feed(tick{});
+    }
+    now = end;
+}
+
+auto rig::ask(std::string const& id, std::string const& target,
+    std::optional<milliseconds> deadline) -> caller_id
+{
+    auto r = routed_request{};
+    r.id = id;
+    r.method = "GET";
+    r.target = target;
+    r.host = "h";
+    r.deadline = deadline;
+    auto const c = caller_id{++callers_};
+    feed(caller_request{c, std::make_shared<routed_request const>(r)});
+    return c;
+}
+
+auto rig::reply(sent const& s, target_reply const& r, bool reusable) -> void
+{
+    std::erase_if(
+        unanswered, [&](sent const& it) { return it.attempt == s.attempt; });
+    feed(target_replied{s.connection, s.attempt, r, reusable, duration{0}});
+}
+
+auto rig::succeed(sent const& s, std::string body) -> void
+{
+    reply(s, success(std::move(body), "sig-" + s.target));
+}
+
+auto rig::lose(sent const& s, connection_end how) -> void
+{
+    std::erase_if(
+        unanswered, [&](sent const& it) { return it.attempt == s.attempt; });
+    feed(connection_closed{s.connection, how, false});
+}
+
+auto rig::take_sent() -> std::vector<sent>
+{
+    auto out = std::vector<sent>(unanswered.begin(), unanswered.end());
+    unanswered.clear();
+    return out;
+}
+
+auto rig::answer_to(caller_id c) const -> std::optional<answered>
+{
+    for (auto const& it : answers)
+        if (it.caller == c)
+            return it;
+    return std::nullopt;
+}
+
+auto rig::carry_out(commands const& list) -> void
+{
+    for (auto const& it : list)
+    {
+        all.push_back(it);
+        carry_out(it);
+    }
+}
+
+auto rig::carry_out(command const& c) -> void
+{
+    if (auto const* it = std::get_if<open_connection>(&c))
+    {
+        auto const refused = std::find(
+            refused_addresses.begin(), refused_addresses.end(), it->address);
+        if (refused != refused_addresses.end())
+            waiting_.push_back(connection_closed{
+                it->connection, connection_end::refused, true});
+        else if (hold_opens)
+            held.push_back(it->connection);
+        else
+            waiting_.push_back(connection_opened{it->connection});
+    }
+    if (auto const* it = std::get_if<send_request>(&c))
+        unanswered.push_back({it->connection, it->attempt, it->target,
+            it->request->id, it->time_left, now});
+    if (auto const* it = std::get_if<answer_caller>(&c))
+        answers.push_back({it->caller, it->answer, now});
+    if (auto const* it = std::get_if<wake_at>(&c))
+        wake_ = it->when;
+}
+
+auto single_route(std::string const& service) -> route
+{
+    auto r = route{};
+    r.name = "r";
+    r.host = "h";
+    r.path_start = "/p/";
+    r.to = to_service{service};
+    r.repeat = repeatability::idempotent;
+    r.timeout = milliseconds{1'000};
+    r.latency_objective = milliseconds{200};
+    r.max_attempts = 2;
+    return r;
+}
+
+auto shard_route(std::vector<std::string> const& shards, double min_coverage)
+    -> route
+{
+    auto r = single_route("");
+    r.to = to_shards{shards, 3, min_coverage};
+    return r;
+}
+
+auto config_of(route const& r, std::uint64_t version) -> routing_config
+{
+    auto c = routing_config{};
+    c.version = version;
+    c.routes = {r};
+    return c;
+}
+
+auto registered(std::string const& name, std::string const& service,
+    std::string const& zone) -> target_registration
+{
+    auto t = target_registration{};
+    t.name = name;
+    t.service = service;
+    t.address = name + ":1";
+    t.zone = zone;
+    t.version = "v1";
+    t.slots = 3;
+    return t;
+}
+
+auto success(std::string body, std::string signature) -> target_reply
+{
+    return reply_success{{200, std::move(signature), {}, std::move(body)}};
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/tests/dispatch/rig.hpp
@@ -0,0 +1,126 @@
+/// One dispatcher under test, driven by hand in virtual time.
+#ifndef KNAPWEEDSTREAM_TESTS_DISPATCH_RIG_HPP
+#define KNAPWEEDSTREAM_TESTS_DISPATCH_RIG_HPP
+
+#include "core/dispatch/dispatcher.hpp"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace knapweedstream::dispatch
+{
+
+/// A request that the dispatcher sent and the test has not answered.
+struct sent
+{
+    connection_id connection;
+    attempt_id attempt;
+    std::string target;
+    std::string request;
+    milliseconds time_left{0};
+    time_point at;
+};
+
+/// An answer to a caller.
+struct answered
+{
+    caller_id caller;
+    caller_answer answer;
+    time_point at;
+};
+
+/// Drives a dispatcher; connections open at once unless `hold_opens` is set.
+class rig
+{
+public:
+    explicit rig(dispatch_limits const& limits = {}, std::string zone = "a");
+
+    /// Lists everything once: the configuration and the targets given so far.
+    auto begin(routing_config const& c,
+        std::vector<target_registration> const& targets) -> void;
+
+    auto feed(event const& e) -> void;
+    auto advance(duration d) -> void;
+
+    /// A caller sends a request; returns its handle.
+    auto ask(std::string const& id, std::string const& target = "/p/x",
+        std::optional<milliseconds> deadline = milliseconds{1'000})
+        -> caller_id;
+
+    auto reply(sent const& s, target_reply const& r, bool reusable = true)
+        -> void;
+    auto succeed(sent const& s, std::string body = "") -> void;
+    auto lose(sent const& s, connection_end how = connection_end::reset)
+        -> void;
+
+    /// Takes what was sent since the last call.
+    auto take_sent() -> std::vector<sent>;
+
+    /// The answer to a caller, if it has one.
+    auto answer_to(caller_id c) const -> std::optional<answered>;
+
+    /// Facts of one type so far.
+    template <class Fact>
+    auto facts() const -> std::vector<Fact>
+    {
+        auto out = std::vector<Fact>{};
+        for (auto const& c : all)
+            if (auto const* n = std::get_if<note>(&c))
+                if (auto const* f = std::get_if<Fact>(&n->what))
+                    out.push_back(*f);
+        return out;
+    }
+
+    /// Commands of one type so far.
+    template <class Command>
+    auto ordered() const -> std::vector<Command>
+    {
+        auto out = std::vector<Command>{};
+        for (auto const& c : all)
+            if (auto const* it = std::get_if<Command>(&c))
+                out.push_back(*it);
+        return out;
+    }
+
+    dispatcher core;
+    time_point now{seconds{100}};
+    commands all;
+    std::vector<answered> answers;
+    std::deque<sent> unanswered;
+    bool hold_opens = false;
+    std::vector<connection_id> held;
+    std::vector<std::string> refused_addresses; ///< Opening fails there.
+
+private:
+    auto carry_out(commands const& list) -> void;
+    auto carry_out(command const& c) -> void;
+
+    std::optional<time_point> wake_;
+    std::deque<event> waiting_;
+    std::uint64_t callers_ = 0;
+    std::uint64_t revision_ = 10;
+};
+
+/// A route to one service.
+auto single_route(std::string const& service) -> route;
+
+/// A route to shards.
+auto shard_route(std::vector<std::string> const& shards, double min_coverage)
+    -> route;
+
+/// A configuration of one route.
+auto config_of(route const& r, std::uint64_t version = 1) -> routing_config;
+
+/// A registration in a zone.
+auto registered(std::string const& name, std::string const& service,
+    std::string const& zone) -> target_registration;
+
+/// A success with a signature.
+auto success(std::string body = "", std::string signature = "s")
+    -> target_reply;
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- /dev/null
+++ b/tests/dispatch/test_decisions.cpp
@@ -0,0 +1,193 @@
+#include "core/dispatch/choice.hpp"
+#include "core/dispatch/follow.hpp"
+#include "core/dispatch/health.hpp"
+#include "core/dispatch/pool.hpp"
+#include "core/dispatch/route_table.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace ks = knapweedstream;
+using namespace knapweedstream::dispatch;
+using ks::milliseconds;
+using ks::time_point;
+
+namespace
+{
+
+constexpr auto limits = dispatch_limits{};
+constexpr auto start = time_point{ks::seconds{10}};
+
+auto follow_of(follow_phase phase, std::uint64_t revision = 0) -> followed
+{
+    auto f = followed{};
+    f.kind = ks::store_kind::targets;
+    f.phase = std::move(phase);
+    f.revision = revision;
+    return f;
+}
+
+template <class Command>
+auto first(follow_step const& s) -> Command
+{
+    return std::get<Command>(s.out.at(0));
+}
+
+} // namespace
+
+TEST_CASE("follow: pages are read to the end, then watched from the first one")
+{
+    auto s = resume(follow_of(pausing{start}), limits, start);
+    CHECK(first<store_list>(s).after.empty());
+    s = with_page(s.next, {ks::store_kind::targets, {}, "m", 7}, limits);
+    CHECK(first<store_list>(s).after == "m");
+    s = with_page(s.next, {ks::store_kind::targets, {}, "", 9}, limits);
+    CHECK(first<store_watch>(s).revision == 7);
+}
+
+TEST_CASE(
+    "follow: a failure is retried from the same revision, later and later")
+{
+    auto f = follow_of(watching{}, 7);
+    auto waits = std::vector<ks::duration>{};
+    for (auto i = 0; i < 5; ++i)
+    {
+        auto const s = with_failure(f, limits, 0.5, start);
+        waits.push_back(std::get<pausing>(s.next.phase).until - start);
+        CHECK(s.next.revision == 7);
+        f = s.next;
+    }
+    CHECK(std::is_sorted(waits.begin(), waits.end()));
+    CHECK(waits.back() <= 2 * ks::duration{limits.store_retry_most});
+    auto const s = resume(f, limits, start + ks::seconds{5});
+    CHECK(first<store_watch>(s).revision == 7);
+}
+
+TEST_CASE("follow: lost history means a new list")
+{
+    auto const s = without_history(follow_of(watching{}, 7), limits, start);
+    CHECK(first<store_list>(s).after.empty());
+}
+
+TEST_CASE("follow: a burst of changes costs one watch for each pause")
+{
+    auto f = follow_of(watching{}, 7);
+    auto const e = store_changed{ks::store_kind::targets, {{}}, 8};
+    auto const s = with_changes(f, e, limits, start);
+    CHECK(std::get<pausing>(s.next.phase).until == start + limits.watch_pause);
+    auto const quiet = store_changed{ks::store_kind::targets, {}, 9};
+    CHECK(first<store_watch>(with_changes(f, quiet, limits, start)).revision ==
+          9);
+}
+
+TEST_CASE("split: shares follow the weights at any time")
+{
+    rc::check(
+        []
+        {
+            auto split = ks::to_split{};
+            auto const n = *rc::gen::inRange(1, 5);
+            auto total = 0u;
+            for (auto i = 0; i < n; ++i)
+            {
+                auto const w =
+                    static_cast<std::uint32_t>(*rc::gen::inRange(0, 100));
+                split.parts.push_back({"s" + std::to_string(i), w});
+                total += w;
+            }
+            RC_PRE(total > 0u);
+            auto credits = std::vector<std::int64_t>{};
+            auto counts = std::vector<double>(split.parts.size());
+            auto const rounds = *rc::gen::inRange(1, 400);
+            for (auto i = 0; i < rounds; ++i)
+                counts[next_part(split, credits)] += 1;
+            for (std::size_t i = 0; i < counts.size(); ++i)
+            {
+                auto const wanted =
+                    static_cast<double>(rounds) * split.parts[i].weight / total;
+                RC_ASSERT(std::abs(counts[i] - wanted) <= n);
+            }
+        });
+}
+
+TEST_CASE("merge of records equals a full sort")
+{
+    rc::check(
+        [](std::vector<std::string> const& bodies, std::uint8_t top)
+        {
+            auto parts = std::vector<std::string_view>{};
+            auto all = std::vector<std::string>{};
+            for (auto const& it : bodies)
+            {
+                parts.push_back(it);
+                for (std::size_t at = 0; at + 16 <= it.size(); at += 16)
+                    all.push_back(it.substr(at, 16));
+            }
+            std::sort(all.begin(), all.end(), std::greater<>{});
+            all.resize(std::min<std::size_t>(all.size(), top));
+            auto wanted = std::string{};
+            for (auto const& it : all)
+                wanted += it;
+            RC_ASSERT(merge_records(parts, top) == wanted);
+        });
+}
+
+TEST_CASE("choice: a stalled, slow, failing or far target loses to a sound one")
+{
+    auto good = candidate{};
+    good.typical = milliseconds{15};
+    good.patience = milliseconds{40};
+    good.slots = 3;
+    good.idle = true;
+    auto stalled = good;
+    stalled.in_flight = 1;
+    stalled.silence = milliseconds{60};
+    auto slow = good;
+    slow.slowness = 5;
+    auto failing = good;
+    failing.failure_rate = 0.5;
+    auto far = good;
+    far.typical = milliseconds{55};
+    auto full = good;
+    full.in_flight = 9;
+    auto r = ks::random_state{1, 0};
+    for (auto const& bad : {stalled, slow, failing, far, full})
+        for (auto i = 0; i < 50; ++i)
+            CHECK(choose(std::vector{bad, good}, r) == 1);
+    CHECK(choose(std::vector<candidate>{}, r) == std::nullopt);
+}
+
+TEST_CASE("health: silence suspends, a reply ends it, figures fade")
+{
+    auto h = with_sent({}, start);
+    h = with_silence(h, limits, start + milliseconds{400});
+    CHECK(!is_trusted(h, start + milliseconds{500}));
+    CHECK(is_trusted(h, start + milliseconds{800}));
+    h = with_sent(h, start + milliseconds{800});
+    CHECK(!is_trusted(h, start + milliseconds{810}));
+    h = with_reply(h, 9.0, false, limits, start + milliseconds{820});
+    CHECK(is_trusted(h, start + milliseconds{830}));
+    CHECK(slowness_at(h, limits, start + milliseconds{820}) > 2);
+    CHECK(slowness_at(h, limits, start + ks::seconds{20}) < 1.1);
+}
+
+TEST_CASE("connections: all instances together keep to a target's limit")
+{
+    rc::check(
+        []
+        {
+            auto const accepted =
+                static_cast<std::uint32_t>(*rc::gen::inRange(10, 600));
+            auto const near =
+                static_cast<std::uint32_t>(*rc::gen::inRange(1, 10));
+            auto const far =
+                static_cast<std::uint32_t>(*rc::gen::inRange(0, 20));
+            auto const most =
+                near * connection_share(accepted, {near, far}, true, limits) +
+                far * connection_share(accepted, {near, far}, false, limits);
+            // Each instance is left one connection, whatever the limit.
+            RC_ASSERT(most <= std::max(accepted, near + far));
+        });
+}
--- /dev/null
+++ b/tests/dispatch/test_requests.cpp
@@ -0,0 +1,293 @@
+#include "dispatch/rig.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ks = knapweedstream;
+using namespace knapweedstream::dispatch;
+using ks::milliseconds;
+
+namespace
+{
+
+template <class T>
+auto is(ks::caller_answer const& a) -> bool
+{
+    return std::holds_alternative<T>(a);
+}
+
+auto refusal_of(rig const& r, ks::caller_id c) -> ks::answer_refused
+{
+    return std::get<ks::answer_refused>(r.answer_to(c)->answer);
+}
+
+auto merged_of(rig const& r, ks::caller_id c) -> ks::answer_merged
+{
+    return std::get<ks::answer_merged>(r.answer_to(c)->answer);
+}
+
+auto three_of(std::string const& service)
+    -> std::vector<ks::target_registration>
+{
+    return {registered(service + "-a", service, "a"),
+        registered(service + "-b", service, "b"),
+        registered(service + "-c", service, "c")};
+}
+
+auto two_shards() -> std::vector<ks::target_registration>
+{
+    auto all = three_of("s0");
+    for (auto const& it : three_of("s1"))
+        all.push_back(it);
+    return all;
+}
+
+auto at_most_once(ks::route r) -> ks::route
+{
+    r.repeat = ks::repeatability::at_most_once;
+    return r;
+}
+
+} // namespace
+
+TEST_CASE("routed: an instance without a configuration refuses with a time")
+{
+    auto r = rig{};
+    auto const c = r.ask("q");
+    CHECK(refusal_of(r, c).reason == ks::refusal_reason::not_ready);
+    CHECK(refusal_of(r, c).retry_after > ks::duration{0});
+    CHECK(!r.core.gauges().ready);
+}
+
+TEST_CASE("routed: a request goes to the near target and back")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    CHECK(r.core.gauges().ready);
+    auto const c = r.ask("q");
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 1);
+    CHECK(s[0].target == "s-a");
+    CHECK(s[0].time_left <= milliseconds{1'000});
+    r.succeed(s[0], "body");
+    REQUIRE(r.answer_to(c));
+    auto const a = std::get<ks::answer_relayed>(r.answer_to(c)->answer).message;
+    CHECK(a.body == "body");
+    CHECK(a.signature == "sig-s-a");
+}
+
+TEST_CASE("routed: unknown hosts, paths and missing ids are refused at once")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    CHECK(refusal_of(r, r.ask("q", "/other/")).reason ==
+          ks::refusal_reason::no_route);
+    CHECK(refusal_of(r, r.ask("")).reason == ks::refusal_reason::bad_request);
+}
+
+TEST_CASE("routed: the longest path wins")
+{
+    auto c = config_of(single_route("s"));
+    auto longer = single_route("t");
+    longer.path_start = "/p/long/";
+    c.routes.push_back(longer);
+    auto all = three_of("s");
+    all.push_back(registered("t-a", "t", "a"));
+    auto r = rig{};
+    r.begin(c, all);
+    r.ask("q", "/p/long/x?y");
+    CHECK(r.take_sent()[0].target == "t-a");
+}
+
+TEST_CASE("routed: a slow target is hedged once, the first answer counts")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const c = r.ask("q");
+    auto const first = r.take_sent();
+    r.advance(milliseconds{60});
+    auto const hedge = r.take_sent();
+    REQUIRE(hedge.size() == 1);
+    CHECK(hedge[0].target != first[0].target);
+    r.advance(milliseconds{100});
+    CHECK(r.take_sent().empty());
+    r.succeed(hedge[0], "second");
+    REQUIRE(r.answer_to(c));
+    r.succeed(first[0], "first");
+    CHECK(r.answers.size() == 1);
+    CHECK(r.core.stats().hedges == 1);
+}
+
+TEST_CASE("routed: at most once is never sent again once it may have run")
+{
+    auto r = rig{};
+    r.begin(config_of(at_most_once(single_route("s"))), three_of("s"));
+    auto const c = r.ask("q");
+    auto const s = r.take_sent();
+    r.advance(milliseconds{500});
+    CHECK(r.take_sent().empty());
+    r.lose(s[0]);
+    CHECK(r.take_sent().empty());
+    REQUIRE(r.answer_to(c));
+    CHECK(is<ks::answer_failed>(r.answer_to(c)->answer));
+}
+
+TEST_CASE("routed: at most once goes on after an answer that says not run")
+{
+    auto r = rig{};
+    r.begin(config_of(at_most_once(single_route("s"))), three_of("s"));
+    auto const c = r.ask("q");
+    r.reply(r.take_sent()[0], ks::reply_overloaded{});
+    auto const again = r.take_sent();
+    REQUIRE(again.size() == 1);
+    r.succeed(again[0]);
+    CHECK(is<ks::answer_relayed>(r.answer_to(c)->answer));
+}
+
+TEST_CASE("routed: a target's own failure is passed on unchanged")
+{
+    auto r = rig{};
+    r.begin(config_of(at_most_once(single_route("s"))), three_of("s"));
+    auto const c = r.ask("q");
+    r.reply(r.take_sent()[0], ks::reply_failure{{500, "sig", {}, "why"}});
+    auto const a = std::get<ks::answer_relayed>(r.answer_to(c)->answer);
+    CHECK(a.message.status == 500);
+    CHECK(a.message.signature == "sig");
+    CHECK(a.message.body == "why");
+}
+
+TEST_CASE("routed: an idempotent request is retried after a lost connection")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const c = r.ask("q");
+    r.lose(r.take_sent()[0]);
+    auto const again = r.take_sent();
+    REQUIRE(again.size() == 1);
+    r.succeed(again[0]);
+    CHECK(is<ks::answer_relayed>(r.answer_to(c)->answer));
+}
+
+TEST_CASE("routed: no more targets run a request than the route allows")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const c = r.ask("q");
+    r.lose(r.take_sent()[0]);
+    r.lose(r.take_sent()[0]);
+    CHECK(r.take_sent().empty());
+    CHECK(is<ks::answer_failed>(r.answer_to(c)->answer));
+}
+
+TEST_CASE("gather: all shards in, the greatest records win")
+{
+    auto r = rig{};
+    r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), two_shards());
+    auto const c = r.ask("q");
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 2);
+    r.succeed(s[0], "aaaaaaaaaaaaaaaaccccccccccccccccx");
+    r.succeed(s[1], "bbbbbbbbbbbbbbbbcccccccccccccccc");
+    auto const a = merged_of(r, c);
+    CHECK(a.missing == 0);
+    CHECK(a.signatures.size() == 2);
+    CHECK(a.records == "ccccccccccccccccccccccccccccccccbbbbbbbbbbbbbbbb");
+}
+
+TEST_CASE("gather: at the objective what is in is answered, the rest is told")
+{
+    auto r = rig{};
+    r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), two_shards());
+    auto const c = r.ask("q");
+    auto const asked = r.now;
+    r.succeed(r.take_sent()[0], "aaaaaaaaaaaaaaaa");
+    r.advance(milliseconds{400});
+    REQUIRE(r.answer_to(c));
+    CHECK(merged_of(r, c).missing == 1);
+    CHECK(r.answer_to(c)->at - asked <= milliseconds{200});
+    CHECK(r.answer_to(c)->at - asked >= milliseconds{150});
+}
+
+TEST_CASE("gather: below the least coverage it waits, then says it failed")
+{
+    auto r = rig{};
+    r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), two_shards());
+    auto const c = r.ask("q");
+    r.succeed(r.take_sent()[0], "aaaaaaaaaaaaaaaa");
+    r.advance(milliseconds{500});
+    CHECK(!r.answer_to(c));
+    r.advance(milliseconds{600});
+    REQUIRE(r.answer_to(c));
+    CHECK(is<ks::answer_failed>(r.answer_to(c)->answer));
+}
+
+TEST_CASE("gather: too few shards with a target are refused before any send")
+{
+    auto r = rig{};
+    r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), three_of("s0"));
+    auto const c = r.ask("q");
+    CHECK(refusal_of(r, c).reason == ks::refusal_reason::no_target);
+    CHECK(refusal_of(r, c).retry_after > ks::duration{0});
+    CHECK(r.take_sent().empty());
+}
+
+TEST_CASE("gather: a shard without a target does not hold the others up")
+{
+    auto r = rig{};
+    r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), three_of("s0"));
+    auto const c = r.ask("q");
+    r.succeed(r.take_sent()[0], "aaaaaaaaaaaaaaaa");
+    REQUIRE(r.answer_to(c));
+    CHECK(merged_of(r, c).missing == 1);
+}
+
+TEST_CASE("routed: a caller that hangs up has its attempts given up")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const c = r.ask("q");
+    auto const s = r.take_sent();
+    r.feed(caller_gone{c});
+    r.advance(milliseconds{450});
+    auto const closed = r.ordered<close_connection>();
+    REQUIRE(closed.size() == 1);
+    CHECK(closed[0].connection == s[0].connection);
+    CHECK(r.take_sent().empty());
+    CHECK(r.answers.empty());
+}
+
+TEST_CASE("stop: a request of the last moment is answered before the exit")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    r.feed(stop_requested{});
+    CHECK(!r.core.gauges().ready);
+    // The exit is due in the same turn in which the request comes in.
+    r.now += milliseconds{3'400};
+    auto const c = r.ask("q");
+    CHECK(r.ordered<exit_now>().empty());
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 1);
+    r.succeed(s[0]);
+    CHECK(r.answer_to(c));
+    r.advance(milliseconds{1'000});
+    CHECK(r.ordered<exit_now>().size() == 1);
+}
+
+TEST_CASE("budget: extra requests stay within the stated share")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const burst = 0.9 * dispatch_bounds{}.retry_budget_extra;
+    auto const n = 400;
+    for (auto i = 0; i < n; ++i)
+    {
+        r.ask("q" + std::to_string(i));
+        while (!r.unanswered.empty())
+            for (auto const& it : r.take_sent())
+                r.reply(it, ks::reply_overloaded{});
+        r.advance(milliseconds{20});
+    }
+    auto const extra = r.core.stats().hedges + r.core.stats().retries;
+    CHECK(static_cast<double>(extra) <= burst + 0.2 * n + 1);
+    CHECK(extra > n / 10);
+}
--- /dev/null
+++ b/tests/unit/test_http.cpp
@@ -0,0 +1,123 @@
+#include "adapter/http_reader.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ks = knapweedstream;
+
+namespace
+{
+
+/// Feeds a text in pieces of `n` bytes; returns all messages that came.
+auto read_all(ks::http_reader& r, std::string_view text, std::size_t n)
+    -> std::vector<ks::http_message>
+{
+    auto out = std::vector<ks::http_message>{};
+    for (std::size_t at = 0; at < text.size();)
+    {
+        auto const taken = r.feed(text.substr(at, n));
+        if (r.error())
+            return out;
+        if (r.is_complete())
+            out.push_back(r.take());
+        at += taken;
+    }
+    return out;
+}
+
+constexpr auto two_requests =
+    "GET /a?b HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n"
+    "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+
+auto is_refused(std::string_view text) -> bool
+{
+    auto r = ks::http_reader{ks::message_kind::request, {}};
+    read_all(r, text, text.size());
+    return r.error() == ks::read_error::malformed;
+}
+
+} // namespace
+
+TEST_CASE("http: requests are told apart whatever the pieces")
+{
+    for (std::size_t n = 1; n < 40; ++n)
+    {
+        auto r = ks::http_reader{ks::message_kind::request, {}};
+        auto const all = read_all(r, two_requests, n);
+        REQUIRE(all.size() == 2);
+        CHECK(all[0].target == "/a?b");
+        CHECK(ks::find_field(all[0], "x-a") == "1");
+        CHECK(all[1].method == "POST");
+        CHECK(all[1].body == "abcde");
+    }
+}
+
+TEST_CASE("http: smuggled requests are refused")
+{
+    CHECK(is_refused("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    CHECK(is_refused("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                     "Content-Length: 4\r\n\r\nabcd"));
+    CHECK(is_refused("POST / HTTP/1.1\r\nHost: h\r\n"
+                     "Transfer-Encoding: chunked, x\r\n\r\n0\r\n\r\n"));
+    CHECK(is_refused("GET / HTTP/1.1\r\nHost : h\r\n\r\n"));
+    CHECK(is_refused("nonsense\r\n\r\n"));
+}
+
+TEST_CASE("http: an upgrade hides no second request")
+{
+    auto r = ks::http_reader{ks::message_kind::request, {}};
+    auto const all = read_all(r,
+        "POST /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+        "Upgrade: x\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\n"
+        "Host: h\r\n\r\n",
+        1'000);
+    REQUIRE(all.size() == 2);
+    CHECK(all[0].body == "abc");
+    CHECK(all[1].target == "/b");
+}
+
+TEST_CASE("http: sizes beyond the limits are told apart")
+{
+    auto r = ks::http_reader{ks::message_kind::request, {64, 8}};
+    read_all(
+        r, "GET / HTTP/1.1\r\nX: " + std::string(100, 'x') + "\r\n\r\n", 30);
+    CHECK(r.error() == ks::read_error::header_too_large);
+    auto b = ks::http_reader{ks::message_kind::request, {64, 8}};
+    read_all(b, "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789", 100);
+    CHECK(b.error() == ks::read_error::body_too_large);
+}
+
+TEST_CASE("http: a response without a length ends with its connection")
+{
+    auto r = ks::http_reader{ks::message_kind::response, {}};
+    r.feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc");
+    CHECK(!r.is_complete());
+    r.end();
+    REQUIRE(r.is_complete());
+    auto const m = r.take();
+    CHECK(m.body == "abc");
+    CHECK(!m.keep_alive);
+}
+
+TEST_CASE("http: a truncated response is never complete")
+{
+    for (auto const* text : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+             "HTTP/1.1 200 OK\r\nX: y", "HTT"})
+    {
+        auto r = ks::http_reader{ks::message_kind::response, {}};
+        r.feed(text);
+        r.end();
+        CHECK(!r.is_complete());
+    }
+}
+
+TEST_CASE("http: interim responses are passed over")
+{
+    auto r = ks::http_reader{ks::message_kind::response, {}};
+    r.feed("HTTP/1.1 100 Continue\r\n\r\n"
+           "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+    REQUIRE(r.is_complete());
+    CHECK(r.take().status == 200);
+}
