Connections are divided by agreement; instances are polled; watches wait longer

Each instance now works out the same division of a target's connections (property tests: the sum never exceeds the limit); a connection that breaks as soon as it stands counts as a failed opening; instances are listed now and then from stale data; a watch after a failure does not wait.

--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -39,7 +39,8 @@
 {
     auto const kind = c.kind;
     call(
-        channel_name(kind), dialect_.list(kind, c.after), call_limit,
+        channel_name(kind), dialect_.list(kind, c.after, c.may_be_stale),
+        call_limit,
         [this, kind](http_message const& m)
         { return dialect_.read_list(kind, m); },
         failed_follow(kind));
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -16,7 +16,9 @@
 /// How calls to the store are written, and answers read.
 struct store_dialect
 {
-    std::function<http_message(store_kind, std::string const& after)> list;
+    std::function<http_message(
+        store_kind, std::string const& after, bool may_be_stale)>
+        list;
     std::function<http_message(store_kind, std::uint64_t, milliseconds)> watch;
     std::function<http_message(instance_record const&, bool exists)> record;
     std::function<http_message(std::string const& name)> remove;
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -69,6 +69,7 @@
     tell_target(t, target_view::gone, out);
     auto const service = t.service;
     std::erase(s.services.at(service).targets, id);
+    reshare(s, service);
     t.listed = false;
     if (t.links == 0)
         s.targets.erase(it);
@@ -117,6 +118,7 @@
         t.service = id_of<service_id>(r.service);
         service.targets.push_back(id);
         t.listed = true;
+        reshare(s, t.service);
     }
     t.info = r;
     t.revision = revision;
@@ -143,6 +145,7 @@
             service_entry_of(s, name).routed = true;
     for (auto const& p : s.config->services)
         service_entry_of(s, p.name).policy = p;
+    reshare_all(s);
 }
 
 auto take_config(dispatch_state& s, routing_config const& c,
@@ -191,6 +194,7 @@
         s.instances[name] = *r;
     else
         s.instances.erase(name);
+    reshare_all(s);
     for (auto& [id, it] : s.services)
         it.budget.burst = budget_burst(s);
 }
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -78,7 +78,7 @@
         objects.insert(objects.end(), e.objects.begin(), e.objects.end());
         take_list(s, e.kind, objects, now, out);
     }
-    step(s, with_page(s.follows[e.kind], e, s.init.limits), out);
+    step(s, with_page(s.follows[e.kind], e, s.init.limits, now), out);
     update_ready(s, out);
 }
 
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -32,6 +32,28 @@
     auto operator<=>(pausing const&) const = default;
 };
 
+/// A kind is listed, then watched: changes are known at once.
+struct by_watch
+{
+    milliseconds wait{0};  ///< Of a watch that brings nothing.
+    milliseconds pause{0}; ///< After a watch that brings changes.
+    auto operator<=>(by_watch const&) const = default;
+};
+
+/// A kind is listed now and then: changes are known late, at little cost.
+struct by_poll
+{
+    milliseconds first{0}; ///< Between the first two lists; doubles
+    milliseconds most{0};  ///< up to this.
+    auto operator<=>(by_poll const&) const = default;
+};
+
+using follow_policy = std::variant<by_watch, by_poll>;
+
+/// How a kind is followed.
+auto policy_of(store_kind kind, dispatch_limits const& limits)
+    -> follow_policy;
+
 using follow_phase = std::variant<pausing, listing, watching>;
 
 /// How far an instance follows a kind.
@@ -41,6 +63,7 @@
     follow_phase phase;
     std::uint64_t revision = 0; ///< Watched from; 0: a list is needed.
     std::uint32_t failures = 0; ///< In a row.
+    std::uint32_t lists = 0;    ///< Whole lists read.
 
     auto operator<=>(followed const&) const = default;
 };
@@ -60,7 +83,7 @@
 ///
 /// @returns The next step; the list is whole when its phase is no `listing`.
 auto with_page(followed const& f, store_listed const& page,
-    dispatch_limits const& limits) -> follow_step;
+    dispatch_limits const& limits, time_point now) -> follow_step;
 
 /// Continues after changes.
 auto with_changes(followed const& f, store_changed const& e,
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -30,8 +30,8 @@
     milliseconds idle_margin{1'000};   ///< Closed before the target does it.
     milliseconds fresh_for{2'000};     ///< Idle time that an at-most-once
                                        ///< request accepts.
-    std::uint32_t near_share = 2;      ///< Connections to near targets, in
-                                       ///< parts of those to far ones.
+    milliseconds turned_away_within{500}; ///< A new connection that breaks so
+    ///< soon was one too many.
     double connection_share = 0.85;    ///< Of a target's limit that is used.
 
     milliseconds suspension_first{300};     ///< A silent target gets a pause;
@@ -40,8 +40,11 @@
     milliseconds lapse_grace{2'200}; ///< A registration that vanished around
                                      ///< an outage may come back.
 
-    milliseconds watch_wait{8'000};       ///< A watch waits for changes.
-    milliseconds watch_pause{100};        ///< Between watches that bring some.
+    milliseconds watch_wait{20'000};    ///< A watch waits for changes.
+    milliseconds watch_pause{100};      ///< Between watches that bring some,
+    milliseconds targets_pause{800};    ///< and for registrations.
+    milliseconds poll_first{1'500};     ///< Between lists of instances;
+    milliseconds poll_most{20'000};     ///< doubles up to this.
     milliseconds store_retry_first{200};  ///< Wait after a failed call;
     milliseconds store_retry_most{1'000}; ///< doubles up to this.
 
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -48,7 +48,7 @@
                                    : it->second.at[static_cast<std::size_t>(p)];
 }
 
-auto candidate_of(dispatch_state const& s, target_entry const& t,
+auto candidate_of(dispatch_state& s, target_entry& t,
     route const& r, bool fresh, time_point now) -> candidate
 {
     auto const& limits = s.init.limits;
@@ -114,7 +114,7 @@
     auto const fresh = r.by->repeat == repeatability::at_most_once;
     auto const targets = eligible_targets(s, p, *r.by, alone, now);
     auto from = std::vector<candidate>{};
-    for (auto const* it : targets)
+    for (auto* it : targets)
         from.push_back(candidate_of(s, *it, *r.by, fresh, now));
     auto const best = choose(from, s.random);
     return best ? targets[*best] : nullptr;
@@ -175,7 +175,8 @@
     a.patience =
         hedge_patience(estimate_for(s, *e.value.by, t.where), s.init.limits);
     auto& l = s.links.at(over);
-    l = link{l.id, l.to, link_state::busy, a.id, now, l.usable_until};
+    l = link{
+        l.id, l.to, link_state::busy, a.id, now, l.usable_until, l.replied};
     t.health = with_sent(t.health, now);
     record_send(s, e, p, t, a, now, out);
     put(p.running, a.id);
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/pool.hpp"
 
 #include "core/dispatch/placing.hpp"
+#include "core/dispatch/sharing.hpp"
 
 #include <algorithm>
 #include <string>
@@ -19,23 +20,55 @@
 constexpr auto failing_until = 0.1;
 constexpr auto opening_weight = 0.3; ///< Of the newest opening time.
 
-auto fleet_around(dispatch_state const& s, target_entry const& t) -> fleet_size
+/// All known instances; this one among them whether recorded or not.
+auto fleet_of(dispatch_state const& s) -> std::vector<instance_record>
 {
-    auto n = fleet_size{0, 0};
+    auto all = std::vector<instance_record>{};
     for (auto const& [name, it] : s.instances)
-        ++(it.region == t.region ? n.near : n.far);
+        all.push_back(it);
     if (!s.instances.contains(s.init.self.name))
-        ++(s.init.self.region == t.region ? n.near : n.far);
-    return n;
+        all.push_back(s.init.self);
+    return all;
 }
 
-auto link_limit(dispatch_state const& s, target_entry const& t) -> std::uint32_t
+auto shared_targets(dispatch_state const& s, service_entry const& service)
+    -> std::vector<shared_target>
 {
+    auto const accepted = service.policy.max_connections == 0
+                              ? unknown_accepted
+                              : service.policy.max_connections;
+    auto const used = static_cast<std::uint32_t>(
+        s.init.limits.connection_share * accepted);
+    auto all = std::vector<shared_target>{};
+    for (auto const id : service.targets)
+        all.push_back({id, s.targets.at(id).region, used});
+    return all;
+}
+
+auto link_limit(dispatch_state& s, target_entry& t) -> std::uint32_t
+{
+    if (t.link_limit)
+        return *t.link_limit;
     auto const it = s.services.find(t.service);
-    auto const accepted =
-        it == s.services.end() ? 0 : it->second.policy.max_connections;
-    return connection_share(accepted, fleet_around(s, t),
-        s.init.self.region == t.region, s.init.limits);
+    if (it == s.services.end())
+        return 0;
+    auto const all = shared_targets(s, it->second);
+    auto const mine = std::find_if(all.begin(), all.end(),
+        [&](shared_target const& o) { return o.id == t.id; });
+    t.link_limit =
+        mine == all.end()
+            ? 0
+            : connection_share(*mine, all, fleet_of(s), s.init.self);
+    return *t.link_limit;
+}
+
+/// Far targets are connected to ahead of need once the fleet is known.
+auto may_spare(dispatch_state const& s, target_entry const& t) -> bool
+{
+    constexpr auto lists_needed = 2u;
+    auto const it = s.follows.find(store_kind::instances);
+    return t.where != proximity::far ||
+           (it != s.follows.end() && it->second.lists >= lists_needed);
 }
 
 auto smoothed(duration old, duration sample) -> duration
@@ -66,16 +99,6 @@
 
 } // namespace
 
-auto connection_share(std::uint32_t accepted, fleet_size const& fleet,
-    bool is_near, dispatch_limits const& limits) -> std::uint32_t
-{
-    auto const total = accepted == 0 ? unknown_accepted : accepted;
-    auto const parts = fleet.near * limits.near_share + fleet.far;
-    auto const unit = limits.connection_share * total / std::max(1u, parts);
-    auto const mine = unit * (is_near ? limits.near_share : 1u);
-    return std::max(1u, static_cast<std::uint32_t>(mine));
-}
-
 auto is_usable(target_entry const& t, time_point now) -> bool
 {
     return !t.info.draining && !t.evacuated && now < t.lapses;
@@ -86,8 +109,7 @@
     return t.links > t.opening || now >= t.open_after;
 }
 
-auto may_open(dispatch_state const& s, target_entry const& t, time_point now)
-    -> bool
+auto may_open(dispatch_state& s, target_entry& t, time_point now) -> bool
 {
     return now >= t.open_after && t.opening < max_opening &&
            (t.open_failures == 0 || t.opening == 0) &&
@@ -115,7 +137,7 @@
     auto const it = s.services.find(t.service);
     auto const routed = it != s.services.end() && it->second.routed;
     if (routed && is_usable(t, now) && t.idle.empty() && t.opening == 0 &&
-        t.links == 0 && may_open(s, t, now))
+        t.links == 0 && may_spare(s, t) && may_open(s, t, now))
         open_link(s, t, now, out);
 }
 
@@ -188,6 +210,28 @@
         arm(s, next.usable_until, link_due{l.id});
 }
 
+auto reshare(dispatch_state& s, service_id service) -> void
+{
+    auto const it = s.services.find(service);
+    if (it == s.services.end())
+        return;
+    for (auto const id : it->second.targets)
+        s.targets.at(id).link_limit.reset();
+}
+
+auto reshare_all(dispatch_state& s) -> void
+{
+    for (auto& [id, t] : s.targets)
+        t.link_limit.reset();
+}
+
+auto was_turned_away(dispatch_state const& s, link const& l,
+    connection_end how, time_point now) -> bool
+{
+    return !l.replied && how == connection_end::reset &&
+           now - l.since <= duration{s.init.limits.turned_away_within};
+}
+
 auto on_opened(dispatch_state& s, connection_opened const& e, time_point now,
     commands& out) -> void
 {
@@ -200,8 +244,6 @@
     auto& t = s.targets.at(it->second.to);
     t.opening -= t.opening > 0 ? 1 : 0;
     t.opening_takes = smoothed(t.opening_takes, now - it->second.since);
-    t.open_failures = 0;
-    t.open_after = time_point{};
     give_back(s, it->second, duration{0}, now);
     tell_view(s, t, now, out);
     if (!is_usable(t, now))
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -1,8 +1,7 @@
 /// Connections to targets: how many, when opened, when closed.
 ///
 /// A target accepts a limited number of connections from all instances
-/// together. Each instance keeps to a share of it that follows from the number
-/// of live instances; near targets get more connections than far ones.
+/// together; each instance keeps to its share (see `sharing.hpp`).
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_POOL_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_POOL_HPP
 
@@ -13,22 +12,6 @@
 namespace knapweedstream::dispatch
 {
 
-/// How many instances share a target's connections.
-struct fleet_size
-{
-    std::uint32_t near = 1; ///< In the target's region, this one included.
-    std::uint32_t far = 0;  ///< In other regions.
-
-    auto operator<=>(fleet_size const&) const = default;
-};
-
-/// Connections that one instance may hold to a target.
-///
-/// @param[in] accepted Connections that the target accepts; 0 if unknown.
-/// @param[in] is_near The instance is in the target's region.
-auto connection_share(std::uint32_t accepted, fleet_size const& fleet,
-    bool is_near, dispatch_limits const& limits) -> std::uint32_t;
-
 /// True if new requests may go to the target at all.
 auto is_usable(target_entry const& t, time_point now) -> bool;
 
@@ -36,8 +19,7 @@
 auto is_reachable(target_entry const& t, time_point now) -> bool;
 
 /// True if another connection may be opened now.
-auto may_open(dispatch_state const& s, target_entry const& t, time_point now)
-    -> bool;
+auto may_open(dispatch_state& s, target_entry& t, time_point now) -> bool;
 
 /// Opens a connection.
 auto open_link(
@@ -71,6 +53,17 @@
 auto on_opened(dispatch_state& s, connection_opened const& e, time_point now,
     commands& out) -> void;
 
+/// Works the shares of a service's targets out anew when they are next needed.
+auto reshare(dispatch_state& s, service_id service) -> void;
+
+/// Likewise for all services.
+auto reshare_all(dispatch_state& s) -> void;
+
+/// True if a connection was broken as soon as it stood: the target had more
+/// than it accepts.
+auto was_turned_away(dispatch_state const& s, link const& l,
+    connection_end how, time_point now) -> bool;
+
 /// A connection could not be opened.
 auto on_not_opened(
     dispatch_state& s, link const& l, time_point now, commands& out) -> void;
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -426,13 +426,15 @@
     auto const it = s.links.find(e.connection);
     if (it == s.links.end() || it->second.attempt != e.attempt)
         return;
-    auto const l = it->second;
+    auto l = it->second;
+    l.replied = true;
     auto const a = s.attempts.at(e.attempt);
     auto const m = meaning_of(e.reply);
     auto& t = s.targets.at(l.to);
     auto const good = m.how == attempt_end::success;
     auto const ratio = good ? observe_latency(s, a, t, now) : 0;
     t.health = with_reply(t.health, ratio, !good, s.init.limits, now);
+    t.open_failures = 0;
     s.stats.overload_replies += m.how == attempt_end::overloaded ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
     s.attempts.erase(a.id);
@@ -457,6 +459,8 @@
         return on_not_opened(s, l, now, out);
     if (l.state == link_state::busy)
         lose_attempt(s, s.attempts.at(l.attempt), l, e, now, out);
+    else if (was_turned_away(s, l, e.how, now))
+        return on_not_opened(s, l, now, out);
     else
         forget_link(s, l);
     auto& t = s.targets.at(l.to);
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -49,6 +49,7 @@
 {
     store_kind kind = store_kind::configuration;
     std::string after; ///< Continues after this name; empty: from the start.
+    bool may_be_stale = false; ///< The answer may be seconds old.
     auto operator<=>(store_list const&) const = default;
 };
 
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -1,7 +1,7 @@
 #include "core/dispatch/choice.hpp"
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
-#include "core/dispatch/pool.hpp"
+#include "core/dispatch/sharing.hpp"
 #include "core/dispatch/route_table.hpp"
 
 #include <doctest/doctest.h>
@@ -41,9 +41,9 @@
 {
     auto s = resume(follow_of(pausing{start}), limits, start);
     CHECK(first<store_list>(s).after.empty());
-    s = with_page(s.next, {ks::store_kind::targets, {}, "m", 7}, limits);
+    s = with_page(s.next, {ks::store_kind::targets, {}, "m", 7}, limits, start);
     CHECK(first<store_list>(s).after == "m");
-    s = with_page(s.next, {ks::store_kind::targets, {}, "", 9}, limits);
+    s = with_page(s.next, {ks::store_kind::targets, {}, "", 9}, limits, start);
     CHECK(first<store_watch>(s).revision == 7);
 }
 
@@ -76,12 +76,29 @@
     auto f = follow_of(watching{}, 7);
     auto const e = store_changed{ks::store_kind::targets, {{}}, 8};
     auto const s = with_changes(f, e, limits, start);
-    CHECK(std::get<pausing>(s.next.phase).until == start + limits.watch_pause);
+    CHECK(std::get<pausing>(s.next.phase).until == start + limits.targets_pause);
     auto const quiet = store_changed{ks::store_kind::targets, {}, 9};
     CHECK(first<store_watch>(with_changes(f, quiet, limits, start)).revision ==
           9);
 }
 
+TEST_CASE("follow: instances are polled, ever less often, soon from stale data")
+{
+    auto f = follow_of(pausing{start});
+    f.kind = ks::store_kind::instances;
+    auto waits = std::vector<ks::duration>{};
+    for (auto i = 0; i < 6; ++i)
+    {
+        f.phase = pausing{start};
+        auto const s = resume(f, limits, start);
+        CHECK(first<store_list>(s).may_be_stale == (i >= 2));
+        f = with_page(s.next, {f.kind, {}, "", 9}, limits, start).next;
+        waits.push_back(std::get<pausing>(f.phase).until - start);
+    }
+    CHECK(std::is_sorted(waits.begin(), waits.end()));
+    CHECK(waits.back() == ks::duration{limits.poll_most});
+}
+
 TEST_CASE("split: shares follow the weights at any time")
 {
     rc::check(
@@ -173,21 +190,95 @@
     CHECK(slowness_at(h, limits, start + ks::seconds{20}) < 1.1);
 }
 
+namespace
+{
+
+/// A fleet of instances spread over regions, and targets with their limits.
+struct fleet
+{
+    std::vector<ks::instance_record> instances;
+    std::vector<shared_target> targets;
+};
+
+auto gen_fleet() -> rc::Gen<fleet>
+{
+    return rc::gen::exec([]
+        {
+            auto f = fleet{};
+            auto const regions = *rc::gen::inRange(1, 5);
+            auto const n = *rc::gen::inRange(1, 120);
+            for (auto i = 0; i < n; ++i)
+                f.instances.push_back({"i" + std::to_string(i), "z",
+                    std::to_string(*rc::gen::inRange(0, regions))});
+            auto const m = *rc::gen::inRange(1, 8);
+            for (auto i = 0; i < m; ++i)
+                f.targets.push_back(
+                    {ks::target_id{static_cast<std::uint64_t>(i + 1)},
+                        std::to_string(*rc::gen::inRange(0, regions)),
+                        static_cast<std::uint32_t>(
+                            *rc::gen::inRange(1, 200))});
+            return f;
+        });
+}
+
+} // namespace
+
 TEST_CASE("connections: all instances together keep to a target's limit")
 {
-    rc::check(
-        []
+    rc::check([]
+        {
+            auto const f = *gen_fleet();
+            for (auto const& t : f.targets)
+            {
+                auto sum = 0u;
+                for (auto const& it : f.instances)
+                    sum += connection_share(t, f.targets, f.instances, it);
+                RC_ASSERT(sum <= t.connections);
+            }
+        });
+}
+
+TEST_CASE("connections: with room for all, each instance reaches two targets")
+{
+    rc::check([]
         {
-            auto const accepted =
-                static_cast<std::uint32_t>(*rc::gen::inRange(10, 600));
-            auto const near =
-                static_cast<std::uint32_t>(*rc::gen::inRange(1, 10));
-            auto const far =
-                static_cast<std::uint32_t>(*rc::gen::inRange(0, 20));
-            auto const most =
-                near * connection_share(accepted, {near, far}, true, limits) +
-                far * connection_share(accepted, {near, far}, false, limits);
-            // Each instance is left one connection, whatever the limit.
-            RC_ASSERT(most <= std::max(accepted, near + far));
+            auto f = *gen_fleet();
+            RC_PRE(f.targets.size() > 1u);
+            auto const n = static_cast<std::uint32_t>(f.instances.size());
+            for (auto& t : f.targets)
+                t.connections = 2 * n;
+            for (auto const& it : f.instances)
+            {
+                auto reached = 0;
+                for (auto const& t : f.targets)
+                    reached +=
+                        connection_share(t, f.targets, f.instances, it) > 0;
+                RC_ASSERT(reached >= 2);
+            }
         });
 }
+
+TEST_CASE("connections: a grown fleet reaches each shard, most of it twice")
+{
+    // 72 instances in three regions, three targets of 57 usable connections.
+    auto f = fleet{};
+    for (auto i = 0; i < 72; ++i)
+        f.instances.push_back(
+            {"i" + std::to_string(i), "z", std::to_string(i % 3)});
+    for (auto i = 0; i < 3; ++i)
+        f.targets.push_back({ks::target_id{static_cast<std::uint64_t>(i + 1)},
+            std::to_string(i), 57});
+    auto twice = 0;
+    for (auto const& it : f.instances)
+    {
+        auto reached = 0;
+        for (auto const& t : f.targets)
+        {
+            auto const n = connection_share(t, f.targets, f.instances, it);
+            reached += n > 0;
+            CHECK((t.region != it.region || n > 0));
+        }
+        twice += reached >= 2;
+    }
+    CHECK(twice >= 65);
+}
