--- a/src/adapter/event_loop.cpp
+++ b/src/adapter/event_loop.cpp
@@ -16,10 +16,11 @@
 
 } // namespace
 
-auto make_event_base() -> event_base_ptr
+auto make_event_base(timer_precision precision) -> event_base_ptr
 {
     auto* config = event_config_new();
-    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    if (precision == timer_precision::fine)
+        event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
     auto base = event_base_ptr{event_base_new_with_config(config)};
     event_config_free(config);
     return base;
--- a/src/adapter/event_loop.hpp
+++ b/src/adapter/event_loop.hpp
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,8 +27,16 @@
 using event_base_ptr = std::unique_ptr<event_base, event_base_deleter>;
 using event_ptr = std::unique_ptr<::event, event_deleter>;
 
-/// Makes a loop whose timers are precise to microseconds.
-auto make_event_base() -> event_base_ptr;
+/// How precise a loop's timers are; fine ones cost a system call a turn.
+enum class timer_precision : std::uint8_t
+{
+    fine,   ///< Microseconds.
+    coarse, ///< Milliseconds.
+};
+
+/// Makes a loop.
+auto make_event_base(timer_precision precision = timer_precision::fine)
+    -> event_base_ptr;
 
 /// A callback that the loop runs at a time, on a signal or on a descriptor.
 class loop_event
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -19,7 +19,7 @@
     std::function<http_message(
         store_kind, std::string const& after, bool may_be_stale)>
         list;
-    std::function<http_message(store_kind, std::uint64_t, milliseconds)> watch;
+    std::function<http_message(dispatch::store_watch const&)> watch;
     std::function<http_message(instance_record const&, bool exists)> record;
     std::function<http_message(std::string const& name)> remove;
     std::function<dispatch::event(store_kind, http_message const&)> read_list;
--- a/src/adapter/tcp_stream.cpp
+++ b/src/adapter/tcp_stream.cpp
@@ -213,6 +213,14 @@
     fd_ = -1;
 }
 
+auto tcp_stream::reset() -> void
+{
+    auto const at_once = linger{1, 0};
+    if (fd_ >= 0)
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
 tcp_listener::tcp_listener(event_base* base, on_accept f)
     : base_(base), f_(std::move(f))
 {
--- a/src/adapter/tcp_stream.hpp
+++ b/src/adapter/tcp_stream.hpp
@@ -62,6 +62,9 @@
     /// Closes at once; no further callback.
     auto close() -> void;
 
+    /// Closes at once and tells the other side that the connection broke.
+    auto reset() -> void;
+
     auto is_open() const -> bool { return fd_ >= 0; }
     auto unwritten() const -> std::size_t { return queued_.size() - written_; }
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -229,7 +229,10 @@
             [&](store_failed const& it) { on_store_failed(s, it, now, out); },
             [&](store_written const& it) { on_written(s, it, now, out); },
             [&](stop_requested const&) { on_stop(s, now, out); },
-            [&](tick const&) {
+            [&](tick const&)
+            {
+                // It may have come early; a later one is then asked for.
+                s.armed = time_point{};
             }},
         e);
 }
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -26,15 +26,25 @@
 {
     auto const wait = f.failures > 0 ? no_wait : policy.wait;
     f.phase = watching{};
-    auto out = commands{store_watch{f.kind, f.revision, wait}};
+    auto out =
+        commands{store_watch{f.kind, f.revision, wait, policy.may_be_stale}};
     return {std::move(f), std::move(out)};
 }
 
-auto list(followed f) -> follow_step
+/// A watch brings a stale list up to date, unless the history is gone.
+auto may_be_stale(followed const& f, follow_policy const& policy) -> bool
 {
-    auto const stale = f.lists >= exact_polls;
-    f.phase = listing{};
-    auto out = commands{store_list{f.kind, {}, stale}};
+    return std::visit(
+        overloaded{[&](by_watch const&) { return !f.history_lost; },
+            [&](by_poll const&) { return f.lists >= exact_polls; }},
+        policy);
+}
+
+auto list(followed f, follow_policy const& policy, std::string after)
+    -> follow_step
+{
+    auto const stale = may_be_stale(f, policy);
+    auto out = commands{store_list{f.kind, std::move(after), stale}};
     return {std::move(f), std::move(out)};
 }
 
@@ -55,9 +65,10 @@
         return by_watch{limits.watch_wait, limits.targets_pause};
     case store_kind::instances:
         return by_poll{limits.poll_first, limits.poll_most};
+    case store_kind::rollouts:
+        return by_watch{limits.watch_wait, limits.watch_pause, true};
     case store_kind::configuration:
     case store_kind::evacuations:
-    case store_kind::rollouts:
         break;
     }
     return by_watch{limits.watch_wait, limits.watch_pause};
@@ -73,7 +84,9 @@
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched != nullptr && f.revision != 0)
         return watch(f, *watched);
-    return list(f);
+    auto next = f;
+    next.phase = listing{};
+    return list(std::move(next), policy, {});
 }
 
 auto with_page(followed const& f, store_listed const& page,
@@ -87,13 +100,13 @@
         pages.revision = page.revision;
     pages.objects.insert(
         pages.objects.end(), page.objects.begin(), page.objects.end());
+    auto const policy = policy_of(f.kind, limits);
     auto next = f;
     next.failures = 0;
     if (!page.next.empty())
     {
         next.phase = std::move(pages);
-        auto const stale = f.lists >= exact_polls;
-        return {std::move(next), {store_list{f.kind, page.next, stale}}};
+        return list(std::move(next), policy, page.next);
     }
     next.revision = pages.revision;
     ++next.lists;
@@ -105,7 +118,7 @@
     return std::visit(overloaded{[&](by_watch const& it)
                           { return watch(std::move(next), it); },
                           again},
-        policy_of(f.kind, limits));
+        policy);
 }
 
 auto with_changes(followed const& f, store_changed const& e,
@@ -130,6 +143,7 @@
 {
     auto next = f;
     next.revision = 0;
+    next.history_lost = true;
     next.phase = pausing{now};
     return resume(next, limits, now);
 }
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -37,6 +37,7 @@
 {
     milliseconds wait{0};  ///< Of a watch that brings nothing.
     milliseconds pause{0}; ///< After a watch that brings changes.
+    bool may_be_stale = false; ///< Changes may come seconds late.
     auto operator<=>(by_watch const&) const = default;
 };
 
@@ -64,6 +65,7 @@
     std::uint64_t revision = 0; ///< Watched from; 0: a list is needed.
     std::uint32_t failures = 0; ///< In a row.
     std::uint32_t lists = 0;    ///< Whole lists read.
+    bool history_lost = false;  ///< Changes since a revision were gone once.
 
     auto operator<=>(followed const&) const = default;
 };
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -40,7 +40,8 @@
     milliseconds lapse_grace{2'200}; ///< A registration that vanished around
                                      ///< an outage may come back.
 
-    milliseconds watch_wait{20'000};    ///< A watch waits for changes.
+    milliseconds watch_wait{18'000}; ///< A watch waits for changes; less
+                                     ///< than the store keeps its history.
     milliseconds watch_pause{100};      ///< Between watches that bring some,
     milliseconds targets_pause{800};    ///< and for registrations.
     milliseconds poll_first{1'500};     ///< Between lists of instances;
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -59,6 +59,7 @@
     store_kind kind = store_kind::configuration;
     std::uint64_t revision = 0; ///< Changes after this one.
     milliseconds wait{0};
+    bool may_be_stale = false; ///< Changes may come seconds late.
     auto operator<=>(store_watch const&) const = default;
 };
 
--- a/tests/dispatch/rig.cpp
+++ b/tests/dispatch/rig.cpp
@@ -63,6 +63,12 @@
     now = end;
 }
 
+auto rig::tick_early() -> void
+{
+    wake_.reset();
+    feed(tick{});
+}
+
 auto rig::ask(std::string const& id, std::string const& target,
     std::optional<milliseconds> deadline) -> caller_id
 {
--- a/tests/dispatch/rig.hpp
+++ b/tests/dispatch/rig.hpp
@@ -44,6 +44,9 @@
     auto feed(event const& e) -> void;
     auto advance(duration d) -> void;
 
+    /// The asked-for tick comes before its time.
+    auto tick_early() -> void;
+
     /// A caller sends a request; returns its handle.
     auto ask(std::string const& id, std::string const& target = "/p/x",
         std::optional<milliseconds> deadline = milliseconds{1'000})
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -69,6 +69,7 @@
 {
     auto const s = without_history(follow_of(watching{}, 7), limits, start);
     CHECK(first<store_list>(s).after.empty());
+    CHECK(!first<store_list>(s).may_be_stale);
 }
 
 TEST_CASE("follow: a burst of changes costs one watch for each pause")
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -255,6 +255,18 @@
     CHECK(r.answers.empty());
 }
 
+TEST_CASE("timers: a tick that comes early is asked for again")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    r.ask("q");
+    r.take_sent();
+    r.now += milliseconds{49};
+    r.tick_early();
+    r.advance(milliseconds{10});
+    CHECK(r.take_sent().size() == 1);
+}
+
 TEST_CASE("stop: a request of the last moment is answered before the exit")
 {
     auto r = rig{};
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -1,7 +1,9 @@
-/// The stand-ins in one executable: platform, leafs, load.
+/// The stand-ins in one executable: platform, leafs, load; and for routed
+/// requests a deployment (`routed`) and callers (`routed-load`).
 #include "leaf.hpp"
 #include "load.hpp"
 #include "platform.hpp"
+#include "routed.hpp"
 
 #include <boost/program_options.hpp>
 
@@ -81,6 +83,32 @@
     return standin::run_load(s);
 }
 
+/// Runs a store on the first port and targets on those after it.
+auto run_routed(po::variables_map const& v) -> int
+{
+    auto const base = knapweedstream::make_event_base();
+    auto s = standin::routed_settings{};
+    s.store_port = v["port"].as<std::uint16_t>();
+    s.first_target_port = static_cast<std::uint16_t>(s.store_port + 1);
+    s.shards = v["shards"].as<std::uint32_t>();
+    s.replicas = v["replicas"].as<std::uint32_t>();
+    s.like.slots = v["slots"].as<std::uint32_t>();
+    s.like.connections = v["connections"].as<std::uint32_t>();
+    s.like.service = knapweedstream::duration{v["service-us"].as<int>()};
+    auto const all = standin::routed_deployment{base.get(), s};
+    return run_until_stopped(base.get());
+}
+
+auto run_routed_callers(po::variables_map const& v) -> int
+{
+    auto l = standin::routed_load{};
+    l.to = v["to"].as<std::vector<std::string>>();
+    l.path = v["path"].as<std::string>();
+    l.rate_per_s = v["rate"].as<double>();
+    l.seconds = v["seconds"].as<double>();
+    return standin::run_routed_load(l);
+}
+
 auto all_options() -> po::options_description
 {
     using std::string;
@@ -111,6 +139,7 @@
     add("warmup-s", po::value<double>()->default_value(1), "not counted");
     add("deadline-ms", po::value<uint32_t>()->default_value(200), "ms");
     add("distinct", po::value<uint32_t>()->default_value(100), "texts");
+    add("path", po::value<string>()->default_value("/all/x"), "route");
     add("json", "print JSON");
     return d;
 }
@@ -144,6 +173,10 @@
         return run_leafs(v);
     if (mode == "load")
         return run_load(v);
+    if (mode == "routed")
+        return run_routed(v);
+    if (mode == "routed-load")
+        return run_routed_callers(v);
     std::cerr << options;
     return 2;
 }
--- /dev/null
+++ b/tests/standin/routed_target.hpp
@@ -0,0 +1,95 @@
+/// Stand-in of a target of routed requests, with its faults as switches.
+#ifndef KNAPWEEDSTREAM_STANDIN_ROUTED_TARGET_HPP
+#define KNAPWEEDSTREAM_STANDIN_ROUTED_TARGET_HPP
+
+#include "wire_server.hpp"
+
+#include <deque>
+#include <map>
+#include <random>
+
+namespace standin
+{
+
+/// How a target treats a request.
+enum class reply_fault : std::uint8_t
+{
+    none,
+    truncated, ///< Breaks off in mid-body.
+    unframed,  ///< States no length and ends with the connection.
+    extra,     ///< A second answer follows.
+    late,      ///< The extra answer comes where the next one is due.
+    crossed,   ///< Carries another request's id.
+    garbage,   ///< Bytes that are no message.
+    encoded,   ///< States an encoding.
+    failing,   ///< 500
+    full,      ///< 503, not run.
+    reset,     ///< Runs it and breaks the connection.
+    mute,      ///< Runs it and never answers.
+};
+
+/// What a target is like.
+struct routed_target_settings
+{
+    std::uint16_t port = 0;
+    std::string name;
+    std::uint32_t slots = 3;
+    std::uint32_t queue = 18;
+    std::uint32_t connections = 30;
+    ks::duration service{5'000};
+    std::size_t body_bytes = 160; ///< Rounded to whole records.
+    std::uint64_t seed = 1;
+};
+
+/// A request that a target has run.
+struct run_record
+{
+    std::string id;
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/// A target on loopback.
+class routed_target
+{
+public:
+    routed_target(event_base* base, routed_target_settings const& s);
+
+    /// The next `n` requests are treated so.
+    auto plant(reply_fault f, std::size_t n) -> void;
+
+    auto runs() const -> std::vector<run_record> const& { return runs_; }
+    auto settings() -> routed_target_settings& { return settings_; }
+    auto open() const -> std::size_t { return server_.open(); }
+
+private:
+    struct job
+    {
+        peer_id peer = 0;
+        ks::http_message request;
+    };
+
+    auto on_request(peer_id id, ks::http_message m) -> void;
+    auto start(job j) -> void;
+    auto finish(std::uint64_t id) -> void;
+    auto answer(job const& j, reply_fault f) -> void;
+    auto take_fault() -> reply_fault;
+
+    event_base* base_;
+    routed_target_settings settings_;
+    wire_server server_;
+    std::mt19937_64 random_;
+    std::uint64_t next_ = 1;
+    std::map<std::uint64_t, std::pair<job, std::unique_ptr<ks::loop_event>>>
+        running_;
+    std::vector<std::unique_ptr<ks::loop_event>> done_;
+    std::deque<job> queue_;
+    std::deque<reply_fault> faults_;
+    std::string late_; ///< Answer that goes out before the next one.
+    std::vector<run_record> runs_;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/tests/standin/wire_server.hpp
@@ -0,0 +1,165 @@
+/// HTTP server on bare streams, for stand-ins that misbehave on purpose.
+#ifndef KNAPWEEDSTREAM_STANDIN_WIRE_SERVER_HPP
+#define KNAPWEEDSTREAM_STANDIN_WIRE_SERVER_HPP
+
+#include "adapter/http_reader.hpp"
+#include "adapter/tcp_stream.hpp"
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace standin
+{
+
+namespace ks = knapweedstream;
+
+using peer_id = std::uint64_t;
+
+/// Listens until destroyed. Closing drops all connections.
+class wire_server
+{
+public:
+    struct callbacks
+    {
+        std::function<void(peer_id, ks::http_message)> received;
+        std::function<void(peer_id)> ended;
+        std::function<bool(peer_id)> accepted; ///< False: reset it.
+    };
+
+    wire_server(event_base* base, std::uint16_t port, callbacks f)
+        : base_(base), f_(std::move(f)),
+          listener_(base, [this](int fd) { accept(fd); })
+    {
+        auto const address = "127.0.0.1:" + std::to_string(port);
+        ks::leaf::try_handle_all(
+            [&]() -> ks::leaf::result<void>
+            { return listener_.start(address, "a stand-in"); },
+            [&]
+            {
+                std::cerr << "standin: port " << port << " is taken\n";
+                std::exit(1);
+            });
+    }
+
+    auto write(peer_id id, std::string const& text) -> void
+    {
+        if (auto const it = peers_.find(id); it != peers_.end())
+            it->second->stream.write(text);
+    }
+
+    auto reply(peer_id id, ks::http_message const& m) -> void
+    {
+        write(id, ks::response_text(m));
+    }
+
+    /// Sends what is queued, then the end.
+    auto finish(peer_id id) -> void
+    {
+        if (auto const it = peers_.find(id); it != peers_.end())
+            it->second->stream.shut_down();
+    }
+
+    auto reset(peer_id id) -> void
+    {
+        auto const it = peers_.find(id);
+        if (it == peers_.end())
+            return;
+        it->second->stream.reset();
+        closed_.push_back(std::move(it->second));
+        peers_.erase(it);
+    }
+
+    auto open() const -> std::size_t { return peers_.size(); }
+
+    /// Frees what was closed; not to be called from a callback.
+    auto collect() -> void { closed_.clear(); }
+
+private:
+    struct peer
+    {
+        peer(event_base* base, int fd, ks::tcp_stream::callbacks f)
+            : reader(ks::message_kind::request, {}),
+              stream(base, fd, std::move(f))
+        {
+        }
+        ks::http_reader reader;
+        ks::tcp_stream stream;
+        std::string pending;
+    };
+
+    auto accept(int fd) -> void
+    {
+        collect();
+        auto const id = next_++;
+        auto p = std::make_unique<peer>(base_, fd,
+            ks::tcp_stream::callbacks{{},
+                [this, id](std::string_view bytes) { on_bytes(id, bytes); }, {},
+                [this, id](ks::stream_end) { on_end(id); }});
+        peers_.emplace(id, std::move(p));
+        if (f_.accepted && !f_.accepted(id))
+            reset(id);
+    }
+
+    auto on_bytes(peer_id id, std::string_view bytes) -> void
+    {
+        auto it = peers_.find(id);
+        if (it == peers_.end())
+            return;
+        it->second->pending.append(bytes);
+        while (it != peers_.end() && !it->second->pending.empty())
+        {
+            auto& p = *it->second;
+            p.pending.erase(0, p.reader.feed(p.pending));
+            if (p.reader.error())
+                return reset(id);
+            if (!p.reader.is_complete())
+                return;
+            f_.received(id, p.reader.take());
+            it = peers_.find(id);
+        }
+    }
+
+    auto on_end(peer_id id) -> void
+    {
+        auto const it = peers_.find(id);
+        if (it == peers_.end())
+            return;
+        closed_.push_back(std::move(it->second));
+        peers_.erase(it);
+        if (f_.ended)
+            f_.ended(id);
+    }
+
+    event_base* base_;
+    callbacks f_;
+    ks::tcp_listener listener_;
+    peer_id next_ = 1;
+    std::unordered_map<peer_id, std::unique_ptr<peer>> peers_;
+    std::vector<std::unique_ptr<peer>> closed_;
+};
+
+/// Value of a query's member in a target such as `/a?x=1&y=2`.
+inline auto query_of(std::string const& target, std::string const& key)
+    -> std::string
+{
+    auto at = target.find('?');
+    while (at != std::string::npos)
+    {
+        auto const from = at + 1;
+        at = target.find('&', from);
+        auto const pair = target.substr(from, at - from);
+        auto const equals = pair.find('=');
+        if (pair.substr(0, equals) == key && equals != std::string::npos)
+            return pair.substr(equals + 1);
+    }
+    return {};
+}
+
+} // namespace standin
+
+#endif
