One crash is one death: only a shard's primary owner holds it against a request

The owner now names the lost start of the target, the primary alone counts, and the same start (or one not greeted since) is the same death. Ruled out: the confirming run on a stopped leaf; a trial with notices of harmless runs did not help where the primary's run missed its deadline, and was taken back.

--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -135,7 +135,8 @@
         of("reopen_first_ms", &l::reopen_first),
         of("reopen_most_ms", &l::reopen_most),
         of("idle_margin_ms", &l::idle_margin),
-        of("fresh_for_ms", &l::fresh_for), of("turned_away_within_ms", &l::turned_away_within),
+        of("fresh_for_ms", &l::fresh_for),
+        of("turned_away_within_ms", &l::turned_away_within),
         of("connection_share", &l::connection_share),
         of("suspension_first_ms", &l::suspension_first),
         of("suspension_most_ms", &l::suspension_most),
@@ -144,8 +145,7 @@
         of("watch_wait_ms", &l::watch_wait),
         of("watch_pause_ms", &l::watch_pause),
         of("targets_pause_ms", &l::targets_pause),
-        of("poll_first_ms", &l::poll_first),
-        of("poll_most_ms", &l::poll_most),
+        of("poll_first_ms", &l::poll_first), of("poll_most_ms", &l::poll_most),
         of("store_retry_first_ms", &l::store_retry_first),
         of("store_retry_most_ms", &l::store_retry_most)};
 }
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -50,8 +50,7 @@
 {
     auto const kind = c.kind;
     call(
-        channel_name(kind), dialect_.watch(c),
-        c.wait + watch_slack,
+        channel_name(kind), dialect_.watch(c), c.wait + watch_slack,
         [this, kind](http_message const& m)
         { return dialect_.read_watch(kind, m); },
         failed_follow(kind));
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -33,7 +33,8 @@
 
 dispatch_runtime::dispatch_runtime(
     dispatch_settings const& settings, std::string path)
-    : settings_(settings), path_(std::move(path)), base_(make_event_base(timer_precision::coarse)),
+    : settings_(settings), path_(std::move(path)),
+      base_(make_event_base(timer_precision::coarse)),
       dispatcher_(make_init(settings)),
       targets_(base_.get(), platform::make_target_dialect(),
           [this](dispatch::event e) { push(std::move(e)); }),
--- a/src/core/deadly.cpp
+++ b/src/core/deadly.cpp
@@ -1,5 +1,7 @@
 #include "core/deadly.hpp"
 
+#include "core/leaf.hpp"
+
 namespace knapweedstream
 {
 
@@ -28,6 +30,31 @@
         });
 }
 
+/// True if both are the same death, seen on two connections. A target that
+/// has not been greeted since it was lost has no boot id.
+auto is_same_death(lost_target const& a, lost_target const& b) -> bool
+{
+    return a.target == b.target &&
+           (a.boot == b.boot || a.boot == boot_id{} || b.boot == boot_id{});
+}
+
+/// Holds a first death against the request.
+auto suspect(node_state& s, fingerprint print, lost_target const& lost,
+    time_point now) -> void
+{
+    expire(s, now);
+    s.suspicions.emplace(print, suspicion{1, false, lost, now, {}});
+}
+
+auto ban_everywhere(
+    node_state& s, fingerprint print, time_point now, commands& out) -> void
+{
+    ban(s, print, now, out);
+    for (auto const& [peer, m] : s.members)
+        if (m.state == member_state::alive)
+            post(s, peer, deadly_notice{print});
+}
+
 } // namespace
 
 auto is_banned(node_state const& s, fingerprint print, time_point now) -> bool
@@ -60,25 +87,31 @@
     return true;
 }
 
-auto register_suspect(node_state& s, fingerprint print, time_point now) -> void
+auto on_told_death(node_state& s, fingerprint print, lost_target const& lost,
+    time_point now, commands& out) -> void
 {
-    if (is_suspected(s, print))
-        return;
-    expire(s, now);
-    s.suspicions.emplace(print, suspicion{1, false, now, {}});
+    if (!is_suspected(s, print))
+        return suspect(s, print, lost, now);
+    auto const& first = s.suspicions.at(print).first;
+    if (lost != lost_target{} && !is_same_death(lost, first) &&
+        !is_banned(s, print, now))
+        ban_everywhere(s, print, now, out);
 }
 
 auto on_death(node_state& s, attempt const& a, bool confirming, time_point now,
     commands& out) -> void
 {
-    if (!is_suspected(s, a.print))
-        return register_suspect(s, a.print, now);
-    if (!confirming || is_banned(s, a.print, now))
+    auto const& t = s.targets.at(a.to).value;
+    auto const* shard = find_shard(s, t.service, t.shard);
+    if (shard == nullptr || !shard->share.primary)
         return;
-    ban(s, a.print, now, out);
-    for (auto const& [peer, m] : s.members)
-        if (m.state == member_state::alive)
-            post(s, peer, deadly_notice{a.print});
+    auto const lost = lost_target{a.to, a.boot};
+    if (!is_suspected(s, a.print))
+        return suspect(s, a.print, lost, now);
+    // A stale connection may show the first death once more.
+    auto const again = is_same_death(s.suspicions.at(a.print).first, lost);
+    if (confirming && !again && !is_banned(s, a.print, now))
+        ban_everywhere(s, a.print, now, out);
 }
 
 auto absolve(node_state& s, fingerprint print) -> void
--- a/src/core/deadly.hpp
+++ b/src/core/deadly.hpp
@@ -1,10 +1,10 @@
 /// Requests that kill targets: found by their fingerprint, then refused.
 ///
-/// A request that was running on a target when it died is suspected. A
-/// suspected request runs again only through the primary owner, one attempt
-/// at a time, on a target with no other suspected request. If that target
-/// dies too the request is refused everywhere for a time; if it answers, the
-/// suspicion ends.
+/// A request that was running on a target when it died is suspected by the
+/// shard's primary owner, which is told if another owner saw it. A suspected
+/// request runs again only there, one attempt at a time, on a target with no
+/// other suspected request. If another target dies too the request is refused
+/// everywhere for a time; if it answers, the suspicion ends.
 #ifndef KNAPWEEDSTREAM_CORE_DEADLY_HPP
 #define KNAPWEEDSTREAM_CORE_DEADLY_HPP
 
@@ -27,8 +27,12 @@
 /// @returns True if it was the attempt of a suspected request.
 auto suspect_ended(node_state& s, target_entry& t, attempt const& a) -> bool;
 
-/// Holds a first death against the request.
-auto register_suspect(node_state& s, fingerprint print, time_point now) -> void;
+/// Holds a death that another owner saw against the request; a second one
+/// bans it.
+///
+/// @param[in] lost The target that died.
+auto on_told_death(node_state& s, fingerprint print, lost_target const& lost,
+    time_point now, commands& out) -> void;
 
 /// A target died while it ran the attempt.
 ///
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -13,7 +13,7 @@
 
 constexpr auto no_wait = milliseconds{1}; ///< Of a watch that shows whether
                                           ///< the store is back.
-constexpr auto exact_polls = 2u; ///< Lists that must not be stale.
+constexpr auto exact_polls = 2u;          ///< Lists that must not be stale.
 constexpr auto most_doublings = 10u;
 
 auto doubled(milliseconds first, std::uint32_t times, milliseconds most)
@@ -36,7 +36,10 @@
 {
     return std::visit(
         overloaded{[&](by_watch const&) { return !f.history_lost; },
-            [&](by_poll const&) { return f.lists >= exact_polls; }},
+            [&](by_poll const&)
+            {
+                return f.lists >= exact_polls;
+            }},
         policy);
 }
 
@@ -56,8 +59,7 @@
 
 } // namespace
 
-auto policy_of(store_kind kind, dispatch_limits const& limits)
-    -> follow_policy
+auto policy_of(store_kind kind, dispatch_limits const& limits) -> follow_policy
 {
     switch (kind)
     {
@@ -112,8 +114,8 @@
     ++next.lists;
     auto const again = [&](by_poll const& it)
     {
-        return pause(std::move(next),
-            now + doubled(it.first, f.lists, it.most));
+        return pause(
+            std::move(next), now + doubled(it.first, f.lists, it.most));
     };
     return std::visit(overloaded{[&](by_watch const& it)
                           { return watch(std::move(next), it); },
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -35,8 +35,8 @@
 /// A kind is listed, then watched: changes are known at once.
 struct by_watch
 {
-    milliseconds wait{0};  ///< Of a watch that brings nothing.
-    milliseconds pause{0}; ///< After a watch that brings changes.
+    milliseconds wait{0};      ///< Of a watch that brings nothing.
+    milliseconds pause{0};     ///< After a watch that brings changes.
     bool may_be_stale = false; ///< Changes may come seconds late.
     auto operator<=>(by_watch const&) const = default;
 };
@@ -52,8 +52,7 @@
 using follow_policy = std::variant<by_watch, by_poll>;
 
 /// How a kind is followed.
-auto policy_of(store_kind kind, dispatch_limits const& limits)
-    -> follow_policy;
+auto policy_of(store_kind kind, dispatch_limits const& limits) -> follow_policy;
 
 using follow_phase = std::variant<pausing, listing, watching>;
 
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -48,8 +48,8 @@
                                    : it->second.at[static_cast<std::size_t>(p)];
 }
 
-auto candidate_of(dispatch_state& s, target_entry& t,
-    route const& r, bool fresh, time_point now) -> candidate
+auto candidate_of(dispatch_state& s, target_entry& t, route const& r,
+    bool fresh, time_point now) -> candidate
 {
     auto const& limits = s.init.limits;
     auto const e = estimate_for(s, r, t.where);
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -37,8 +37,8 @@
     auto const accepted = service.policy.max_connections == 0
                               ? unknown_accepted
                               : service.policy.max_connections;
-    auto const used = static_cast<std::uint32_t>(
-        s.init.limits.connection_share * accepted);
+    auto const used =
+        static_cast<std::uint32_t>(s.init.limits.connection_share * accepted);
     auto all = std::vector<shared_target>{};
     for (auto const id : service.targets)
         all.push_back({id, s.targets.at(id).region, used});
@@ -55,10 +55,9 @@
     auto const all = shared_targets(s, it->second);
     auto const mine = std::find_if(all.begin(), all.end(),
         [&](shared_target const& o) { return o.id == t.id; });
-    t.link_limit =
-        mine == all.end()
-            ? 0
-            : connection_share(*mine, all, fleet_of(s), s.init.self);
+    t.link_limit = mine == all.end()
+                       ? 0
+                       : connection_share(*mine, all, fleet_of(s), s.init.self);
     return *t.link_limit;
 }
 
@@ -225,8 +224,8 @@
         t.link_limit.reset();
 }
 
-auto was_turned_away(dispatch_state const& s, link const& l,
-    connection_end how, time_point now) -> bool
+auto was_turned_away(dispatch_state const& s, link const& l, connection_end how,
+    time_point now) -> bool
 {
     return !l.replied && how == connection_end::reset &&
            now - l.since <= duration{s.init.limits.turned_away_within};
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -61,8 +61,8 @@
 
 /// True if a connection was broken as soon as it stood: the target had more
 /// than it accepts.
-auto was_turned_away(dispatch_state const& s, link const& l,
-    connection_end how, time_point now) -> bool;
+auto was_turned_away(dispatch_state const& s, link const& l, connection_end how,
+    time_point now) -> bool;
 
 /// A connection could not be opened.
 auto on_not_opened(
--- a/src/core/dispatch/sharing.cpp
+++ b/src/core/dispatch/sharing.cpp
@@ -74,7 +74,8 @@
     auto const end = claims.begin() + static_cast<std::ptrdiff_t>(granted);
     std::nth_element(claims.begin(), end, claims.end());
     return static_cast<std::uint32_t>(std::count_if(claims.begin(), end,
-        [&](claim const& it) { return instances[it.instance].name == self.name; }));
+        [&](claim const& it)
+        { return instances[it.instance].name == self.name; }));
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -51,7 +51,7 @@
     attempt_id attempt;                          ///< If busy.
     time_point since;                            ///< Of this state.
     time_point usable_until = time_point::max(); ///< The target closes it then.
-    bool replied = false; ///< A reply has come on it.
+    bool replied = false;                        ///< A reply has come on it.
 
     auto operator<=>(link const&) const = default;
 };
@@ -141,9 +141,9 @@
     time_point lapses = time_point::max(); ///< Vanished; gone at this time.
     time_point cold_until;
     target_health health;
-    std::vector<connection_id> idle; ///< The one used last is the last.
+    std::vector<connection_id> idle;         ///< The one used last is the last.
     std::optional<std::uint32_t> link_limit; ///< Links that it may have.
-    std::uint32_t links = 0;         ///< Opening, idle or busy.
+    std::uint32_t links = 0;                 ///< Opening, idle or busy.
     std::uint32_t opening = 0;
     std::uint32_t open_failures = 0;            ///< In a row.
     time_point open_after;                      ///< No new connection before.
--- a/src/core/entry.cpp
+++ b/src/core/entry.cpp
@@ -219,6 +219,8 @@
     settle_assignment(e, from, m.answered.size() + m.failed.size());
     for (auto const& rows : m.answered)
         take_rows(s, e, rows, now);
+    if (m.lost != lost_target{})
+        e.value.lost = m.lost;
     for (auto const& missing : m.failed)
     {
         auto const i = missing.shard.value;
--- a/src/core/entry_run.cpp
+++ b/src/core/entry_run.cpp
@@ -26,7 +26,7 @@
     auto const way_back = duration{s.init.limits.answer_margin};
     auto const left = std::max(duration{0}, q.deadline - now - way_back);
     post(s, owner,
-        sub_query{q.id, q.service, q.at, left, q.print, suspected,
+        sub_query{q.id, q.service, q.at, left, q.print, suspected, q.lost,
             q.request.text, std::move(shards)});
     auto const known = std::find_if(e.assignments.begin(), e.assignments.end(),
         [&](assignment const& it) { return it.owner == owner; });
--- a/src/core/leaf.cpp
+++ b/src/core/leaf.cpp
@@ -228,6 +228,7 @@
     a.id = fresh_id<attempt_id>(s);
     a.to = t.value.id;
     a.over = t.idle.back();
+    a.boot = t.value.boot;
     a.sent_at = now;
     t.idle.pop_back();
     ++t.value.in_flight;
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -44,7 +44,10 @@
     else if (shard != nullptr && shard->share.primary)
         retry(s, a, true, shard_failure::failed, now, out);
     else
+    {
+        s.owned.at(a.part.sub).value.pending.lost = {a.to, a.boot};
         fail_part(s, a.part, shard_failure::suspected, now, out);
+    }
 }
 
 auto accept_rows(node_state& s, attempt const& a, shard_rows const& rows,
@@ -88,7 +91,7 @@
         ++e.value.open_parts;
     }
     if (q.suspected)
-        register_suspect(s, q.print, now);
+        on_told_death(s, q.print, q.lost, now, out);
     auto const banned = is_banned(s, q.print, now);
     auto const last = static_cast<std::uint32_t>(e.parts.size());
     for (auto i = first; i < last; ++i)
@@ -230,7 +233,7 @@
             continue;
         auto& e = it->second;
         e.flush = false;
-        auto answer = sub_answer{e.value.request.id, {}, {}};
+        auto answer = sub_answer{e.value.request.id, {}, {}, {}};
         std::swap(answer, e.value.pending);
         e.value.pending.id = answer.id;
         auto const done = e.value.open_parts == 0;
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -63,6 +63,7 @@
     target_id to;
     connection_id over;
     attempt_kind kind = attempt_kind::primary;
+    boot_id boot; ///< Of the target when it was sent.
     fingerprint print;
     claim_token token; ///< Of a booking.
     time_point sent_at;
@@ -153,6 +154,7 @@
     time_point deadline;
     run_id id;
     snapshot at;
+    lost_target lost;    ///< That died while it ran this.
     bool canary = false; ///< Only the canary shard has been asked.
     std::uint32_t canary_tries = 0;
     std::uint32_t open = 0; ///< Shards neither answered nor given up.
@@ -276,6 +278,7 @@
 {
     std::uint32_t deaths = 0;
     bool running = false; ///< One attempt at a time while suspected.
+    lost_target first;    ///< The first target that died.
     time_point since;     ///< First death.
     time_point banned_until;
 
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -20,6 +20,15 @@
     auto operator<=>(run_id const&) const = default;
 };
 
+/// A start of a target that died; 0 if none is known.
+struct lost_target
+{
+    target_id target;
+    boot_id boot;
+
+    auto operator<=>(lost_target const&) const = default;
+};
+
 /// Entry to owner: ask these shards.
 struct sub_query
 {
@@ -29,6 +38,7 @@
     duration time_left{0}; ///< Until the owner must have answered.
     fingerprint print;
     bool suspected = false; ///< A target was lost while it ran this.
+    lost_target lost;       ///< That target, if suspected.
     std::string text;
     std::vector<shard_id> shards;
 
@@ -41,6 +51,7 @@
     run_id id;
     std::vector<shard_rows> answered;
     std::vector<missing_shard> failed;
+    lost_target lost; ///< If a shard failed as suspected.
 
     auto operator<=>(sub_answer const&) const = default;
 };
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -1,8 +1,8 @@
 #include "core/dispatch/choice.hpp"
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
-#include "core/dispatch/sharing.hpp"
 #include "core/dispatch/route_table.hpp"
+#include "core/dispatch/sharing.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -77,7 +77,8 @@
     auto f = follow_of(watching{}, 7);
     auto const e = store_changed{ks::store_kind::targets, {{}}, 8};
     auto const s = with_changes(f, e, limits, start);
-    CHECK(std::get<pausing>(s.next.phase).until == start + limits.targets_pause);
+    CHECK(
+        std::get<pausing>(s.next.phase).until == start + limits.targets_pause);
     auto const quiet = store_changed{ks::store_kind::targets, {}, 9};
     CHECK(first<store_watch>(with_changes(f, quiet, limits, start)).revision ==
           9);
@@ -203,7 +204,8 @@
 
 auto gen_fleet() -> rc::Gen<fleet>
 {
-    return rc::gen::exec([]
+    return rc::gen::exec(
+        []
         {
             auto f = fleet{};
             auto const regions = *rc::gen::inRange(1, 5);
@@ -216,8 +218,7 @@
                 f.targets.push_back(
                     {ks::target_id{static_cast<std::uint64_t>(i + 1)},
                         std::to_string(*rc::gen::inRange(0, regions)),
-                        static_cast<std::uint32_t>(
-                            *rc::gen::inRange(1, 200))});
+                        static_cast<std::uint32_t>(*rc::gen::inRange(1, 200))});
             return f;
         });
 }
@@ -226,7 +227,8 @@
 
 TEST_CASE("connections: all instances together keep to a target's limit")
 {
-    rc::check([]
+    rc::check(
+        []
         {
             auto const f = *gen_fleet();
             for (auto const& t : f.targets)
@@ -241,7 +243,8 @@
 
 TEST_CASE("connections: with room for all, each instance reaches two targets")
 {
-    rc::check([]
+    rc::check(
+        []
         {
             auto f = *gen_fleet();
             RC_PRE(f.targets.size() > 1u);
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -276,10 +276,17 @@
         l.in_flight = 0;
         auto const lost = std::exchange(l.open, {});
         for (auto const c : lost)
-            to_owner(c, leaf_closed{c, false}, us{200});
+        {
+            auto const later =
+                crash_told_apart * static_cast<us::rep>(owner_of_.at(c));
+            to_owner(c, leaf_closed{c, false}, us{200} + later);
+        }
         at(down, [&l] { l.dead = false; });
     }
 
+    /// Each instance hears of a crash so much later than the one before it.
+    us crash_told_apart{0};
+
     /// Share of a number below 1, for random delays.
     auto draw(std::int64_t below) -> std::int64_t
     {
--- a/tests/process/processes.hpp
+++ b/tests/process/processes.hpp
@@ -123,7 +123,9 @@
         instances.clear();
         leafs.clear();
         platform_.reset();
-        std::filesystem::remove_all(dir_);
+        // Set this variable to look at the logs of a failure.
+        if (std::getenv("KS_KEEP_LOGS") == nullptr)
+            std::filesystem::remove_all(dir_);
     }
 
     cluster(cluster const&) = delete;
--- a/tests/standin/routed.cpp
+++ b/tests/standin/routed.cpp
@@ -18,18 +18,16 @@
     return "shard" + std::to_string(shard);
 }
 
-auto route(char const* name, char const* path, char const* type)
-    -> json::object
+auto route(char const* name, char const* path, char const* type) -> json::object
 {
     return {{"name", name}, {"hostname", "h.example"}, {"path_prefix", path},
-        {"route_type", type}, {"timeout_ms", 1'000},
-        {"target_latency_ms", 200}, {"priority", 1}, {"max_attempts", 2}};
+        {"route_type", type}, {"timeout_ms", 1'000}, {"target_latency_ms", 200},
+        {"priority", 1}, {"max_attempts", 2}};
 }
 
 } // namespace
 
-routed_deployment::routed_deployment(
-    event_base* base, routed_settings const& s)
+routed_deployment::routed_deployment(event_base* base, routed_settings const& s)
     : settings_(s), store_(base, s.store_port)
 {
     for (std::size_t i = 0; i < s.shards * s.replicas; ++i)
@@ -64,9 +62,9 @@
     for (std::size_t i = 0; i < settings_.shards; ++i)
     {
         shards.push_back(json::string(service_name(i)));
-        services.push_back(json::object{{"name", service_name(i)},
-            {"health_path", "/health"},
-            {"max_connections", settings_.like.connections}});
+        services.push_back(
+            json::object{{"name", service_name(i)}, {"health_path", "/health"},
+                {"max_connections", settings_.like.connections}});
     }
     auto all = route("all", "/all/", "safe");
     all["gather"] = shards;
@@ -79,10 +77,10 @@
     store_.table().put("config", "main", "spec",
         json::object{{"version", version},
             {"routes", json::array{all, one, once}}, {"services", services},
-            {"limits", json::object{{"max_header_bytes", 16'384},
-                           {"max_body_bytes", 65'536},
-                           {"header_timeout_ms", 1'000},
-                           {"idle_timeout_ms", 5'000}}}},
+            {"limits",
+                json::object{{"max_header_bytes", 16'384},
+                    {"max_body_bytes", 65'536}, {"header_timeout_ms", 1'000},
+                    {"idle_timeout_ms", 5'000}}}},
         {});
     store_.wake();
 }
@@ -108,10 +106,9 @@
         std::sort(all.begin(), all.end());
         auto const at = [&](double q)
         {
-            return all.empty()
-                       ? 0.0
-                       : all[static_cast<std::size_t>(
-                             q * static_cast<double>(all.size() - 1))];
+            return all.empty() ? 0.0
+                               : all[static_cast<std::size_t>(
+                                     q * static_cast<double>(all.size() - 1))];
         };
         std::cout << "sent " << sent_ << " good " << good_ << " bad "
                   << took_ms_.size() - good_ << " skipped " << skipped_
@@ -138,11 +135,13 @@
                 [this, i](ks::http_message const& m, bool)
                 {
                     auto const took = ks::present() - slots_[i].sent;
-                    took_ms_.push_back(
-                        static_cast<double>(took.count()) / 1e3);
+                    took_ms_.push_back(static_cast<double>(took.count()) / 1e3);
                     good_ += m.status == 200 ? 1 : 0;
                 },
-                [this, i](ks::link_end) { broken_.push_back(i); }});
+                [this, i](ks::link_end)
+                {
+                    broken_.push_back(i);
+                }});
     }
 
     auto send() -> void
@@ -186,8 +185,10 @@
 {
     auto const base = ks::make_event_base();
     auto all = callers{base.get(), l};
-    auto end = ks::loop_event{
-        base.get(), [&] { event_base_loopbreak(base.get()); }};
+    auto end = ks::loop_event{base.get(), [&]
+        {
+            event_base_loopbreak(base.get());
+        }};
     end.after(ks::duration{static_cast<ks::duration::rep>(l.seconds * 1e6)});
     event_base_dispatch(base.get());
     all.report();
--- a/tests/standin/routed_target.cpp
+++ b/tests/standin/routed_target.cpp
@@ -19,15 +19,16 @@
 
 } // namespace
 
-routed_target::routed_target(
-    event_base* base, routed_target_settings const& s)
+routed_target::routed_target(event_base* base, routed_target_settings const& s)
     : base_(base), settings_(s),
       server_(base, s.port,
           {[this](peer_id id, ks::http_message m)
               { on_request(id, std::move(m)); },
               {},
               [this](peer_id)
-              { return server_.open() <= settings_.connections; }}),
+              {
+                  return server_.open() <= settings_.connections;
+              }}),
       random_(s.seed)
 {
 }
@@ -53,8 +54,7 @@
     if (!wanted.empty() && wanted != settings_.name)
         return server_.reply(id, message(421, request_id));
     auto const full = queue_.size() >= settings_.queue;
-    auto const shed =
-        !faults_.empty() && faults_.front() == reply_fault::full;
+    auto const shed = !faults_.empty() && faults_.front() == reply_fault::full;
     if (full || shed)
     {
         if (shed)
@@ -74,8 +74,8 @@
     runs_.push_back({std::string{ks::find_field(j.request, "X-Request-Id")},
         j.request.method, j.request.target, j.request.body});
     auto const id = next_++;
-    auto timer = std::make_unique<ks::loop_event>(
-        base_, [this, id] { finish(id); });
+    auto timer =
+        std::make_unique<ks::loop_event>(base_, [this, id] { finish(id); });
     auto spread = std::uniform_real_distribution<>{0.6, 1.6};
     timer->after(ks::duration{static_cast<ks::duration::rep>(
         static_cast<double>(settings_.service.count()) * spread(random_))});
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -50,8 +50,7 @@
         o = json::object{{"meta", json::object{{"name", name}}},
             {"spec", nullptr}, {"status", nullptr}};
     auto& meta = o["meta"].as_object();
-    auto const now =
-        fresh ? 0 : meta["revision"].to_number<std::uint64_t>();
+    auto const now = fresh ? 0 : meta["revision"].to_number<std::uint64_t>();
     if (revision && *revision != now)
         return std::nullopt;
     if (!fresh && o[part] == content)
@@ -125,14 +124,12 @@
 store_server::store_server(event_base* base, std::uint16_t port)
     : server_(base, port,
           {[this](peer_id id, ks::http_message m) { on_call(id, m); },
-              [this](peer_id id)
-              {
-                  std::erase_if(waiting_,
-                      [&](waiting const& w) { return w.peer == id; });
+              [this](peer_id id) {
+                  std::erase_if(
+                      waiting_, [&](waiting const& w) { return w.peer == id; });
               },
               {}}),
-      base_(base), sweep_(base, [this] { sweep(); }),
-      delay_timer_(base, [] {})
+      base_(base), sweep_(base, [this] { sweep(); }), delay_timer_(base, [] {})
 {
     sweep_.after(sweep_interval);
 }
@@ -165,8 +162,8 @@
 {
     if (mode_ != store_mode::good)
         return;
-    std::erase_if(waiting_,
-        [&](waiting const& w) { return answer_watch(w, false); });
+    std::erase_if(
+        waiting_, [&](waiting const& w) { return answer_watch(w, false); });
 }
 
 auto store_server::on_call(peer_id id, ks::http_message const& m) -> void
@@ -191,7 +188,10 @@
     }
     if (slow_.count() == 0)
         return serve(id, m);
-    delayed_.push_back({ks::present() + slow_, [this, id, m] { serve(id, m); }});
+    delayed_.push_back({ks::present() + slow_, [this, id, m]
+        {
+            serve(id, m);
+        }});
 }
 
 auto store_server::control(peer_id id, std::string const& target) -> void
@@ -243,10 +243,9 @@
     auto const since = query_of(target, "watch");
     if (since.empty())
         return reply(id, 200, table_.list(kind, query_of(target, "after")));
-    auto const wait =
-        ks::milliseconds{number(query_of(target, "wait_ms"), 0)};
-    auto const w = waiting{id, kind, number(since, std::uint64_t{0}),
-        ks::present() + wait};
+    auto const wait = ks::milliseconds{number(query_of(target, "wait_ms"), 0)};
+    auto const w = waiting{
+        id, kind, number(since, std::uint64_t{0}), ks::present() + wait};
     if (!answer_watch(w, false))
         waiting_.push_back(w);
 }
--- a/tests/standin/wire_server.hpp
+++ b/tests/standin/wire_server.hpp
@@ -36,8 +36,7 @@
           listener_(base, [this](int fd) { accept(fd); })
     {
         auto const address = "127.0.0.1:" + std::to_string(port);
-        ks::leaf::try_handle_all(
-            [&]() -> ks::leaf::result<void>
+        ks::leaf::try_handle_all([&]() -> ks::leaf::result<void>
             { return listener_.start(address, "a stand-in"); },
             [&]
             {
@@ -99,7 +98,10 @@
         auto p = std::make_unique<peer>(base_, fd,
             ks::tcp_stream::callbacks{{},
                 [this, id](std::string_view bytes) { on_bytes(id, bytes); }, {},
-                [this, id](ks::stream_end) { on_end(id); }});
+                [this, id](ks::stream_end)
+                {
+                    on_end(id);
+                }});
         peers_.emplace(id, std::move(p));
         if (f_.accepted && !f_.accepted(id))
             reset(id);
--- a/tests/unit/test_adapters.cpp
+++ b/tests/unit/test_adapters.cpp
@@ -131,9 +131,9 @@
     auto traffic = peer_traffic_table{};
     auto const messages =
         std::vector<message>{sub_query{{{5}, 1}, {6}, {1, 9}, duration{1'000},
-                                 {7}, true, "text\"", {{0}, {3}}},
+                                 {7}, true, {{8}, {9}}, "text\"", {{0}, {3}}},
             sub_answer{{{5}, 1}, {{{0}, {1, 9}, {{0.5, "k"}}}},
-                {{{3}, shard_failure::snapshot}}},
+                {{{3}, shard_failure::snapshot}}, {{8}, {9}}},
             heartbeat{{"a", "b", "c", true}, 1, 2, true, 3, 4}};
     auto const text = encode_batch({42}, messages, traffic);
     auto const b = value_of(decode<batch>(text, "batch"));
