--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -303,14 +303,16 @@
         tell_budget(s, e, p, attempt_kind::hedge, out);
 }
 
+/// Gives a request up of which no part could be sent.
 auto fail_unsent(request_entry& e, time_point now) -> void
 {
+    auto const sent = std::any_of(e.parts.begin(), e.parts.end(),
+        [](part const& p) { return p.sends > 0; });
+    if (sent)
+        return;
+    e.refusal = refusal_reason::overloaded;
     for (auto& p : e.parts)
-        if (p.state == part_state::waiting && p.sends == 0 && p.queued)
-        {
-            e.refusal = refusal_reason::overloaded;
-            fail_part(e, p, now);
-        }
+        fail_part(e, p, now);
 }
 
 /// Next time at which the request needs a look.
--- a/tests/dispatch/rig.cpp
+++ b/tests/dispatch/rig.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/rig.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweedstream::dispatch
 {
@@ -63,6 +64,12 @@
     now = end;
 }
 
+auto rig::open_held() -> void
+{
+    for (auto const id : std::exchange(held, {}))
+        feed(connection_opened{id});
+}
+
 auto rig::tick_early() -> void
 {
     wake_.reset();
--- a/tests/dispatch/rig.hpp
+++ b/tests/dispatch/rig.hpp
@@ -44,6 +44,9 @@
     auto feed(event const& e) -> void;
     auto advance(duration d) -> void;
 
+    /// Connections that were held open now.
+    auto open_held() -> void;
+
     /// The asked-for tick comes before its time.
     auto tick_early() -> void;
 
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -303,3 +303,42 @@
     CHECK(static_cast<double>(extra) <= burst + 0.2 * n + 1);
     CHECK(extra > n / 10);
 }
+
+TEST_CASE("queue: a part that waits for a connection does not end a gather")
+{
+    auto r = rig{};
+    auto targets = two_shards();
+    r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), three_of("s0"));
+    r.hold_opens = true;
+    auto const c0 = r.ask("early");
+    CHECK(r.answer_to(c0)); // No target of the second shard is known yet.
+    r.hold_opens = true;
+    r.feed(store_changed{ks::store_kind::targets,
+        {{{"s1-a", 900, registered("s1-a", "s1", "a")}, false}}, 900});
+    auto const c = r.ask("q");
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 1);
+    r.advance(milliseconds{120});
+    CHECK(!r.answer_to(c));
+    r.succeed(s[0], "aaaaaaaaaaaaaaaa");
+    CHECK(!r.answer_to(c));
+    r.open_held();
+    auto const late = r.take_sent();
+    REQUIRE(late.size() == 1);
+    r.succeed(late[0], "bbbbbbbbbbbbbbbb");
+    REQUIRE(r.answer_to(c));
+    CHECK(merged_of(r, c).missing == 0);
+}
+
+TEST_CASE("queue: a request that nothing was sent for is refused soon")
+{
+    auto r = rig{};
+    r.hold_opens = true;
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const c = r.ask("q");
+    auto const asked = r.now;
+    r.advance(milliseconds{500});
+    REQUIRE(r.answer_to(c));
+    CHECK(refusal_of(r, c).reason == ks::refusal_reason::overloaded);
+    CHECK(r.answer_to(c)->at - asked <= milliseconds{50});
+}
