No part waits for a target that has no connection; one beyond the share

A target now counts only with a connection or a share; where no sound one is left, one connection beyond the share is tried (a refusal backs off as any other).

--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -5,6 +5,7 @@
 #include "core/dispatch/requests.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace knapweedstream::dispatch
 {
@@ -66,26 +67,40 @@
     c.idle =
         !t.idle.empty() && (!fresh || now - s.links.at(t.idle.back()).since <=
                                           duration{limits.fresh_for});
-    c.may_open = may_open(s, t, now);
+    c.may_open = may_open(s, t, now) || t.links == 0;
     c.opening = t.opening_takes == duration{0} ? duration{default_opening}
                                                : t.opening_takes;
     return c;
 }
 
-/// How choosy a search for targets is; each step takes more of them.
-enum class search : std::uint8_t
+/// Which targets a search takes; each step takes more of them.
+struct search_step
 {
-    trusted, ///< Not tried for this part, not suspended.
-    untried, ///< Not tried for this part.
-    any,
+    bool suspended = false;  ///< Also those that were silent.
+    bool tried = false;      ///< Also those that were asked for this part.
+    bool over_share = false; ///< Also one connection beyond this instance's
+                             ///< share.
 };
 
-auto is_eligible(target_entry const& t, part const& p, route const& r,
-    search how, time_point now) -> bool
+constexpr auto search_steps = std::array{search_step{false, false, false},
+    search_step{false, false, true}, search_step{true, false, true},
+    search_step{true, true, true}};
+
+/// True if the target has a connection, or one may be opened for a request.
+auto can_connect(dispatch_state& s, target_entry& t, bool over_share,
+    time_point now) -> bool
+{
+    return t.links > 0 || may_open(s, t, now) ||
+           (over_share && now >= t.open_after);
+}
+
+auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
+    route const& r, search_step const& step, time_point now) -> bool
 {
     return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
-           (how == search::any || !was_tried(p, t.id)) &&
-           (how != search::trusted || is_trusted(t.health, now));
+           (step.tried || !was_tried(p, t.id)) &&
+           (step.suspended || is_trusted(t.health, now)) &&
+           can_connect(s, t, step.over_share, now);
 }
 
 auto eligible_targets(dispatch_state& s, part const& p, route const& r,
@@ -95,12 +110,13 @@
     auto found = std::vector<target_entry*>{};
     if (service == s.services.end())
         return found;
-    for (auto const how : {search::trusted, search::untried, search::any})
+    for (auto const& step : search_steps)
     {
-        if (how == search::any && !alone)
+        if (step.tried && !alone)
             break;
         for (auto const id : service->second.targets)
-            if (auto& t = s.targets.at(id); is_eligible(t, p, r, how, now))
+            if (auto& t = s.targets.at(id);
+                is_eligible(s, t, p, r, step, now))
                 found.push_back(&t);
         if (!found.empty())
             break;
@@ -219,15 +235,16 @@
     return it == s.requests.end() ? nullptr : &it->second.parts[key.index];
 }
 
-auto has_target(dispatch_state const& s, service_id service,
-    open_request const& r, time_point now) -> bool
+auto has_target(dispatch_state& s, service_id service, open_request const& r,
+    time_point now) -> bool
 {
     auto const it = s.services.find(service);
     return it != s.services.end() &&
            std::any_of(it->second.targets.begin(), it->second.targets.end(),
-               [&](target_id id) {
-                   return is_eligible(
-                       s.targets.at(id), {}, *r.by, search::any, now);
+               [&](target_id id)
+               {
+                   return is_eligible(s, s.targets.at(id), {}, *r.by,
+                       search_steps.back(), now);
                });
 }
 
@@ -259,7 +276,7 @@
         send(s, key, *t, over, kind, now, out);
         return placed::sent;
     }
-    if (may_open(s, *t, now))
+    if (may_open(s, *t, now) || t->links == 0)
         open_link(s, *t, now, out);
     enqueue(s, key, p, kind, e.value.by->priority);
     return placed::queued;
--- a/src/core/dispatch/placing.hpp
+++ b/src/core/dispatch/placing.hpp
@@ -16,8 +16,8 @@
 };
 
 /// True if a target of the service can be used for the request now.
-auto has_target(dispatch_state const& s, service_id service,
-    open_request const& r, time_point now) -> bool;
+auto has_target(dispatch_state& s, service_id service, open_request const& r,
+    time_point now) -> bool;
 
 /// Sends a part to the best target, or queues it.
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -74,7 +74,7 @@
 
 /// True if too many parts have no target for the route's least coverage.
 auto is_hopeless(
-    dispatch_state const& s, request_entry const& e, time_point now) -> bool
+    dispatch_state& s, request_entry const& e, time_point now) -> bool
 {
     auto const able = std::count_if(e.parts.begin(), e.parts.end(),
         [&](part const& p) { return has_target(s, p.service, e.value, now); });
--- a/tests/dispatch/rig.cpp
+++ b/tests/dispatch/rig.cpp
@@ -28,16 +28,20 @@
 }
 
 auto rig::begin(routing_config const& c,
-    std::vector<target_registration> const& targets) -> void
+    std::vector<target_registration> const& targets,
+    std::vector<instance_record> const& fleet) -> void
 {
+    auto records = std::vector<stored_object>{};
+    for (auto const& it : fleet)
+        records.push_back({it.name, ++revision_, it});
+    feed(store_listed{store_kind::instances, records, "", revision_});
     auto objects = std::vector<stored_object>{};
     for (auto const& it : targets)
         objects.push_back({it.name, ++revision_, it});
     feed(store_listed{
         store_kind::configuration, {{"main", ++revision_, c}}, "", revision_});
     feed(store_listed{store_kind::targets, objects, "", revision_});
-    for (auto const k :
-        {store_kind::evacuations, store_kind::rollouts, store_kind::instances})
+        for (auto const k : {store_kind::evacuations, store_kind::rollouts})
         feed(store_listed{k, {}, "", revision_});
 }
 
--- a/tests/dispatch/rig.hpp
+++ b/tests/dispatch/rig.hpp
@@ -39,7 +39,8 @@
 
     /// Lists everything once: the configuration and the targets given so far.
     auto begin(routing_config const& c,
-        std::vector<target_registration> const& targets) -> void;
+        std::vector<target_registration> const& targets,
+        std::vector<instance_record> const& fleet = {}) -> void;
 
     auto feed(event const& e) -> void;
     auto advance(duration d) -> void;
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -342,3 +342,38 @@
     CHECK(refusal_of(r, c).reason == ks::refusal_reason::overloaded);
     CHECK(r.answer_to(c)->at - asked <= milliseconds{50});
 }
+
+TEST_CASE("queue: nothing waits for a target that it may not connect to")
+{
+    // Two instances share targets of two connections, one of which is used:
+    // each may connect to one of them only, unless that one is out of reach.
+    auto limits = dispatch_limits{};
+    limits.connection_share = 0.5;
+    auto r = rig{limits};
+    auto c = config_of(single_route("s"));
+    c.services = {{"s", "/health", 2, milliseconds{0}, 0}};
+    r.begin(c, {registered("s-a", "s", "a"), registered("s-b", "s", "b")},
+        {{"me", "a", "north"}, {"you", "b", "south"}});
+    auto const first = r.ask("q1");
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 1);
+    CHECK(s[0].target == "s-a");
+    // The one connection is busy: the next request waits for it.
+    auto const second = r.ask("q2");
+    r.succeed(s[0]);
+    auto const next = r.take_sent();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].target == "s-a");
+    r.succeed(next[0]);
+    CHECK(r.answer_to(first));
+    CHECK(r.answer_to(second));
+    // The near target is gone for good: the far one is all that is left.
+    r.refused_addresses = {"s-a:1"};
+    auto const third = r.ask("q3");
+    r.lose(r.take_sent()[0]);
+    auto const far = r.take_sent();
+    REQUIRE(far.size() == 1);
+    CHECK(far[0].target == "s-b");
+    r.succeed(far[0]);
+    CHECK(r.answer_to(third));
+}
