Two late requests in a row suspend a target; probes; a dangling attempt mended

Two overdue requests in a row now suspend it, longer each time; it is probed with a copy of a request that another target gets, so that no caller waits for the probe.

--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -32,6 +32,7 @@
         entry{"target_first_requests_total", &d::first_sends},
         entry{"target_hedges_total", &d::hedges},
         entry{"target_retries_total", &d::retries},
+        entry{"target_probes_total", &d::probes},
         entry{"retry_budget_refusals_total", &d::budget_refusals},
         entry{"target_overload_replies_total", &d::overload_replies},
         entry{"target_lost_attempts_total", &d::lost_attempts},
--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -138,6 +138,7 @@
         of("fresh_for_ms", &l::fresh_for),
         of("turned_away_within_ms", &l::turned_away_within),
         of("connection_share", &l::connection_share),
+        of("late_in_a_row", &l::late_in_a_row),
         of("suspension_first_ms", &l::suspension_first),
         of("suspension_most_ms", &l::suspension_most),
         of("estimate_half_life_ms", &l::estimate_half_life),
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -43,6 +43,11 @@
         [](ks::status_error const& e) { return report(e); },
         [](ks::conflict_error const& e) { return report(e); },
         [](ks::usage_error const& e) { return report(e); },
+        [](std::exception const& e)
+        {
+            std::cerr << "knapweedstream: internal error: " << e.what() << "\n";
+            return 1;
+        },
         []
         {
             std::cerr << "knapweedstream: failed\n";
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -37,6 +37,7 @@
     std::uint64_t first_sends = 0;
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
+    std::uint64_t probes = 0;
     std::uint64_t budget_refusals = 0; ///< Extra sends that were not paid.
     std::uint64_t overload_replies = 0;
     std::uint64_t lost_attempts = 0;
--- a/src/core/dispatch/health.cpp
+++ b/src/core/dispatch/health.cpp
@@ -25,6 +25,23 @@
     return std::exp2(-std::max(0.0, age / half));
 }
 
+/// Takes trust away; longer each time in a row. A target that is suspended
+/// already stays so at least as long.
+auto suspend(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> target_health
+{
+    auto const* before = std::get_if<suspended>(&h.state);
+    if (before != nullptr && now < before->until)
+        return h;
+    auto const times = before == nullptr ? 1u : before->times + 1;
+    auto const doubled =
+        limits.suspension_first * (1 << std::min(times - 1, most_doublings));
+    auto next = h;
+    next.state =
+        suspended{now + std::min(doubled, limits.suspension_most), times};
+    return next;
+}
+
 auto with_outcome(target_health const& h, bool failed,
     dispatch_limits const& limits, time_point now) -> target_health
 {
@@ -54,7 +71,7 @@
     return next;
 }
 
-auto with_reply(target_health const& h, double ratio, bool failed,
+auto with_reply(target_health const& h, double ratio, bool failed, bool overdue,
     dispatch_limits const& limits, time_point now) -> target_health
 {
     auto next = with_outcome(with_dropped(h), failed, limits, now);
@@ -63,7 +80,12 @@
             slowness_weight *
             (std::clamp(ratio, min_ratio, max_ratio) - next.slowness);
     next.silent_since = now;
+    if (overdue)
+        return std::holds_alternative<suspended>(next.state)
+                   ? suspend(next, limits, now)
+                   : next;
     next.state = sound{};
+    next.late = 0;
     return next;
 }
 
@@ -76,18 +98,16 @@
 auto with_silence(target_health const& h, dispatch_limits const& limits,
     time_point now) -> target_health
 {
-    auto next = with_outcome(with_dropped(h), true, limits, now);
-    auto const times = std::visit(overloaded{[](sound const&) { return 1u; },
-                                      [](suspended const& it)
-                                      {
-                                          return it.times + 1;
-                                      }},
-        h.state);
-    auto const doubled =
-        limits.suspension_first * (1 << std::min(times - 1, most_doublings));
-    next.state =
-        suspended{now + std::min(doubled, limits.suspension_most), times};
-    return next;
+    auto const next = with_outcome(with_dropped(h), true, limits, now);
+    return suspend(next, limits, now);
+}
+
+auto with_overdue(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> target_health
+{
+    auto next = h;
+    ++next.late;
+    return next.late < limits.late_in_a_row ? next : suspend(next, limits, now);
 }
 
 auto slowness_at(target_health const& h, dispatch_limits const& limits,
@@ -112,6 +132,11 @@
         h.state);
 }
 
+auto wants_probe(target_health const& h, time_point now) -> bool
+{
+    return std::holds_alternative<suspended>(h.state) && is_trusted(h, now);
+}
+
 auto silence(target_health const& h, time_point now) -> duration
 {
     return h.in_flight == 0 ? duration{0} : now - h.silent_since;
--- a/src/core/dispatch/health.hpp
+++ b/src/core/dispatch/health.hpp
@@ -18,7 +18,8 @@
     auto operator<=>(sound const&) const = default;
 };
 
-/// Was silent; not used before `until`, then tried with one request.
+/// Was silent, or late several times in a row; not used before `until`, then
+/// tried with one request at a time.
 struct suspended
 {
     time_point until;
@@ -35,6 +36,7 @@
     double slowness = 1;     ///< Its latency to what is typical.
     double failure_rate = 0; ///< Share of requests that it failed or refused.
     time_point observed;     ///< When the two were last updated.
+    std::uint32_t late = 0;  ///< Requests overdue or lost in a row.
     std::uint32_t in_flight = 0;
     time_point silent_since; ///< No reply since, while something is in flight.
 
@@ -51,9 +53,14 @@
 ///
 /// @param[in] ratio Latency to what is typical; 0 if it says nothing of speed.
 /// @param[in] failed The reply was a failure or a refusal.
-auto with_reply(target_health const& h, double ratio, bool failed,
+/// @param[in] overdue It came late; only one in time ends a suspension.
+auto with_reply(target_health const& h, double ratio, bool failed, bool overdue,
     dispatch_limits const& limits, time_point now) -> target_health;
 
+/// A request takes much longer than it should.
+auto with_overdue(target_health const& h, dispatch_limits const& limits,
+    time_point now) -> target_health;
+
 /// The connection of a request in flight broke.
 auto with_lost(target_health const& h, dispatch_limits const& limits,
     time_point now) -> target_health;
@@ -73,6 +80,10 @@
 /// True if the target may be sent a request now, as far as trust goes.
 auto is_trusted(target_health const& h, time_point now) -> bool;
 
+/// True if a suspended target may be tried with a request that another target
+/// gets too.
+auto wants_probe(target_health const& h, time_point now) -> bool;
+
 /// For how long it has been silent with requests in flight.
 auto silence(target_health const& h, time_point now) -> duration;
 
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -34,6 +34,8 @@
     ///< soon was one too many.
     double connection_share = 0.85; ///< Of a target's limit that is used.
 
+    std::uint32_t late_in_a_row =
+        2; ///< Overdue requests that suspend a target.
     milliseconds suspension_first{300};     ///< A silent target gets a pause;
     milliseconds suspension_most{2'000};    ///< doubles up to this.
     milliseconds estimate_half_life{2'000}; ///< A target's bad figures fade.
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -87,19 +87,27 @@
     search_step{true, true, true}};
 
 /// True if the target has a connection, or one may be opened for a request.
-auto can_connect(dispatch_state& s, target_entry& t, bool over_share,
-    time_point now) -> bool
+auto can_connect(
+    dispatch_state& s, target_entry& t, bool over_share, time_point now) -> bool
 {
     return t.links > 0 || may_open(s, t, now) ||
            (over_share && now >= t.open_after);
 }
 
+/// Suspended targets of idempotent requests are probed beside another one.
+auto may_be_first(target_health const& h, route const& r, time_point now)
+    -> bool
+{
+    return std::holds_alternative<sound>(h.state) ||
+           (r.repeat == repeatability::at_most_once && is_trusted(h, now));
+}
+
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
     route const& r, search_step const& step, time_point now) -> bool
 {
     return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
            (step.tried || !was_tried(p, t.id)) &&
-           (step.suspended || is_trusted(t.health, now)) &&
+           (step.suspended || may_be_first(t.health, r, now)) &&
            can_connect(s, t, step.over_share, now);
 }
 
@@ -115,8 +123,7 @@
         if (step.tried && !alone)
             break;
         for (auto const id : service->second.targets)
-            if (auto& t = s.targets.at(id);
-                is_eligible(s, t, p, r, step, now))
+            if (auto& t = s.targets.at(id); is_eligible(s, t, p, r, step, now))
                 found.push_back(&t);
         if (!found.empty())
             break;
@@ -160,6 +167,23 @@
     return b.tokens;
 }
 
+auto count_extra(dispatch_stats& stats, attempt_kind kind) -> void
+{
+    switch (kind)
+    {
+    case attempt_kind::hedge:
+        ++stats.hedges;
+        break;
+    case attempt_kind::probe:
+        ++stats.probes;
+        break;
+    case attempt_kind::retry:
+    case attempt_kind::first:
+        ++stats.retries;
+        break;
+    }
+}
+
 auto record_send(dispatch_state& s, request_entry& e, part& p, target_entry& t,
     attempt const& a, time_point now, commands& out) -> void
 {
@@ -170,7 +194,7 @@
         ++s.stats.first_sends;
         return;
     }
-    ++(a.kind == attempt_kind::hedge ? s.stats.hedges : s.stats.retries);
+    count_extra(s.stats, a.kind);
     out.push_back(note{extra_sent{e.value.request->id, t.info.service,
         t.info.name, a.kind, now - p.first_sent, a.patience, budget}});
 }
@@ -260,6 +284,30 @@
     return b.tokens >= 1 + kept;
 }
 
+/// Sends a part that was just sent to a suspended target too, to see whether
+/// it is sound again.
+auto probe(dispatch_state& s, part_key const& key, time_point now,
+    commands& out) -> void
+{
+    auto& e = s.requests.at(key.request);
+    auto& p = e.parts[key.index];
+    auto const& r = *e.value.by;
+    if (r.repeat != repeatability::idempotent || p.runs >= r.max_attempts ||
+        !can_pay(s, p.service, attempt_kind::probe))
+        return;
+    for (auto const id : s.services.at(p.service).targets)
+    {
+        auto& t = s.targets.at(id);
+        if (!wants_probe(t.health, now) || !is_usable(t, now) ||
+            !is_allowed(t, r) || was_tried(p, id))
+            continue;
+        auto const over = take_idle(s, t, false, now, out);
+        if (over == connection_id{})
+            continue;
+        return send(s, key, t, over, attempt_kind::probe, now, out);
+    }
+}
+
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
     time_point now, commands& out) -> placed
 {
@@ -274,6 +322,8 @@
     if (over != connection_id{})
     {
         send(s, key, *t, over, kind, now, out);
+        if (kind == attempt_kind::first)
+            probe(s, key, now, out);
         return placed::sent;
     }
     if (may_open(s, *t, now) || t->links == 0)
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -73,8 +73,8 @@
 }
 
 /// True if too many parts have no target for the route's least coverage.
-auto is_hopeless(
-    dispatch_state& s, request_entry const& e, time_point now) -> bool
+auto is_hopeless(dispatch_state& s, request_entry const& e, time_point now)
+    -> bool
 {
     auto const able = std::count_if(e.parts.begin(), e.parts.end(),
         [&](part const& p) { return has_target(s, p.service, e.value, now); });
@@ -290,11 +290,26 @@
     return time_point::max();
 }
 
+/// Holds it against the targets of a part that its attempts are overdue.
+auto note_overdue(dispatch_state& s, part const& p, time_point now) -> void
+{
+    for (auto const id : p.running)
+    {
+        auto const it = s.attempts.find(id);
+        if (it == s.attempts.end() || it->second.overdue)
+            continue;
+        it->second.overdue = true;
+        auto& h = s.targets.at(it->second.to).health;
+        h = with_overdue(h, s.init.limits, now);
+    }
+}
+
 auto hedge(dispatch_state& s, part_key const& key, time_point now,
     commands& out) -> void
 {
     auto& e = s.requests.at(key.request);
     auto& p = e.parts[key.index];
+    note_overdue(s, p, now);
     if (e.value.by->repeat != repeatability::idempotent)
         return;
     if (may_try_again(s, e, p, attempt_kind::hedge))
@@ -334,7 +349,7 @@
     return when;
 }
 
-auto lose_attempt(dispatch_state& s, attempt const& a, link const& l,
+auto lose_attempt(dispatch_state& s, attempt const a, link const& l,
     connection_closed const& e, time_point now, commands& out) -> void
 {
     s.attempts.erase(a.id);
@@ -435,7 +450,10 @@
     auto& t = s.targets.at(l.to);
     auto const good = m.how == attempt_end::success;
     auto const ratio = good ? observe_latency(s, a, t, now) : 0;
-    t.health = with_reply(t.health, ratio, !good, s.init.limits, now);
+    auto const overdue = now - a.sent_at > a.patience;
+    if (overdue && !a.overdue)
+        t.health = with_overdue(t.health, s.init.limits, now);
+    t.health = with_reply(t.health, ratio, !good, overdue, s.init.limits, now);
     t.open_failures = 0;
     s.stats.overload_replies += m.how == attempt_end::overloaded ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -66,6 +66,7 @@
     attempt_kind kind = attempt_kind::first;
     time_point sent_at;
     duration patience{0};   ///< After which it is worth a hedge.
+    bool overdue = false;   ///< Told to the target's health.
     bool abandoned = false; ///< Its reply is no longer wanted.
 
     auto operator<=>(attempt const&) const = default;
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -19,6 +19,7 @@
     first, ///< The first one for its shard.
     hedge, ///< The earlier one is slow.
     retry, ///< The earlier one failed.
+    probe, ///< A suspended target is tried beside another one.
 };
 
 /// How an attempt ended.
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -103,7 +103,7 @@
 
 TEST_CASE("split: shares follow the weights at any time")
 {
-    rc::check(
+    CHECK(rc::check(
         []
         {
             auto split = ks::to_split{};
@@ -128,12 +128,12 @@
                     static_cast<double>(rounds) * split.parts[i].weight / total;
                 RC_ASSERT(std::abs(counts[i] - wanted) <= n);
             }
-        });
+        }));
 }
 
 TEST_CASE("merge of records equals a full sort")
 {
-    rc::check(
+    CHECK(rc::check(
         [](std::vector<std::string> const& bodies, std::uint8_t top)
         {
             auto parts = std::vector<std::string_view>{};
@@ -150,7 +150,7 @@
             for (auto const& it : all)
                 wanted += it;
             RC_ASSERT(merge_records(parts, top) == wanted);
-        });
+        }));
 }
 
 TEST_CASE("choice: a stalled, slow, failing or far target loses to a sound one")
@@ -186,7 +186,7 @@
     CHECK(is_trusted(h, start + milliseconds{800}));
     h = with_sent(h, start + milliseconds{800});
     CHECK(!is_trusted(h, start + milliseconds{810}));
-    h = with_reply(h, 9.0, false, limits, start + milliseconds{820});
+    h = with_reply(h, 9.0, false, false, limits, start + milliseconds{820});
     CHECK(is_trusted(h, start + milliseconds{830}));
     CHECK(slowness_at(h, limits, start + milliseconds{820}) > 2);
     CHECK(slowness_at(h, limits, start + ks::seconds{20}) < 1.1);
@@ -227,7 +227,7 @@
 
 TEST_CASE("connections: all instances together keep to a target's limit")
 {
-    rc::check(
+    CHECK(rc::check(
         []
         {
             auto const f = *gen_fleet();
@@ -238,12 +238,12 @@
                     sum += connection_share(t, f.targets, f.instances, it);
                 RC_ASSERT(sum <= t.connections);
             }
-        });
+        }));
 }
 
 TEST_CASE("connections: with room for all, each instance reaches two targets")
 {
-    rc::check(
+    CHECK(rc::check(
         []
         {
             auto f = *gen_fleet();
@@ -259,7 +259,7 @@
                         connection_share(t, f.targets, f.instances, it) > 0;
                 RC_ASSERT(reached >= 2);
             }
-        });
+        }));
 }
 
 TEST_CASE("connections: a grown fleet reaches each shard, most of it twice")
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -377,3 +377,33 @@
     r.succeed(far[0]);
     CHECK(r.answer_to(third));
 }
+TEST_CASE("health: a target that hangs now and then is passed over")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto to_near = 0;
+    auto tried = 0;
+    auto n = 0;
+    for (auto i = 0; i < 80; ++i)
+    {
+        r.ask("q" + std::to_string(i));
+        auto const first = r.take_sent();
+        to_near += first[0].target == "s-a" ? 1 : 0;
+        for (auto const& it : first)
+            tried += it.target == "s-a" ? 1 : 0;
+        // Every other request that reaches the near target is never answered.
+        auto const hangs = first[0].target == "s-a" && ++n % 2 == 0;
+        r.advance(milliseconds{15});
+        if (!hangs)
+            r.succeed(first[0]);
+        for (std::size_t k = 1; k < first.size(); ++k)
+            if (first[k].target != "s-a" || ++n % 2 != 0)
+                r.succeed(first[k]);
+        r.advance(milliseconds{200});
+        for (auto const& it : r.take_sent())
+            r.succeed(it);
+        r.advance(milliseconds{300});
+    }
+    CHECK(to_near <= 30);
+    CHECK(tried >= 5);
+}
