One kind asks for a store that is away; registrations are collected longer

Now one kind probes, twice a second, and the others go on as soon as it is answered (test: store: while it is away, failed first: 43 calls in 10 s, bound 30); registrations are collected for two fifths of the drain time, at most 2 s.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -26,6 +26,17 @@
            static_cast<double>(fraction_steps);
 }
 
+/// Limits that keep to the bounds: news of a leaving target must be in time.
+auto fitted(dispatch_limits limits, dispatch_bounds const& bounds)
+    -> dispatch_limits
+{
+    constexpr auto drain_parts = 5;
+    constexpr auto pause_parts = 2;
+    limits.targets_pause = std::min(
+        limits.targets_pause, bounds.drain * pause_parts / drain_parts);
+    return limits;
+}
+
 /// Replaces what is known of following a kind, and wakes it when it pauses.
 auto step(dispatch_state& s, follow_step const& next, commands& out) -> void
 {
@@ -44,13 +55,21 @@
     out.push_back(note{store_contact{kind, lost, why, known}});
 }
 
+/// Notes that the store has answered a call of a kind.
 auto regained(dispatch_state& s, store_kind kind, time_point now, commands& out)
     -> void
 {
-    if (s.follows[kind].failures == 0)
+    if (s.follows[kind].failures > 0)
+    {
+        s.last_trouble[kind] = now;
+        tell_contact(s, kind, false, store_failure::unreachable, out);
+    }
+    if (!s.prober)
         return;
-    s.last_trouble[kind] = now;
-    tell_contact(s, kind, false, store_failure::unreachable, out);
+    s.prober.reset();
+    for (auto const it : store_kinds)
+        if (it != kind && std::holds_alternative<pausing>(s.follows[it].phase))
+            arm(s, now, follow_due{it});
 }
 
 auto update_ready(dispatch_state& s, commands& out) -> void
@@ -100,12 +119,17 @@
     if (f.failures == 0)
         tell_contact(s, e.kind, true, e.why, out);
     s.last_trouble[e.kind] = now;
+    if (!s.prober)
+        s.prober = e.kind;
     step(s, with_failure(f, s.init.limits, fraction(s), now), out);
 }
 
+/// While the store is away one kind asks for it; the others wait for that.
 auto on_follow_due(dispatch_state& s, follow_due const& e, time_point now,
     commands& out) -> void
 {
+    if (s.prober && *s.prober != e.kind)
+        return;
     step(s, resume(s.follows[e.kind], s.init.limits, now), out);
 }
 
@@ -256,6 +280,7 @@
     : state_(std::make_unique<dispatch_state>())
 {
     state_->init = init;
+    state_->init.limits = fitted(init.limits, init.bounds);
     state_->random = random_state{init.seed, 0};
 }
 
@@ -291,7 +316,7 @@
 auto dispatcher::reconfigure(
     dispatch_limits const& limits, dispatch_bounds const& bounds) -> void
 {
-    state_->init.limits = limits;
+    state_->init.limits = fitted(limits, bounds);
     state_->init.bounds = bounds;
 }
 
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -45,11 +45,11 @@
     milliseconds watch_wait{18'000};      ///< A watch waits for changes; less
                                           ///< than the store keeps its history.
     milliseconds watch_pause{100};        ///< Between watches that bring some,
-    milliseconds targets_pause{800};      ///< and for registrations.
+    milliseconds targets_pause{2'000};      ///< and for registrations.
     milliseconds poll_first{1'500};       ///< Between lists of instances;
     milliseconds poll_most{20'000};       ///< doubles up to this.
     milliseconds store_retry_first{200};  ///< Wait after a failed call;
-    milliseconds store_retry_most{1'000}; ///< doubles up to this.
+    milliseconds store_retry_most{500}; ///< doubles up to this.
 
     auto operator<=>(dispatch_limits const&) const = default;
 };
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -242,6 +242,7 @@
     routing_config_ptr config; ///< In force; null before the first one.
     std::uint64_t config_revision = 0;
     std::map<store_kind, followed> follows;
+    std::optional<store_kind> prober; ///< Asks for the store while it is away.
     std::map<store_kind, time_point> last_trouble; ///< Of following a kind.
     /// Newest revision seen of each object.
     std::map<store_kind, std::unordered_map<std::string, std::uint64_t>>
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 namespace ks = knapweedstream;
 using namespace knapweedstream::dispatch;
 using ks::milliseconds;
@@ -407,3 +409,35 @@
     CHECK(to_near <= 30);
     CHECK(tried >= 5);
 }
+
+TEST_CASE("store: while it is away one kind alone asks for it")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    for (auto const k : {ks::store_kind::targets, ks::store_kind::evacuations,
+             ks::store_kind::configuration, ks::store_kind::rollouts})
+        r.feed(store_failed{k, ks::store_failure::busy});
+    auto answered = r.ordered<store_watch>().size();
+    auto const before = answered;
+    for (auto i = 0; i < 100; ++i)
+    {
+        r.advance(milliseconds{100});
+        auto const all = r.ordered<store_watch>();
+        for (; answered < all.size(); ++answered)
+            r.feed(
+                store_failed{all[answered].kind, ks::store_failure::busy});
+    }
+    CHECK(answered - before <= 30); // 10 s, at most three a second.
+    CHECK(answered - before >= 10);
+    // Once it is back, all kinds are followed again at once.
+    while (r.ordered<store_watch>().size() == answered)
+        r.advance(milliseconds{10});
+    auto const prober = r.ordered<store_watch>().back().kind;
+    r.feed(store_changed{prober, {}, 2'000});
+    r.advance(milliseconds{5});
+    auto kinds = std::set<ks::store_kind>{};
+    auto const all = r.ordered<store_watch>();
+    for (auto i = answered; i < all.size(); ++i)
+        kinds.insert(all[i].kind);
+    CHECK(kinds.size() == 4);
+}
