Cheaper store calls: probes and first lists may be stale; records only if missing

Probes are stale watches without a wait; an instance writes its record only if the list of instances lacks it (test: store: an instance records itself).

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -83,6 +83,16 @@
         ready, s.stop.asked ? "stopping" : "store followed"}});
 }
 
+/// Writes this instance's record if the list of instances lacks it.
+auto keep_record(dispatch_state& s, commands& out) -> void
+{
+    auto const& self = s.init.self;
+    auto const it = s.instances.find(self.name);
+    auto const listed = it != s.instances.end();
+    if (!s.stop.asked && (!listed || it->second != self))
+        out.push_back(store_record{self, listed});
+}
+
 auto on_listed(dispatch_state& s, store_listed const& e, time_point now,
     commands& out) -> void
 {
@@ -96,6 +106,8 @@
         auto objects = list->objects;
         objects.insert(objects.end(), e.objects.begin(), e.objects.end());
         take_list(s, e.kind, objects, now, out);
+        if (e.kind == store_kind::instances)
+            keep_record(s, out);
     }
     step(s, with_page(s.follows[e.kind], e, s.init.limits, now), out);
     update_ready(s, out);
@@ -133,17 +145,13 @@
     step(s, resume(s.follows[e.kind], s.init.limits, now), out);
 }
 
-/// Writes this instance's record until the store has it.
-auto on_written(dispatch_state& s, store_written const& e, time_point now,
-    commands& out) -> void
+/// A record that exists though it was not listed is replaced; other failures
+/// show in the next list.
+auto on_written(dispatch_state& s, store_written const& e, commands& out)
+    -> void
 {
-    if (s.stop.asked || s.recorded)
-        return;
-    s.recorded = !e.why;
-    if (e.why == store_failure::conflict)
+    if (!s.stop.asked && e.why == store_failure::conflict)
         out.push_back(store_record{s.init.self, true});
-    else if (e.why)
-        arm(s, now + s.init.limits.store_retry_most, record_due{});
 }
 
 /// From the stop order until callers' connections are closed.
@@ -200,9 +208,6 @@
                    [&](link_due const& e) { on_link_due(s, e, now, out); },
                    [&](target_due const& e) { on_target_due(s, e, now, out); },
                    [&](follow_due const& e) { on_follow_due(s, e, now, out); },
-                   [&](record_due const&) {
-                       out.push_back(store_record{s.init.self, false});
-                   },
                    [&](stop_due const&)
                    {
                        on_stop_due(s, now, out);
@@ -251,7 +256,7 @@
                     out);
             },
             [&](store_failed const& it) { on_store_failed(s, it, now, out); },
-            [&](store_written const& it) { on_written(s, it, now, out); },
+            [&](store_written const& it) { on_written(s, it, out); },
             [&](stop_requested const&) { on_stop(s, now, out); },
             [&](tick const&)
             {
@@ -298,7 +303,6 @@
         f.phase = pausing{now};
         step(*state_, resume(f, state_->init.limits, now), out);
     }
-    out.push_back(store_record{state_->init.self});
     ask_tick(*state_, now, out);
     return out;
 }
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -13,7 +13,7 @@
 
 constexpr auto no_wait = milliseconds{1}; ///< Of a watch that shows whether
                                           ///< the store is back.
-constexpr auto exact_polls = 2u;          ///< Lists that must not be stale.
+constexpr auto exact_poll = 1u; ///< Number of the list that is not stale.
 constexpr auto most_doublings = 10u;
 
 auto doubled(milliseconds first, std::uint32_t times, milliseconds most)
@@ -24,10 +24,11 @@
 
 auto watch(followed f, by_watch const& policy) -> follow_step
 {
-    auto const wait = f.failures > 0 ? no_wait : policy.wait;
+    auto const asks = f.failures > 0; // Is the store back?
+    auto const wait = asks ? no_wait : policy.wait;
+    auto const stale = asks || policy.may_be_stale;
     f.phase = watching{};
-    auto out =
-        commands{store_watch{f.kind, f.revision, wait, policy.may_be_stale}};
+    auto out = commands{store_watch{f.kind, f.revision, wait, stale}};
     return {std::move(f), std::move(out)};
 }
 
@@ -36,10 +37,7 @@
 {
     return std::visit(
         overloaded{[&](by_watch const&) { return !f.history_lost; },
-            [&](by_poll const&)
-            {
-                return f.lists >= exact_polls;
-            }},
+            [&](by_poll const&) { return f.lists != exact_poll; }},
         policy);
 }
 
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -189,17 +189,13 @@
     store_kind kind = store_kind::configuration;
     auto operator<=>(follow_due const&) const = default;
 };
-struct record_due
-{
-    auto operator<=>(record_due const&) const = default;
-};
 struct stop_due
 {
     auto operator<=>(stop_due const&) const = default;
 };
 
 using timer = std::variant<request_due, loser_due, link_due, target_due,
-    follow_due, record_due, stop_due>;
+    follow_due, stop_due>;
 
 /// A timer with its time; `order` keeps equal times in arming order.
 struct timed
@@ -249,7 +245,6 @@
         revisions;
     std::set<std::string> evacuated;
     std::map<std::string, instance_record> instances;
-    bool recorded = false; ///< This instance's record is stored.
 
     std::unordered_map<std::string, std::vector<std::int64_t>> splits;
     std::unordered_map<std::string, route_latency> latencies;   ///< By route.
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -441,3 +441,24 @@
         kinds.insert(all[i].kind);
     CHECK(kinds.size() == 4);
 }
+
+TEST_CASE("store: an instance records itself until it is listed")
+{
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    REQUIRE(r.ordered<store_record>().size() == 1);
+    CHECK(!r.ordered<store_record>()[0].exists);
+    // The record of an earlier start is there, the list was stale.
+    r.feed(store_written{ks::store_kind::instances, "me", 0,
+        ks::store_failure::conflict});
+    REQUIRE(r.ordered<store_record>().size() == 2);
+    CHECK(r.ordered<store_record>()[1].exists);
+    r.advance(milliseconds{1'600});
+    r.feed(store_listed{ks::store_kind::instances,
+        {{"me", 1, ks::instance_record{"me", "a", "north"}}}, "", 5});
+    CHECK(r.ordered<store_record>().size() == 2);
+    // Somebody removed it.
+    r.advance(milliseconds{3'100});
+    r.feed(store_listed{ks::store_kind::instances, {}, "", 6});
+    CHECK(r.ordered<store_record>().size() == 3);
+}
