Less work for each target request: shared head, moved replies, fewer timers

Cause: processor time a target request, 24 us of real time locally, half of it system calls. The head that all targets get is written once a request, replies are moved, a request keeps one timer, a choice draws once.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -53,12 +53,15 @@
         it);
 }
 
+/// Milliseconds with one decimal.
 auto ms(duration d) -> std::string
 {
-    char buf[32];
-    auto const n = std::snprintf(
-        buf, sizeof buf, "%.1f", static_cast<double>(d.count()) / 1e3);
-    return {buf, static_cast<std::size_t>(n)};
+    constexpr auto tenths_us = 100;
+    auto const tenths = d.count() / tenths_us;
+    auto text = std::to_string(tenths / 10);
+    text += '.';
+    text += static_cast<char>('0' + tenths % 10);
+    return text;
 }
 
 auto real(double v) -> std::string
--- a/src/adapter/http_link.cpp
+++ b/src/adapter/http_link.cpp
@@ -1,5 +1,7 @@
 #include "adapter/http_link.hpp"
 
+#include <utility>
+
 namespace knapweedstream
 {
 
@@ -48,10 +50,12 @@
 auto http_link::deliver(bool reusable) -> void
 {
     busy_ = false;
-    auto const m = reader_.take();
+    auto m = reader_.take();
     // An answer before the request was written out leaves bytes of it behind.
     auto const whole = stream_.unwritten() == 0;
-    f_.replied(m, reusable && whole && m.keep_alive && stream_.is_open());
+    auto const good =
+        reusable && whole && m.keep_alive && stream_.is_open();
+    f_.replied(std::move(m), good);
 }
 
 auto http_link::on_ended(stream_end how) -> void
--- a/src/adapter/http_link.hpp
+++ b/src/adapter/http_link.hpp
@@ -29,7 +29,7 @@
     {
         std::function<void()> opened;
         /// A whole response; `reusable` if another request may follow.
-        std::function<void(http_message const&, bool reusable)> replied;
+        std::function<void(http_message&&, bool reusable)> replied;
         std::function<void(link_end)> ended; ///< The last call, once.
     };
 
--- a/src/adapter/http_message.cpp
+++ b/src/adapter/http_message.cpp
@@ -75,12 +75,6 @@
     }
 }
 
-auto add_field(std::string& out, std::string_view name, std::string_view value)
-    -> void
-{
-    out.append(name).append(": ").append(value).append("\r\n");
-}
-
 } // namespace
 
 auto same_name(std::string_view a, std::string_view b) -> bool
@@ -105,30 +99,41 @@
         [&](header_field const& it) { return same_name(it.name, name); });
 }
 
-auto end_to_end_fields(http_message const& m) -> std::vector<header_field>
+auto end_to_end_fields(http_message&& m) -> std::vector<header_field>
 {
-    auto const connection = find_field(m, "Connection");
-    auto kept = std::vector<header_field>{};
-    kept.reserve(m.fields.size());
-    for (auto const& it : m.fields)
-        if (!is_hop_by_hop(it.name) && !lists(connection, it.name))
-            kept.push_back(it);
-    return kept;
+    auto const connection = std::string{find_field(m, "Connection")};
+    std::erase_if(m.fields,
+        [&](header_field const& it)
+        { return is_hop_by_hop(it.name) || lists(connection, it.name); });
+    return std::move(m.fields);
 }
 
-auto request_text(http_message const& m) -> std::string
+auto add_field(std::string& out, std::string_view name, std::string_view value)
+    -> void
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+auto request_head(std::string_view method, std::string_view target,
+    std::vector<header_field> const& fields, std::size_t body_bytes)
+    -> std::string
 {
     auto out = std::string{};
-    out.reserve(head_bytes + m.body.size());
-    out.append(m.method).append(" ").append(m.target).append(" HTTP/1.1\r\n");
-    for (auto const& it : m.fields)
+    out.reserve(head_bytes);
+    out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+    for (auto const& it : fields)
         add_field(out, it.name, it.value);
-    if (!m.body.empty() || (m.method != "GET" && m.method != "HEAD"))
-        add_field(out, "Content-Length", std::to_string(m.body.size()));
-    out.append("\r\n").append(m.body);
+    if (body_bytes > 0 || (method != "GET" && method != "HEAD"))
+        add_field(out, "Content-Length", std::to_string(body_bytes));
     return out;
 }
 
+auto request_text(http_message const& m) -> std::string
+{
+    return request_head(m.method, m.target, m.fields, m.body.size()) + "\r\n" +
+           m.body;
+}
+
 auto response_text(http_message const& m, bool to_head) -> std::string
 {
     auto out = std::string{};
--- a/src/adapter/http_message.hpp
+++ b/src/adapter/http_message.hpp
@@ -36,11 +36,20 @@
 auto has_field(http_message const& m, std::string_view name) -> bool;
 
 /// Fields without those that concern only one connection or the framing.
-auto end_to_end_fields(http_message const& m) -> std::vector<header_field>;
+auto end_to_end_fields(http_message&& m) -> std::vector<header_field>;
 
 /// Text of a request; adds the length of the body.
 auto request_text(http_message const& m) -> std::string;
 
+/// Request line and fields; more fields may follow.
+auto request_head(std::string_view method, std::string_view target,
+    std::vector<header_field> const& fields, std::size_t body_bytes)
+    -> std::string;
+
+/// Appends a field's line.
+auto add_field(std::string& out, std::string_view name, std::string_view value)
+    -> void;
+
 /// Text of a response; adds the length of the body.
 ///
 /// @param[in] to_head The request was a HEAD: no body is written.
--- a/src/adapter/route_server.cpp
+++ b/src/adapter/route_server.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr auto sweep_interval = milliseconds{500};
+constexpr auto sweep_interval = milliseconds{1'000};
 constexpr auto linger = seconds{2}; ///< For the caller to read the end.
 constexpr auto body_share = 4;      ///< A body may take this many times the
                                     ///< header's time.
--- a/src/adapter/target_links.cpp
+++ b/src/adapter/target_links.cpp
@@ -1,5 +1,7 @@
 #include "adapter/target_links.hpp"
 
+#include <utility>
+
 namespace knapweedstream
 {
 
@@ -42,8 +44,8 @@
         read_limits{max_reply_header, max_reply_body},
         http_link::callbacks{[this, id]
             { sink_(dispatch::connection_opened{id}); },
-            [this, id](http_message const& m, bool reusable)
-            { on_replied(id, m, reusable); },
+            [this, id](http_message&& m, bool reusable)
+            { on_replied(id, std::move(m), reusable); },
             [this, id](link_end how)
             {
                 on_ended(id, how);
@@ -62,18 +64,24 @@
     if (it == entries_.end() || !it->second.link->is_open())
         return;
     it->second.attempt = c.attempt;
-    it->second.request_id = c.request->id;
-    it->second.link->send(dialect_.encode(*c.request, c.target, c.time_left),
-        c.request->method == "HEAD");
+    it->second.request = c.request;
+    if (last_ != c.request)
+    {
+        last_ = c.request;
+        common_ = dialect_.encode_common(*c.request);
+    }
+    auto const rest = dialect_.encode_rest(*c.request, c.target, c.time_left);
+    it->second.link->send(common_ + rest, c.request->method == "HEAD");
 }
 
 auto target_links::on_replied(
-    connection_id id, http_message const& m, bool reusable) -> void
+    connection_id id, http_message&& m, bool reusable) -> void
 {
     auto const it = entries_.find(id);
     if (it == entries_.end())
         return;
-    auto decoded = dialect_.decode(m, it->second.request_id);
+    auto const request = std::exchange(it->second.request, {});
+    auto decoded = dialect_.decode(std::move(m), request->id);
     sink_(dispatch::target_replied{id, it->second.attempt,
         std::move(decoded.reply), reusable && decoded.reusable,
         decoded.idle_limit});
--- a/src/adapter/target_links.hpp
+++ b/src/adapter/target_links.hpp
@@ -27,11 +27,13 @@
         duration idle_limit{0}; ///< 0: not stated.
     };
 
+    /// Text of a request's head that is the same for all targets.
+    std::function<std::string(routed_request const&)> encode_common;
+    /// The rest of it.
     std::function<std::string(routed_request const&, std::string const& target,
         milliseconds time_left)>
-        encode;
-    std::function<decoded_reply(
-        http_message const&, std::string const& request_id)>
+        encode_rest;
+    std::function<decoded_reply(http_message&&, std::string const& request_id)>
         decode;
 };
 
@@ -53,17 +55,18 @@
     {
         std::unique_ptr<http_link> link;
         attempt_id attempt;
-        std::string request_id;
+        routed_request_ptr request;
     };
 
-    auto on_replied(connection_id id, http_message const& m, bool reusable)
-        -> void;
+    auto on_replied(connection_id id, http_message&& m, bool reusable) -> void;
     auto on_ended(connection_id id, link_end how) -> void;
     auto release(connection_id id) -> void;
 
     event_base* base_;
     target_dialect dialect_;
     dispatch_sink sink_;
+    routed_request_ptr last_; ///< Request whose common text is kept.
+    std::string common_;
     std::unordered_map<connection_id, entry> entries_;
     std::vector<std::unique_ptr<http_link>> closed_;
 };
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr auto log_interval = milliseconds{200}; ///< Between flushes.
+constexpr auto log_interval = milliseconds{500}; ///< Between flushes.
 constexpr auto metrics_path = "/metrics";
 
 auto make_init(dispatch_settings const& s) -> dispatch::dispatcher_init
--- a/src/core/dispatch/choice.cpp
+++ b/src/core/dispatch/choice.cpp
@@ -10,7 +10,9 @@
 
 constexpr auto retry_cost = milliseconds{120}; ///< Of a failed request.
 constexpr auto stall_cost = milliseconds{250}; ///< A stall's length to come.
-constexpr auto jitter_steps = 16u;  ///< Resolution of the choice by chance.
+constexpr auto jitter_bits = 4u; ///< Of one draw for each candidate.
+constexpr auto jitter_draws = 64u / jitter_bits;
+constexpr auto jitter_steps = 1u << jitter_bits;  ///< Resolution of the choice by chance.
 constexpr auto jitter_share = 0.15; ///< Of the expected time.
 
 auto scaled(duration d, double by) -> duration
@@ -46,9 +48,12 @@
 {
     auto best = std::optional<std::size_t>{};
     auto least = duration::max();
+    auto const d = draw(r);
+    r = d.next;
     for (std::size_t i = 0; i < from.size(); ++i)
     {
-        auto const chance = static_cast<double>(draw_below(r, jitter_steps)) /
+        auto const bits = d.value >> (i % jitter_draws * jitter_bits);
+        auto const chance = static_cast<double>(bits % jitter_steps) /
                             static_cast<double>(jitter_steps);
         auto const t =
             scaled(expected_time(from[i]), 1.0 + jitter_share * chance);
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -372,6 +372,10 @@
 
 auto watch_request(dispatch_state& s, request_key key, time_point when) -> void
 {
+    auto& e = s.requests.at(key);
+    if (e.looked_at <= when)
+        return;
+    e.looked_at = when;
     arm(s, when, request_due{key});
 }
 
@@ -494,6 +498,7 @@
     auto it = s.requests.find(e.request);
     if (it == s.requests.end())
         return;
+    it->second.looked_at = time_point::max();
     if (now >= it->second.value.queue_until)
         fail_unsent(it->second, now);
     for (std::uint32_t i = 0; i < it->second.parts.size(); ++i)
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -126,6 +126,7 @@
     std::uint32_t good = 0;              ///< Parts answered.
     target_message failure; ///< A target's failure that may be passed on.
     refusal_reason refusal = refusal_reason::no_target; ///< If none ran.
+    time_point looked_at = time_point::max(); ///< Next look, if armed.
 };
 
 /// A target with its connections.
