A long batch of changes is followed by the next at once

After 40 changes or more the next watch goes out at once (test: follow: a long batch, failed first).

--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto no_wait = milliseconds{1}; ///< Of a watch that shows whether
                                           ///< the store is back.
+constexpr auto long_batch = 40u; ///< Changes after which more may be waiting.
 constexpr auto exact_poll = 1u; ///< Number of the list that is not stale.
 constexpr auto most_doublings = 10u;
 
@@ -133,7 +134,7 @@
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched == nullptr)
         return {f, {}};
-    if (e.changes.empty())
+    if (e.changes.empty() || e.changes.size() >= long_batch)
         return watch(std::move(next), *watched);
     return pause(std::move(next), now + watched->pause);
 }
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -84,6 +84,15 @@
           9);
 }
 
+TEST_CASE("follow: a long batch of changes is followed by the next at once")
+{
+    auto e = store_changed{ks::store_kind::targets, {}, 8};
+    e.changes.resize(50);
+    auto const s = with_changes(follow_of(watching{}, 7), e, limits, start);
+    REQUIRE(!s.out.empty());
+    CHECK(first<store_watch>(s).revision == 8);
+}
+
 TEST_CASE("follow: instances are polled, ever less often, but once from stale data")
 {
     auto f = follow_of(pausing{start});
