Budgets hold: paid when sent, saved up slowly; displaced targets; turned-away links

A break sooner than any reply comes is not a run; a target that turned a connection away a few times is waited for; a request that waits for a connection about to stand is not refused. At-most-once requests prefer connections that have carried a reply and replace those idle for long. Tests: budget:*, queue: a target that turned*, routed: an address*, routed: at most once replaces*; each failed first.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -28,7 +28,7 @@
 {
     return word_of(
         std::array{"success", "failure", "overloaded", "wrong_target",
-            "unusable", "lost", "unsent", "abandoned"},
+            "unusable", "lost", "unsent", "turned_away", "abandoned"},
         it);
 }
 
@@ -41,8 +41,9 @@
 
 auto word(dispatch::target_view it) -> char const*
 {
-    return word_of(std::array{"registered", "changed", "draining", "gone",
-                       "slow", "stalled", "failing", "down", "recovered"},
+    return word_of(
+        std::array{"registered", "changed", "draining", "gone", "displaced",
+            "slow", "stalled", "failing", "down", "recovered"},
         it);
 }
 
--- a/src/adapter/http_link.cpp
+++ b/src/adapter/http_link.cpp
@@ -53,8 +53,7 @@
     auto m = reader_.take();
     // An answer before the request was written out leaves bytes of it behind.
     auto const whole = stream_.unwritten() == 0;
-    auto const good =
-        reusable && whole && m.keep_alive && stream_.is_open();
+    auto const good = reusable && whole && m.keep_alive && stream_.is_open();
     f_.replied(std::move(m), good);
 }
 
--- a/src/adapter/http_message.cpp
+++ b/src/adapter/http_message.cpp
@@ -102,8 +102,7 @@
 auto end_to_end_fields(http_message&& m) -> std::vector<header_field>
 {
     auto const connection = std::string{find_field(m, "Connection")};
-    std::erase_if(m.fields,
-        [&](header_field const& it)
+    std::erase_if(m.fields, [&](header_field const& it)
         { return is_hop_by_hop(it.name) || lists(connection, it.name); });
     return std::move(m.fields);
 }
--- a/src/adapter/target_links.cpp
+++ b/src/adapter/target_links.cpp
@@ -74,8 +74,8 @@
     it->second.link->send(common_ + rest, c.request->method == "HEAD");
 }
 
-auto target_links::on_replied(
-    connection_id id, http_message&& m, bool reusable) -> void
+auto target_links::on_replied(connection_id id, http_message&& m, bool reusable)
+    -> void
 {
     auto const it = entries_.find(id);
     if (it == entries_.end())
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -17,17 +17,16 @@
 constexpr auto trouble_memory = seconds{10}; ///< After an outage, a vanished
                                              ///< registration may come back.
 
-auto service_entry_of(dispatch_state& s, std::string const& name)
-    -> service_entry&
+auto service_entry_of(dispatch_state& s, std::string const& name,
+    time_point now) -> service_entry&
 {
     auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
     if (fresh)
     {
-        auto const& b = s.init.bounds;
         it->second.name = name;
-        it->second.budget =
-            retry_budget{0, b.retry_budget_ratio, budget_burst(s)};
-        it->second.budget.tokens = it->second.budget.burst;
+        it->second.budget = with_share({}, budget_share_of(s));
+        it->second.saved_at = s.started;
+        save_up(s, it->second, now);
     }
     return it->second;
 }
@@ -113,7 +112,7 @@
     auto const drains = r.draining && !t.info.draining;
     if (fresh || !t.listed)
     {
-        auto& service = service_entry_of(s, r.service);
+        auto& service = service_entry_of(s, r.service, now);
         t.id = id;
         t.service = id_of<service_id>(r.service);
         service.targets.push_back(id);
@@ -125,6 +124,7 @@
     t.where = proximity_to(s, r.zone);
     t.region = region_of(s, r.zone);
     t.evacuated = is_evacuated(s, r.zone);
+    t.displaced = false;
     t.lapses = time_point::max();
     t.cold_until = now + r.cold_for;
     if (fresh)
@@ -136,15 +136,15 @@
     keep_spare(s, t, now, out);
 }
 
-auto mark_routed(dispatch_state& s) -> void
+auto mark_routed(dispatch_state& s, time_point now) -> void
 {
     for (auto& [id, it] : s.services)
         it.routed = false;
     for (auto const& r : s.config->routes)
         for (auto const& name : services_of(r))
-            service_entry_of(s, name).routed = true;
+            service_entry_of(s, name, now).routed = true;
     for (auto const& p : s.config->services)
-        service_entry_of(s, p.name).policy = p;
+        service_entry_of(s, p.name, now).policy = p;
     reshare_all(s);
 }
 
@@ -160,7 +160,7 @@
     ++s.stats.configs;
     s.config = std::make_shared<routing_config const>(c);
     s.config_revision = revision;
-    mark_routed(s);
+    mark_routed(s, now);
     out.push_back(limit_callers{c.limits});
     out.push_back(note{config_in_force{c.version, revision, c.routes.size()}});
     for (auto& [id, t] : s.targets)
@@ -196,7 +196,7 @@
         s.instances.erase(name);
     reshare_all(s);
     for (auto& [id, it] : s.services)
-        it.budget.burst = budget_burst(s);
+        it.budget = with_share(it.budget, budget_share_of(s));
 }
 
 auto take_object(dispatch_state& s, store_kind kind, stored_object const& o,
@@ -300,6 +300,7 @@
     if (now >= it->second.lapses)
         return remove_target(s, e.target, now, out);
     keep_spare(s, it->second, now, out);
+    serve_queue(s, it->second.service, now, out);
 }
 
 auto knows_enough(dispatch_state const& s) -> bool
--- a/src/core/dispatch/choice.cpp
+++ b/src/core/dispatch/choice.cpp
@@ -12,7 +12,8 @@
 constexpr auto stall_cost = milliseconds{250}; ///< A stall's length to come.
 constexpr auto jitter_bits = 4u; ///< Of one draw for each candidate.
 constexpr auto jitter_draws = 64u / jitter_bits;
-constexpr auto jitter_steps = 1u << jitter_bits;  ///< Resolution of the choice by chance.
+constexpr auto jitter_steps =
+    1u << jitter_bits;              ///< Resolution of the choice by chance.
 constexpr auto jitter_share = 0.15; ///< Of the expected time.
 
 auto scaled(duration d, double by) -> duration
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -273,12 +273,9 @@
     s.timers.push({when, s.timer_order++, std::move(what)});
 }
 
-auto budget_burst(dispatch_state const& s) -> double
+auto budget_share_of(dispatch_state const& s) -> double
 {
-    constexpr auto used_share = 0.9;
-    auto const n = std::max<std::size_t>(1, s.instances.size());
-    return used_share * s.init.bounds.retry_budget_extra /
-           static_cast<double>(n);
+    return budget_share(s.init.bounds, s.instances.size());
 }
 
 dispatcher::dispatcher(dispatcher_init const& init)
@@ -296,6 +293,7 @@
 auto dispatcher::start(time_point now) -> commands
 {
     auto out = commands{};
+    state_->started = now;
     for (auto const kind : store_kinds)
     {
         auto f = followed{};
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -14,7 +14,7 @@
 constexpr auto no_wait = milliseconds{1}; ///< Of a watch that shows whether
                                           ///< the store is back.
 constexpr auto long_batch = 40u; ///< Changes after which more may be waiting.
-constexpr auto exact_poll = 1u; ///< Number of the list that is not stale.
+constexpr auto exact_poll = 1u;  ///< Number of the list that is not stale.
 constexpr auto most_doublings = 10u;
 
 auto doubled(milliseconds first, std::uint32_t times, milliseconds most)
@@ -38,7 +38,10 @@
 {
     return std::visit(
         overloaded{[&](by_watch const&) { return !f.history_lost; },
-            [&](by_poll const&) { return f.lists != exact_poll; }},
+            [&](by_poll const&)
+            {
+                return f.lists != exact_poll;
+            }},
         policy);
 }
 
--- a/src/core/dispatch/latency.hpp
+++ b/src/core/dispatch/latency.hpp
@@ -25,6 +25,7 @@
 /// Latency of one route's requests to targets of one proximity.
 struct latency_estimate
 {
+    quantile_estimate low{0.05};
     quantile_estimate median{0.5};
     quantile_estimate high{0.95};
 
@@ -44,7 +45,7 @@
     -> latency_estimate
 {
     auto const us = static_cast<double>(took.count());
-    return {observe(e.median, us), observe(e.high, us)};
+    return {observe(e.low, us), observe(e.median, us), observe(e.high, us)};
 }
 
 constexpr auto min_latency_samples = 5u; ///< Before an estimate is used.
@@ -57,6 +58,16 @@
     return duration{static_cast<duration::rep>(e.median.value_us)};
 }
 
+constexpr auto min_low_samples = 20u; ///< Likewise for the low quantile.
+
+/// Time before which hardly any reply comes; `otherwise` if unknown.
+inline auto soonest(latency_estimate const& e, duration otherwise) -> duration
+{
+    if (e.low.samples < min_low_samples)
+        return otherwise;
+    return duration{static_cast<duration::rep>(e.low.value_us)};
+}
+
 /// Time after which a request is slow enough for a hedge.
 inline auto hedge_patience(
     latency_estimate const& e, dispatch_limits const& limits) -> duration
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -24,15 +24,18 @@
     milliseconds loser_patience{400}; ///< An abandoned attempt may still end.
     std::uint32_t spare_sends = 2;    ///< Sends of a shard beyond its attempts.
 
-    milliseconds connect_timeout{400};    ///< Opening a connection.
-    milliseconds reopen_first{50};        ///< Wait after a failed opening;
-    milliseconds reopen_most{1'000};      ///< doubles up to this.
+    milliseconds connect_timeout{400};     ///< Opening a connection.
+    milliseconds reopen_first{50};         ///< Wait after a failed opening;
+    milliseconds reopen_most{1'000};       ///< doubles up to this.
+    std::uint32_t failures_until_down = 4; ///< Openings in a row that fail
+                                           ///< until nothing waits for it.
     milliseconds idle_margin{1'000};      ///< Closed before the target does it.
     milliseconds fresh_for{2'000};        ///< Idle time that an at-most-once
                                           ///< request accepts.
     milliseconds turned_away_within{500}; ///< A new connection that breaks so
     ///< soon was one too many.
-    double connection_share = 0.85; ///< Of a target's limit that is used.
+    milliseconds turned_away_slack{5}; ///< Beyond a round trip, likewise.
+    double connection_share = 0.85;    ///< Of a target's limit that is used.
 
     std::uint32_t late_in_a_row =
         2; ///< Overdue requests that suspend a target.
@@ -42,14 +45,14 @@
     milliseconds lapse_grace{2'200}; ///< A registration that vanished around
                                      ///< an outage may come back.
 
-    milliseconds watch_wait{18'000};      ///< A watch waits for changes; less
-                                          ///< than the store keeps its history.
-    milliseconds watch_pause{100};        ///< Between watches that bring some,
-    milliseconds targets_pause{2'000};      ///< and for registrations.
-    milliseconds poll_first{1'500};       ///< Between lists of instances;
-    milliseconds poll_most{20'000};       ///< doubles up to this.
-    milliseconds store_retry_first{200};  ///< Wait after a failed call;
-    milliseconds store_retry_most{500}; ///< doubles up to this.
+    milliseconds watch_wait{18'000};     ///< A watch waits for changes; less
+                                         ///< than the store keeps its history.
+    milliseconds watch_pause{100};       ///< Between watches that bring some,
+    milliseconds targets_pause{2'000};   ///< and for registrations.
+    milliseconds poll_first{1'500};      ///< Between lists of instances;
+    milliseconds poll_most{20'000};      ///< doubles up to this.
+    milliseconds store_retry_first{200}; ///< Wait after a failed call;
+    milliseconds store_retry_most{500};  ///< doubles up to this.
 
     auto operator<=>(dispatch_limits const&) const = default;
 };
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-constexpr auto hedge_reserve = 0.25; ///< Of the budget, kept for failures.
+constexpr auto saving_windows = 2; ///< Budget windows after a start in which
+                                   ///< the share is saved up.
 constexpr auto default_opening = milliseconds{8}; ///< If unknown.
 
 auto is_allowed(target_entry const& t, route const& r) -> bool
@@ -157,13 +158,17 @@
         *free = id;
 }
 
-auto pay(dispatch_state& s, service_id id, attempt_kind kind) -> double
+/// Earns for a part's first request, pays for a further one.
+auto pay(dispatch_state& s, part const& p, attempt_kind kind, time_point now)
+    -> double
 {
-    auto& b = s.services.at(id).budget;
-    if (kind == attempt_kind::first)
-        b = deposit(b);
-    else if (auto const left = withdraw(b))
-        b = *left;
+    auto& service = s.services.at(p.service);
+    save_up(s, service, now);
+    auto& b = service.budget;
+    if (kind != attempt_kind::first)
+        b = with_extra(b);
+    else if (p.first_sent == time_point{})
+        b = with_first(b, s.init.bounds);
     return b.tokens;
 }
 
@@ -187,11 +192,11 @@
 auto record_send(dispatch_state& s, request_entry& e, part& p, target_entry& t,
     attempt const& a, time_point now, commands& out) -> void
 {
-    auto const budget = pay(s, p.service, a.kind);
+    auto const budget = pay(s, p, a.kind, now);
     if (a.kind == attempt_kind::first)
     {
+        s.stats.first_sends += p.first_sent == time_point{} ? 1 : 0;
         p.first_sent = now;
-        ++s.stats.first_sends;
         return;
     }
     count_extra(s.stats, a.kind);
@@ -253,6 +258,43 @@
 
 } // namespace
 
+auto may_come_back(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool
+{
+    auto const it = s.services.find(service);
+    return it != s.services.end() &&
+           std::any_of(it->second.targets.begin(), it->second.targets.end(),
+               [&](target_id id)
+               {
+                   auto const& t = s.targets.at(id);
+                   return is_usable(t, now) && is_allowed(t, r) &&
+                          is_returning(s, t, now);
+               });
+}
+
+/// True if an opening has begun and has not yet taken unusually long.
+auto is_about_to_open(target_entry const& t, time_point now) -> bool
+{
+    constexpr auto usual_times = 3;
+    constexpr auto unknown = duration{milliseconds{50}};
+    auto const usual = t.opening_takes == duration{0}
+                           ? unknown
+                           : usual_times * t.opening_takes;
+    return t.opening > 0 && now - t.opened_last < usual;
+}
+
+auto is_connecting(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool
+{
+    auto const it = s.services.find(service);
+    if (it == s.services.end())
+        return false;
+    auto const opening = std::any_of(it->second.targets.begin(),
+        it->second.targets.end(),
+        [&](target_id id) { return is_about_to_open(s.targets.at(id), now); });
+    return opening || may_come_back(s, service, r, now);
+}
+
 auto find_part(dispatch_state& s, part_key const& key) -> part*
 {
     auto const it = s.requests.find(key.request);
@@ -276,12 +318,21 @@
     -> bool
 {
     auto const it = s.services.find(service);
-    if (it == s.services.end())
-        return false;
-    auto const& b = it->second.budget;
-    auto const kept =
-        kind == attempt_kind::hedge ? b.burst * hedge_reserve : 0.0;
-    return b.tokens >= 1 + kept;
+    auto const spare = kind != attempt_kind::retry;
+    return kind == attempt_kind::first ||
+           (it != s.services.end() && can_pay(it->second.budget, spare));
+}
+
+auto save_up(dispatch_state const& s, service_entry& e, time_point now) -> void
+{
+    auto const span = duration{s.init.bounds.budget_window} * saving_windows;
+    auto const until = std::min(now, s.started + span);
+    if (until <= e.saved_at)
+        return;
+    auto const part = static_cast<double>((until - e.saved_at).count()) /
+                      static_cast<double>(span.count());
+    e.budget = with_saved(e.budget, part);
+    e.saved_at = until;
 }
 
 /// Sends a part that was just sent to a suspended target too, to see whether
@@ -301,7 +352,7 @@
         if (!wants_probe(t.health, now) || !is_usable(t, now) ||
             !is_allowed(t, r) || was_tried(p, id))
             continue;
-        auto const over = take_idle(s, t, false, now, out);
+        auto const over = take_idle(s, t, false, now);
         if (over == connection_id{})
             continue;
         return send(s, key, t, over, attempt_kind::probe, now, out);
@@ -316,9 +367,14 @@
     auto const alone = running_count(p) == 0;
     auto* t = choose_target(s, p, e.value, alone, now);
     if (t == nullptr)
-        return placed::nowhere;
+    {
+        if (!alone || !may_come_back(s, p.service, *e.value.by, now))
+            return placed::nowhere;
+        enqueue(s, key, p, kind, e.value.by->priority);
+        return placed::queued;
+    }
     auto const fresh = e.value.by->repeat == repeatability::at_most_once;
-    auto const over = take_idle(s, *t, fresh, now, out);
+    auto const over = take_idle(s, *t, fresh, now);
     if (over != connection_id{})
     {
         send(s, key, *t, over, kind, now, out);
@@ -326,8 +382,7 @@
             probe(s, key, now, out);
         return placed::sent;
     }
-    if (may_open(s, *t, now) || t->links == 0)
-        open_link(s, *t, now, out);
+    open_for_request(s, *t, now, out);
     enqueue(s, key, p, kind, e.value.by->priority);
     return placed::queued;
 }
@@ -349,6 +404,12 @@
         p->queued = false;
         if (p->state == part_state::answered || p->state == part_state::failed)
             continue;
+        if (!can_pay(s, service, p->next))
+        {
+            if (running_count(*p) == 0)
+                stuck.push_back(key);
+            continue;
+        }
         if (place(s, key, p->next, now, out) == placed::nowhere)
             stuck.push_back(key);
     }
--- a/src/core/dispatch/placing.hpp
+++ b/src/core/dispatch/placing.hpp
@@ -19,6 +19,16 @@
 auto has_target(dispatch_state& s, service_id service, open_request const& r,
     time_point now) -> bool;
 
+/// True if a target of the service that turned connections away is to be
+/// tried again soon.
+auto may_come_back(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool;
+
+/// True if a connection to a target of the service is being opened, or will
+/// be soon.
+auto is_connecting(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool;
+
 /// Sends a part to the best target, or queues it.
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
     time_point now, commands& out) -> placed;
@@ -32,6 +42,9 @@
 auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind)
     -> bool;
 
+/// Saves a service's budget up, if the instance has not started long ago.
+auto save_up(dispatch_state const& s, service_entry& e, time_point now) -> void;
+
 /// Part of a request in flight, or null.
 auto find_part(dispatch_state& s, part_key const& key) -> part*;
 
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -100,7 +100,7 @@
 
 auto is_usable(target_entry const& t, time_point now) -> bool
 {
-    return !t.info.draining && !t.evacuated && now < t.lapses;
+    return !t.info.draining && !t.evacuated && !t.displaced && now < t.lapses;
 }
 
 auto is_reachable(target_entry const& t, time_point now) -> bool
@@ -108,6 +108,13 @@
     return t.links > t.opening || now >= t.open_after;
 }
 
+auto is_returning(
+    dispatch_state const& s, target_entry const& t, time_point now) -> bool
+{
+    return now < t.open_after && t.links == 0 &&
+           t.open_failures < s.init.limits.failures_until_down;
+}
+
 auto may_open(dispatch_state& s, target_entry& t, time_point now) -> bool
 {
     return now >= t.open_after && t.opening < max_opening &&
@@ -125,6 +132,7 @@
     s.links.emplace(l.id, l);
     ++t.links;
     ++t.opening;
+    t.opened_last = now;
     ++s.stats.connects;
     out.push_back(open_connection{l.id, t.info.address});
     arm(s, now + s.init.limits.connect_timeout, link_due{l.id});
@@ -171,24 +179,39 @@
         close_link(s, id, out);
 }
 
-auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now,
-    commands& out) -> connection_id
+auto find_idle(dispatch_state const& s, target_entry const& t, bool fresh,
+    time_point now) -> connection_id
 {
-    while (!t.idle.empty())
+    auto found = connection_id{};
+    for (auto it = t.idle.rbegin(); it != t.idle.rend(); ++it)
     {
-        auto const id = t.idle.back();
-        auto const& l = s.links.at(id);
-        if (now >= l.usable_until)
-        {
-            close_link(s, id, out);
+        auto const& l = s.links.at(*it);
+        auto const old = now - l.since > duration{s.init.limits.fresh_for};
+        if (now >= l.usable_until || (fresh && old))
             continue;
-        }
-        if (fresh && now - l.since > s.init.limits.fresh_for)
-            return {};
-        t.idle.pop_back();
-        return id;
+        if (l.replied || !fresh)
+            return *it;
+        if (found == connection_id{})
+            found = *it;
     }
-    return {};
+    return found;
+}
+
+auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now)
+    -> connection_id
+{
+    auto const id = find_idle(s, t, fresh, now);
+    std::erase(t.idle, id);
+    return id;
+}
+
+auto open_for_request(
+    dispatch_state& s, target_entry& t, time_point now, commands& out) -> void
+{
+    if (!may_open(s, t, now) && !t.idle.empty())
+        close_link(s, t.idle.front(), out);
+    if (may_open(s, t, now) || t.links == 0)
+        open_link(s, t, now, out);
 }
 
 auto give_back(dispatch_state& s, link const& l, duration idle_limit,
@@ -250,14 +273,8 @@
     serve_queue(s, t.service, now, out);
 }
 
-auto on_not_opened(
-    dispatch_state& s, link const& l, time_point now, commands& out) -> void
+auto back_off(dispatch_state& s, target_entry& t, time_point now) -> void
 {
-    forget_link(s, l);
-    auto const it = s.targets.find(l.to);
-    if (it == s.targets.end())
-        return;
-    auto& t = it->second;
     auto const& limits = s.init.limits;
     constexpr auto most_doublings = 6u;
     auto const wait = std::min(
@@ -267,6 +284,17 @@
     ++s.stats.connect_failures;
     t.open_after = now + wait;
     arm(s, t.open_after, target_due{t.id});
+}
+
+auto on_not_opened(
+    dispatch_state& s, link const& l, time_point now, commands& out) -> void
+{
+    forget_link(s, l);
+    auto const it = s.targets.find(l.to);
+    if (it == s.targets.end())
+        return;
+    auto& t = it->second;
+    back_off(s, t, now);
     tell_view(s, t, now, out);
     serve_queue(s, t.service, now, out);
 }
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -18,6 +18,11 @@
 /// True if it has a connection, or one may be tried now.
 auto is_reachable(target_entry const& t, time_point now) -> bool;
 
+/// True if it was connected to in vain a few times only, and will be tried
+/// again soon.
+auto is_returning(
+    dispatch_state const& s, target_entry const& t, time_point now) -> bool;
+
 /// True if another connection may be opened now.
 auto may_open(dispatch_state& s, target_entry& t, time_point now) -> bool;
 
@@ -35,12 +40,22 @@
 /// Closes all idle connections of a target.
 auto close_idle(dispatch_state& s, target_entry& t, commands& out) -> void;
 
-/// Takes an idle connection for a request; the one used last first.
+/// Finds an idle connection for a request; the one used last first.
 ///
-/// @param[in] fresh Only one that the target can hardly have closed.
+/// @param[in] fresh Only one that the target can hardly have closed; first
+///     those that have carried a reply.
 /// @returns The connection, or 0.
-auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now,
-    commands& out) -> connection_id;
+auto find_idle(dispatch_state const& s, target_entry const& t, bool fresh,
+    time_point now) -> connection_id;
+
+/// Takes the connection that `find_idle` finds.
+auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now)
+    -> connection_id;
+
+/// Opens a connection for a request that found none; in place of an idle one
+/// if this instance may hold no more.
+auto open_for_request(
+    dispatch_state& s, target_entry& t, time_point now, commands& out) -> void;
 
 /// Gives a connection back after a reply.
 auto give_back(dispatch_state& s, link const& l, duration idle_limit,
@@ -59,11 +74,14 @@
 /// Likewise for all services.
 auto reshare_all(dispatch_state& s) -> void;
 
-/// True if a connection was broken as soon as it stood: the target had more
-/// than it accepts.
+/// True if an idle connection was broken as soon as it stood: the target had
+/// more than it accepts.
 auto was_turned_away(dispatch_state const& s, link const& l, connection_end how,
     time_point now) -> bool;
 
+/// The target could not be connected to: waits longer each time in a row.
+auto back_off(dispatch_state& s, target_entry& t, time_point now) -> void;
+
 /// A connection could not be opened.
 auto on_not_opened(
     dispatch_state& s, link const& l, time_point now, commands& out) -> void;
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr auto queue_share = 4; ///< Part of the objective spent in a queue.
+/// Between looks at a request that waits for connections.
+constexpr auto connecting_look = milliseconds{10};
 constexpr auto hang_up_patience = milliseconds{200}; ///< For attempts whose
                                                      ///< caller hung up.
 
@@ -77,7 +79,11 @@
     -> bool
 {
     auto const able = std::count_if(e.parts.begin(), e.parts.end(),
-        [&](part const& p) { return has_target(s, p.service, e.value, now); });
+        [&](part const& p)
+        {
+            return has_target(s, p.service, e.value, now) ||
+                   may_come_back(s, p.service, *e.value.by, now);
+        });
     auto const share =
         static_cast<double>(able) / static_cast<double>(e.parts.size());
     return able == 0 || share < coverage_floor(*e.value.by);
@@ -135,7 +141,7 @@
     auto const ran_once = r.repeat == repeatability::at_most_once && p.runs > 0;
     return !ran_once && p.runs < r.max_attempts &&
            p.sends < r.max_attempts + s.init.limits.spare_sends &&
-           (kind == attempt_kind::first || can_pay(s, p.service, kind));
+           can_pay(s, p.service, kind);
 }
 
 auto tell_budget(dispatch_state& s, request_entry const& e, part& p,
@@ -227,6 +233,17 @@
         r);
 }
 
+/// Another target has the address: nothing more goes there until the target
+/// registers anew.
+auto displace(dispatch_state& s, target_entry& t, commands& out) -> void
+{
+    t.displaced = true;
+    close_idle(s, t, out);
+    out.push_back(
+        note{target_judged{t.info.name, t.info.service, t.info.address,
+            target_view::displaced, "reply=wrong_target", t.revision}});
+}
+
 auto tell_failure(dispatch_state& s, attempt const& a, reply_meaning const& m,
     time_point now, commands& out) -> void
 {
@@ -259,17 +276,16 @@
         return conclude(s, a.part.request, now, out);
     }
     tell_failure(s, a, m, now, out);
-    if (!m.ran)
-    {
-        p.runs -= p.runs > 0 ? 1 : 0;
-        if (m.how == attempt_end::overloaded)
-            e.refusal = refusal_reason::overloaded;
-    }
+    auto const unread =
+        m.how == attempt_end::unsent || m.how == attempt_end::turned_away;
+    p.runs -= !m.ran && p.runs > 0 ? 1 : 0;
+    p.sends -= unread && p.sends > 0 ? 1 : 0;
+    if (m.how == attempt_end::overloaded)
+        e.refusal = refusal_reason::overloaded;
     if (reply != nullptr)
         if (auto const* f = std::get_if<reply_failure>(reply))
             e.failure = f->message;
-    auto const again =
-        m.how == attempt_end::unsent ? a.kind : attempt_kind::retry;
+    auto const again = unread ? a.kind : attempt_kind::retry;
     try_again(s, a.part, again, now, out);
     conclude(s, a.part.request, now, out);
 }
@@ -318,13 +334,24 @@
         tell_budget(s, e, p, attempt_kind::hedge, out);
 }
 
-/// Gives a request up of which no part could be sent.
-auto fail_unsent(request_entry& e, time_point now) -> void
+/// A request of which no part could be sent by the end of its time in queues
+/// waits on if a connection is about to stand, until it would be late.
+/// Otherwise it is given up.
+auto limit_queueing(dispatch_state& s, request_entry& e, time_point now) -> void
 {
     auto const sent = std::any_of(e.parts.begin(), e.parts.end(),
         [](part const& p) { return p.sends > 0; });
     if (sent)
         return;
+    auto const soon = std::all_of(e.parts.begin(), e.parts.end(),
+        [&](part const& p)
+        { return is_connecting(s, p.service, *e.value.by, now); });
+    auto const late = now + connecting_look >= e.value.objective;
+    if (soon && !late)
+    {
+        e.value.queue_until = now + connecting_look;
+        return;
+    }
     e.refusal = refusal_reason::overloaded;
     for (auto& p : e.parts)
         fail_part(e, p, now);
@@ -349,22 +376,58 @@
     return when;
 }
 
+/// True if a new connection broke at its first request, sooner than a reply
+/// comes: the target had more connections than it accepts.
+auto broke_unread(dispatch_state const& s, attempt const& a, link const& l,
+    connection_closed const& e, time_point now) -> bool
+{
+    auto const r = s.requests.find(a.part.request);
+    if (l.replied || e.how != connection_end::reset || r == s.requests.end())
+        return false;
+    auto const& t = s.targets.at(l.to);
+    auto const round_trip =
+        t.opening_takes + duration{s.init.limits.turned_away_slack};
+    auto const known = s.latencies.find(r->second.value.by->name);
+    auto const sooner =
+        known == s.latencies.end()
+            ? round_trip
+            : soonest(known->second.at[static_cast<std::size_t>(t.where)],
+                  round_trip);
+    return now - a.sent_at < sooner;
+}
+
+/// What the loss of a connection means for the request in flight on it.
+auto meaning_of_loss(dispatch_state const& s, attempt const& a, link const& l,
+    connection_closed const& e, time_point now) -> reply_meaning
+{
+    if (e.unsent)
+        return {attempt_end::unsent, false, 0};
+    auto const r = s.requests.find(a.part.request);
+    auto const idempotent =
+        r != s.requests.end() &&
+        r->second.value.by->repeat == repeatability::idempotent;
+    if (idempotent && broke_unread(s, a, l, e, now))
+        return {attempt_end::turned_away, false, 0};
+    return {attempt_end::lost, true, 0};
+}
+
 auto lose_attempt(dispatch_state& s, attempt const a, link const& l,
     connection_closed const& e, time_point now, commands& out) -> void
 {
+    auto const m = meaning_of_loss(s, a, l, e, now);
     s.attempts.erase(a.id);
     forget_link(s, l);
     auto& t = s.targets.at(l.to);
-    if (e.unsent)
-        t.health = with_dropped(t.health);
-    else
+    if (m.ran)
     {
         ++s.stats.lost_attempts;
         t.health = with_lost(t.health, s.init.limits, now);
     }
+    else
+        t.health = with_dropped(t.health);
+    if (m.how == attempt_end::turned_away)
+        back_off(s, t, now);
     tell_view(s, t, now, out);
-    auto const m = e.unsent ? reply_meaning{attempt_end::unsent, false, 0}
-                            : reply_meaning{attempt_end::lost, true, 0};
     settle(s, a, m, nullptr, now, out);
 }
 
@@ -462,6 +525,8 @@
     s.stats.overload_replies += m.how == attempt_end::overloaded ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
     s.attempts.erase(a.id);
+    if (m.how == attempt_end::wrong_target)
+        displace(s, t, out);
     if (e.reusable && is_usable(t, now))
         give_back(s, l, e.idle_limit, now);
     else
@@ -500,7 +565,7 @@
         return;
     it->second.looked_at = time_point::max();
     if (now >= it->second.value.queue_until)
-        fail_unsent(it->second, now);
+        limit_queueing(s, it->second, now);
     for (std::uint32_t i = 0; i < it->second.parts.size(); ++i)
         if (needs_hedge(it->second.parts[i]) &&
             now >= hedge_time(s, it->second.parts[i]))
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -2,8 +2,8 @@
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_TABLES_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_TABLES_HPP
 
-#include "core/budget.hpp"
 #include "core/dispatch/dispatcher.hpp"
+#include "core/dispatch/extra_budget.hpp"
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
@@ -139,7 +139,8 @@
     proximity where = proximity::far;
     std::string region;
     bool evacuated = false;
-    bool listed = false;                   ///< Stands in its service's list.
+    bool displaced = false; ///< Another target answers at its address.
+    bool listed = false;    ///< Stands in its service's list.
     time_point lapses = time_point::max(); ///< Vanished; gone at this time.
     time_point cold_until;
     target_health health;
@@ -147,9 +148,10 @@
     std::optional<std::uint32_t> link_limit; ///< Links that it may have.
     std::uint32_t links = 0;                 ///< Opening, idle or busy.
     std::uint32_t opening = 0;
-    std::uint32_t open_failures = 0;            ///< In a row.
-    time_point open_after;                      ///< No new connection before.
-    duration opening_takes{0};                  ///< Smoothed; 0: unknown.
+    time_point opened_last;          ///< When the newest opening began.
+    std::uint32_t open_failures = 0; ///< In a row.
+    time_point open_after;           ///< No new connection before.
+    duration opening_takes{0};       ///< Smoothed; 0: unknown.
     target_view told = target_view::registered; ///< Last view in the log.
 };
 
@@ -160,7 +162,8 @@
     service_policy policy;
     bool routed = false; ///< A route of the configuration in force uses it.
     std::vector<target_id> targets;
-    retry_budget budget;
+    extra_budget budget;
+    time_point saved_at;          ///< When the budget last saved up.
     std::deque<part_key> waiting; ///< Parts that need a connection.
 };
 
@@ -227,6 +230,7 @@
 {
     dispatcher_init init;
     dispatch_stats stats;
+    time_point started;
     random_state random;
     std::uint64_t next_id = 1;
     stopping stop;
@@ -262,7 +266,7 @@
 auto arm(dispatch_state& s, time_point when, timer what) -> void;
 
 /// Extra requests to a service that this instance may save up.
-auto budget_burst(dispatch_state const& s) -> double;
+auto budget_share_of(dispatch_state const& s) -> double;
 
 /// A handle that this process has not used.
 template <class Handle>
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -32,6 +32,7 @@
     unusable,     ///< Its answer belongs to another request.
     lost,         ///< The connection broke.
     unsent,       ///< The connection broke before a byte was written.
+    turned_away,  ///< The target had more connections than it accepts.
     abandoned,    ///< No longer wanted.
 };
 
@@ -113,10 +114,11 @@
     changed,
     draining,
     gone,
-    slow,    ///< Takes much longer than its like.
-    stalled, ///< Has not answered for long.
-    failing, ///< Fails or refuses many requests.
-    down,    ///< No connection can be opened.
+    displaced, ///< Another target has its address.
+    slow,      ///< Takes much longer than its like.
+    stalled,   ///< Has not answered for long.
+    failing,   ///< Fails or refuses many requests.
+    down,      ///< No connection can be opened.
     recovered,
 };
 
--- a/tests/dispatch/rig.cpp
+++ b/tests/dispatch/rig.cpp
@@ -41,7 +41,7 @@
     feed(store_listed{
         store_kind::configuration, {{"main", ++revision_, c}}, "", revision_});
     feed(store_listed{store_kind::targets, objects, "", revision_});
-        for (auto const k : {store_kind::evacuations, store_kind::rollouts})
+    for (auto const k : {store_kind::evacuations, store_kind::rollouts})
         feed(store_listed{k, {}, "", revision_});
 }
 
--- a/tests/dispatch/rig.hpp
+++ b/tests/dispatch/rig.hpp
@@ -37,7 +37,10 @@
 public:
     explicit rig(dispatch_limits const& limits = {}, std::string zone = "a");
 
-    /// Lists everything once: the configuration and the targets given so far.
+    /// Lets the instance be up for half a minute before it is given anything.
+    auto age() -> void { advance(seconds{30}); }
+
+    /// Lists everything once: the configuration, the targets, the instances.
     auto begin(routing_config const& c,
         std::vector<target_registration> const& targets,
         std::vector<instance_record> const& fleet = {}) -> void;
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -93,7 +93,8 @@
     CHECK(first<store_watch>(s).revision == 8);
 }
 
-TEST_CASE("follow: instances are polled, ever less often, but once from stale data")
+TEST_CASE(
+    "follow: instances are polled, ever less often, but once from stale data")
 {
     auto f = follow_of(pausing{start});
     f.kind = ks::store_kind::instances;
--- a/tests/dispatch/test_interleavings.cpp
+++ b/tests/dispatch/test_interleavings.cpp
@@ -33,6 +33,7 @@
 public:
     explicit schedule(std::uint64_t seed) : random_(seed)
     {
+        rig_.age();
         rig_.begin(config(), {});
         for (auto i = 0; i < services * targets_of_service; ++i)
             enlist(i, false);
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <set>
+#include <utility>
 
 namespace ks = knapweedstream;
 using namespace knapweedstream::dispatch;
@@ -54,6 +55,7 @@
 TEST_CASE("routed: an instance without a configuration refuses with a time")
 {
     auto r = rig{};
+    r.age();
     auto const c = r.ask("q");
     CHECK(refusal_of(r, c).reason == ks::refusal_reason::not_ready);
     CHECK(refusal_of(r, c).retry_after > ks::duration{0});
@@ -63,6 +65,7 @@
 TEST_CASE("routed: a request goes to the near target and back")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     CHECK(r.core.gauges().ready);
     auto const c = r.ask("q");
@@ -80,6 +83,7 @@
 TEST_CASE("routed: unknown hosts, paths and missing ids are refused at once")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     CHECK(refusal_of(r, r.ask("q", "/other/")).reason ==
           ks::refusal_reason::no_route);
@@ -95,6 +99,7 @@
     auto all = three_of("s");
     all.push_back(registered("t-a", "t", "a"));
     auto r = rig{};
+    r.age();
     r.begin(c, all);
     r.ask("q", "/p/long/x?y");
     CHECK(r.take_sent()[0].target == "t-a");
@@ -103,6 +108,7 @@
 TEST_CASE("routed: a slow target is hedged once, the first answer counts")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     auto const c = r.ask("q");
     auto const first = r.take_sent();
@@ -122,6 +128,7 @@
 TEST_CASE("routed: at most once is never sent again once it may have run")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(at_most_once(single_route("s"))), three_of("s"));
     auto const c = r.ask("q");
     auto const s = r.take_sent();
@@ -136,6 +143,7 @@
 TEST_CASE("routed: at most once goes on after an answer that says not run")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(at_most_once(single_route("s"))), three_of("s"));
     auto const c = r.ask("q");
     r.reply(r.take_sent()[0], ks::reply_overloaded{});
@@ -148,6 +156,7 @@
 TEST_CASE("routed: a target's own failure is passed on unchanged")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(at_most_once(single_route("s"))), three_of("s"));
     auto const c = r.ask("q");
     r.reply(r.take_sent()[0], ks::reply_failure{{500, "sig", {}, "why"}});
@@ -160,6 +169,7 @@
 TEST_CASE("routed: an idempotent request is retried after a lost connection")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     auto const c = r.ask("q");
     r.lose(r.take_sent()[0]);
@@ -172,10 +182,14 @@
 TEST_CASE("routed: no more targets run a request than the route allows")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     auto const c = r.ask("q");
+    r.advance(milliseconds{20}); // Longer than a refusal of the connection.
     r.lose(r.take_sent()[0]);
-    r.lose(r.take_sent()[0]);
+    auto const second = r.take_sent();
+    r.advance(milliseconds{20});
+    r.lose(second[0]);
     CHECK(r.take_sent().empty());
     CHECK(is<ks::answer_failed>(r.answer_to(c)->answer));
 }
@@ -183,6 +197,7 @@
 TEST_CASE("gather: all shards in, the greatest records win")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), two_shards());
     auto const c = r.ask("q");
     auto const s = r.take_sent();
@@ -198,6 +213,7 @@
 TEST_CASE("gather: at the objective what is in is answered, the rest is told")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), two_shards());
     auto const c = r.ask("q");
     auto const asked = r.now;
@@ -212,6 +228,7 @@
 TEST_CASE("gather: below the least coverage it waits, then says it failed")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), two_shards());
     auto const c = r.ask("q");
     r.succeed(r.take_sent()[0], "aaaaaaaaaaaaaaaa");
@@ -225,6 +242,7 @@
 TEST_CASE("gather: too few shards with a target are refused before any send")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), three_of("s0"));
     auto const c = r.ask("q");
     CHECK(refusal_of(r, c).reason == ks::refusal_reason::no_target);
@@ -235,6 +253,7 @@
 TEST_CASE("gather: a shard without a target does not hold the others up")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), three_of("s0"));
     auto const c = r.ask("q");
     r.succeed(r.take_sent()[0], "aaaaaaaaaaaaaaaa");
@@ -245,6 +264,7 @@
 TEST_CASE("routed: a caller that hangs up has its attempts given up")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     auto const c = r.ask("q");
     auto const s = r.take_sent();
@@ -260,6 +280,7 @@
 TEST_CASE("timers: a tick that comes early is asked for again")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     r.ask("q");
     r.take_sent();
@@ -272,6 +293,7 @@
 TEST_CASE("stop: a request of the last moment is answered before the exit")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     r.feed(stop_requested{});
     CHECK(!r.core.gauges().ready);
@@ -290,6 +312,7 @@
 TEST_CASE("budget: extra requests stay within the stated share")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     auto const burst = 0.9 * dispatch_bounds{}.retry_budget_extra;
     auto const n = 400;
@@ -309,6 +332,7 @@
 TEST_CASE("queue: a part that waits for a connection does not end a gather")
 {
     auto r = rig{};
+    r.age();
     auto targets = two_shards();
     r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), three_of("s0"));
     r.hold_opens = true;
@@ -335,6 +359,7 @@
 TEST_CASE("queue: a request that nothing was sent for is refused soon")
 {
     auto r = rig{};
+    r.age();
     r.hold_opens = true;
     r.begin(config_of(single_route("s")), three_of("s"));
     auto const c = r.ask("q");
@@ -352,6 +377,7 @@
     auto limits = dispatch_limits{};
     limits.connection_share = 0.5;
     auto r = rig{limits};
+    r.age();
     auto c = config_of(single_route("s"));
     c.services = {{"s", "/health", 2, milliseconds{0}, 0}};
     r.begin(c, {registered("s-a", "s", "a"), registered("s-b", "s", "b")},
@@ -382,6 +408,7 @@
 TEST_CASE("health: a target that hangs now and then is passed over")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     auto to_near = 0;
     auto tried = 0;
@@ -413,6 +440,7 @@
 TEST_CASE("store: while it is away one kind alone asks for it")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     for (auto const k : {ks::store_kind::targets, ks::store_kind::evacuations,
              ks::store_kind::configuration, ks::store_kind::rollouts})
@@ -424,8 +452,7 @@
         r.advance(milliseconds{100});
         auto const all = r.ordered<store_watch>();
         for (; answered < all.size(); ++answered)
-            r.feed(
-                store_failed{all[answered].kind, ks::store_failure::busy});
+            r.feed(store_failed{all[answered].kind, ks::store_failure::busy});
     }
     CHECK(answered - before <= 30); // 10 s, at most three a second.
     CHECK(answered - before >= 10);
@@ -445,12 +472,13 @@
 TEST_CASE("store: an instance records itself until it is listed")
 {
     auto r = rig{};
+    r.age();
     r.begin(config_of(single_route("s")), three_of("s"));
     REQUIRE(r.ordered<store_record>().size() == 1);
     CHECK(!r.ordered<store_record>()[0].exists);
     // The record of an earlier start is there, the list was stale.
-    r.feed(store_written{ks::store_kind::instances, "me", 0,
-        ks::store_failure::conflict});
+    r.feed(store_written{
+        ks::store_kind::instances, "me", 0, ks::store_failure::conflict});
     REQUIRE(r.ordered<store_record>().size() == 2);
     CHECK(r.ordered<store_record>()[1].exists);
     r.advance(milliseconds{1'600});
@@ -462,3 +490,212 @@
     r.feed(store_listed{ks::store_kind::instances, {}, "", 6});
     CHECK(r.ordered<store_record>().size() == 3);
 }
+
+TEST_CASE("queue: a target that turned a connection away is tried again")
+{
+    auto r = rig{};
+    r.age();
+    r.refused_addresses = {"s1-a:1", "s1-b:1", "s1-c:1"};
+    r.begin(config_of(shard_route({"s0", "s1"}, 1.0)), two_shards());
+    auto const c = r.ask("q");
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 1);
+    r.succeed(s[0], "aaaaaaaaaaaaaaaa");
+    r.advance(milliseconds{20});
+    CHECK(!r.answer_to(c));
+    r.refused_addresses.clear();
+    r.advance(milliseconds{120});
+    auto const late = r.take_sent();
+    REQUIRE(!late.empty());
+    r.succeed(late[0], "bbbbbbbbbbbbbbbb");
+    REQUIRE(r.answer_to(c));
+    CHECK(merged_of(r, c).missing == 0);
+}
+
+TEST_CASE("queue: targets that are down for long are not waited for")
+{
+    auto r = rig{};
+    r.age();
+    r.refused_addresses = {"s1-a:1", "s1-b:1", "s1-c:1"};
+    r.begin(config_of(shard_route({"s0", "s1"}, 0.5)), two_shards());
+    for (auto i = 0; i < 10; ++i)
+    {
+        r.ask("warm" + std::to_string(i));
+        r.advance(milliseconds{200});
+        for (auto const& it : r.take_sent())
+            r.succeed(it, "aaaaaaaaaaaaaaaa");
+    }
+    auto const c = r.ask("q");
+    r.succeed(r.take_sent()[0], "aaaaaaaaaaaaaaaa");
+    REQUIRE(r.answer_to(c));
+    CHECK(merged_of(r, c).missing == 1);
+}
+
+TEST_CASE("budget: a connection that is turned away costs nothing")
+{
+    auto limits = dispatch_limits{};
+    limits.reopen_first = milliseconds{5};
+    auto r = rig{limits};
+    r.age();
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const c = r.ask("q");
+    // Each target breaks new connections at their first request, twice.
+    auto const next_sent = [&]
+    {
+        for (auto i = 0; i < 12 && r.unanswered.empty(); ++i)
+            r.advance(milliseconds{1});
+        auto const all = r.take_sent();
+        REQUIRE(all.size() == 1);
+        return all[0];
+    };
+    for (auto i = 0; i < 6; ++i)
+        r.lose(next_sent());
+    CHECK(!r.answer_to(c));
+    CHECK(r.core.stats().retries == 0);
+    r.succeed(next_sent());
+    CHECK(r.answer_to(c));
+}
+
+TEST_CASE("routed: at most once prefers a connection that has proved itself")
+{
+    auto r = rig{};
+    r.age();
+    auto c = config_of(single_route("s"));
+    auto once = at_most_once(single_route("s"));
+    once.path_start = "/once/";
+    once.name = "once";
+    c.routes.push_back(once);
+    r.begin(c, {registered("s-a", "s", "a")});
+    r.ask("q1");
+    auto const first = r.take_sent();
+    r.ask("q2"); // Opens a second connection.
+    auto const second = r.take_sent();
+    REQUIRE(second.size() == 1);
+    r.succeed(first[0]);
+    r.succeed(second[0]);
+    r.ask("q3");
+    r.ask("q4");
+    r.ask("q5"); // Opens a third one, which stays unproved.
+    auto const more = r.take_sent();
+    REQUIRE(more.size() == 3);
+    auto const unproved = more[2].connection;
+    r.succeed(more[0]);
+    r.advance(milliseconds{5});
+    r.ask("u", "/once/x");
+    auto const u = r.take_sent();
+    REQUIRE(u.size() == 1);
+    CHECK(u[0].connection != unproved);
+}
+
+TEST_CASE("budget: an instance that has just started saves up slowly")
+{
+    // Its fleet is not known yet: it may be one of many.
+    auto r = rig{};
+    r.begin(config_of(single_route("s")), three_of("s"));
+    for (auto i = 0; i < 100; ++i)
+    {
+        r.ask("q" + std::to_string(i));
+        while (!r.unanswered.empty())
+            for (auto const& it : r.take_sent())
+                r.reply(it, ks::reply_overloaded{});
+        r.advance(milliseconds{10});
+    }
+    auto const extra = r.core.stats().hedges + r.core.stats().retries;
+    CHECK(extra <= 0.2 * 100 + 0.1 * dispatch_bounds{}.retry_budget_extra);
+}
+
+TEST_CASE(
+    "budget: a retry that waited for a connection is paid when it is sent")
+{
+    auto fleet = std::vector<ks::instance_record>{};
+    for (auto i = 0; i < 20; ++i)
+        fleet.push_back({"i" + std::to_string(i), "a", "north"});
+    auto c = config_of(single_route("s"));
+    c.services = {{"s", "/health", 1'000, milliseconds{0}, 0}};
+    auto r = rig{};
+    r.age();
+    r.begin(c, three_of("s"), fleet);
+    auto const at_once = 6;
+    for (auto k = 0; k < at_once; ++k)
+        r.ask("q" + std::to_string(k));
+    auto const first = r.take_sent();
+    REQUIRE(first.size() == at_once);
+    r.hold_opens = true;
+    for (auto const& it : first)
+        r.reply(it, ks::reply_overloaded{}); // Retries wait for connections.
+    r.open_held();
+    auto const share = dispatch_bounds{}.retry_budget_extra / 20.0;
+    CHECK(static_cast<double>(r.core.stats().retries) <= 0.2 * at_once + share);
+}
+
+TEST_CASE("routed: at most once replaces a connection that was idle for long")
+{
+    auto limits = dispatch_limits{};
+    limits.connection_share = 1;
+    auto r = rig{limits};
+    r.age();
+    auto c = config_of(at_most_once(single_route("s")));
+    c.services = {{"s", "/health", 1, milliseconds{0}, 0}};
+    r.begin(c, {registered("s-a", "s", "a")});
+    r.advance(ks::seconds{20});
+    auto const caller = r.ask("u");
+    auto const s = r.take_sent();
+    REQUIRE(s.size() == 1);
+    r.succeed(s[0]);
+    CHECK(is<ks::answer_relayed>(r.answer_to(caller)->answer));
+    CHECK(r.ordered<close_connection>().size() == 1);
+}
+
+TEST_CASE("budget: a break as late as an answer may be is paid for")
+{
+    auto r = rig{};
+    r.age();
+    r.begin(config_of(single_route("s")), three_of("s"));
+    for (auto i = 0; i < 40; ++i)
+    {
+        r.ask("warm" + std::to_string(i));
+        r.advance(milliseconds{3});
+        for (auto const& it : r.take_sent())
+            r.reply(it, success(), false); // The next one is a new connection.
+        r.advance(milliseconds{50});
+    }
+    auto const before = r.core.stats().retries;
+    r.ask("q");
+    r.advance(milliseconds{4});
+    r.lose(r.take_sent()[0]);
+    CHECK(r.core.stats().retries == before + 1);
+}
+
+TEST_CASE("routed: an address that another target has is not used again")
+{
+    auto r = rig{};
+    r.age();
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto to_near = 0;
+    auto late = std::vector<sent>{};
+    for (auto i = 0; i < 20; ++i)
+    {
+        r.ask("q" + std::to_string(i));
+        while (!r.unanswered.empty())
+            for (auto const& it : r.take_sent())
+            {
+                to_near += it.target == "s-a" ? 1 : 0;
+                if (it.target == "s-a")
+                    r.reply(it, ks::reply_wrong_target{});
+                else
+                    late.push_back(it);
+            }
+        r.advance(milliseconds{40});
+        for (auto const& it : std::exchange(late, {}))
+            r.succeed(it);
+        r.advance(milliseconds{500});
+    }
+    CHECK(to_near == 1);
+    // It registers anew.
+    auto anew = registered("s-a", "s", "a");
+    anew.address = "elsewhere:1";
+    r.feed(store_changed{
+        ks::store_kind::targets, {{{"s-a", 900, anew}, false}}, 900});
+    r.ask("again");
+    CHECK(r.take_sent()[0].target == "s-a");
+}
