Requests and placing split by job: parts, search, attempts

Functions on a part's value alone are in parts, the search for a target in search, ends of attempts in attempts.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/dispatcher.hpp"
 
+#include "core/dispatch/attempts.hpp"
 #include "core/dispatch/catalog.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/requests.hpp"
--- /dev/null
+++ b/src/core/dispatch/parts.cpp
@@ -0,0 +1,73 @@
+#include "core/dispatch/parts.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+template <class Array, class Id>
+auto put(Array& where, Id id) -> void
+{
+    auto const free = std::find(where.begin(), where.end(), Id{});
+    if (free != where.end())
+        *free = id;
+}
+
+} // namespace
+
+auto running_count(part const& p) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(p.running.begin(),
+        p.running.end(), [](attempt_id id) { return id != attempt_id{}; }));
+}
+
+auto was_tried(part const& p, target_id id) -> bool
+{
+    return std::find(p.tried.begin(), p.tried.end(), id) != p.tried.end();
+}
+
+auto is_open(part const& p) -> bool
+{
+    return p.state != part_state::answered && p.state != part_state::failed;
+}
+
+auto with_attempt(part const& p, attempt const& a) -> part
+{
+    auto next = p;
+    put(next.running, a.id);
+    if (!was_tried(p, a.to))
+        put(next.tried, a.to);
+    next.last = a.to;
+    next.state = part_state::running;
+    ++next.sends;
+    ++next.runs;
+    return next;
+}
+
+/// An attempt that may have run is over; it is no longer counted as running.
+auto without_attempt(part const& p, attempt_id id) -> part
+{
+    auto next = p;
+    std::replace(next.running.begin(), next.running.end(), id, attempt_id{});
+    return next;
+}
+
+auto fail_part(request_entry& e, part& p, time_point now) -> void
+{
+    if (!is_open(p))
+        return;
+    p.state = part_state::failed;
+    p.ended_at = now;
+    e.open -= e.open > 0 ? 1 : 0;
+}
+
+auto find_part(dispatch_state& s, part_key const& key) -> part*
+{
+    auto const it = s.requests.find(key.request);
+    return it == s.requests.end() ? nullptr : &it->second.parts[key.index];
+}
+
+} // namespace knapweedstream::dispatch
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -1,11 +1,12 @@
 #include "core/dispatch/placing.hpp"
 
-#include "core/dispatch/choice.hpp"
+#include "core/dispatch/attempts.hpp"
+#include "core/dispatch/parts.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/requests.hpp"
+#include "core/dispatch/search.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace knapweedstream::dispatch
 {
@@ -15,148 +16,6 @@
 
 constexpr auto saving_windows = 2; ///< Budget windows after a start in which
                                    ///< the share is saved up.
-constexpr auto default_opening = milliseconds{8}; ///< If unknown.
-
-auto is_allowed(target_entry const& t, route const& r) -> bool
-{
-    return r.regions.empty() || std::find(r.regions.begin(), r.regions.end(),
-                                    t.region) != r.regions.end();
-}
-
-auto was_tried(part const& p, target_id id) -> bool
-{
-    return std::find(p.tried.begin(), p.tried.end(), id) != p.tried.end();
-}
-
-auto prior(proximity p) -> duration
-{
-    switch (p)
-    {
-    case proximity::zone:
-        return milliseconds{20};
-    case proximity::region:
-        return milliseconds{25};
-    case proximity::far:
-        return milliseconds{60};
-    }
-    return milliseconds{60};
-}
-
-auto estimate_for(dispatch_state const& s, route const& r, proximity p)
-    -> latency_estimate
-{
-    auto const it = s.latencies.find(r.name);
-    return it == s.latencies.end() ? latency_estimate{}
-                                   : it->second.at[static_cast<std::size_t>(p)];
-}
-
-auto candidate_of(dispatch_state& s, target_entry& t, route const& r,
-    bool fresh, time_point now) -> candidate
-{
-    auto const& limits = s.init.limits;
-    auto const e = estimate_for(s, r, t.where);
-    auto c = candidate{};
-    c.typical = typical(e, prior(t.where));
-    c.slowness = slowness_at(t.health, limits, now);
-    c.failure_rate = failure_rate_at(t.health, limits, now);
-    c.in_flight = t.health.in_flight;
-    c.slots = t.info.slots;
-    c.silence = silence(t.health, now);
-    c.patience = hedge_patience(e, limits);
-    c.penalty =
-        t.where == proximity::far ? duration{limits.far_penalty} : duration{0};
-    c.idle =
-        !t.idle.empty() && (!fresh || now - s.links.at(t.idle.back()).since <=
-                                          duration{limits.fresh_for});
-    c.may_open = may_open(s, t, now) || t.links == 0;
-    c.opening = t.opening_takes == duration{0} ? duration{default_opening}
-                                               : t.opening_takes;
-    return c;
-}
-
-/// Which targets a search takes; each step takes more of them.
-struct search_step
-{
-    bool suspended = false;  ///< Also those that were silent.
-    bool tried = false;      ///< Also those that were asked for this part.
-    bool over_share = false; ///< Also one connection beyond this instance's
-                             ///< share.
-};
-
-constexpr auto search_steps = std::array{search_step{false, false, false},
-    search_step{false, false, true}, search_step{true, false, true},
-    search_step{true, true, true}};
-
-/// True if the target has a connection, or one may be opened for a request.
-auto can_connect(
-    dispatch_state& s, target_entry& t, bool over_share, time_point now) -> bool
-{
-    return t.links > 0 || may_open(s, t, now) ||
-           (over_share && now >= t.open_after);
-}
-
-/// Suspended targets of idempotent requests are probed beside another one.
-auto may_be_first(target_health const& h, route const& r, time_point now)
-    -> bool
-{
-    return std::holds_alternative<sound>(h.state) ||
-           (r.repeat == repeatability::at_most_once && is_trusted(h, now));
-}
-
-auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
-    route const& r, search_step const& step, time_point now) -> bool
-{
-    return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
-           (step.tried || !was_tried(p, t.id)) &&
-           (step.suspended || may_be_first(t.health, r, now)) &&
-           can_connect(s, t, step.over_share, now);
-}
-
-auto eligible_targets(dispatch_state& s, part const& p, route const& r,
-    bool alone, time_point now) -> std::vector<target_entry*>
-{
-    auto const service = s.services.find(p.service);
-    auto found = std::vector<target_entry*>{};
-    if (service == s.services.end())
-        return found;
-    for (auto const& step : search_steps)
-    {
-        if (step.tried && !alone)
-            break;
-        for (auto const id : service->second.targets)
-            if (auto& t = s.targets.at(id); is_eligible(s, t, p, r, step, now))
-                found.push_back(&t);
-        if (!found.empty())
-            break;
-    }
-    return found;
-}
-
-auto choose_target(dispatch_state& s, part const& p, open_request const& r,
-    bool alone, time_point now) -> target_entry*
-{
-    auto const fresh = r.by->repeat == repeatability::at_most_once;
-    auto const targets = eligible_targets(s, p, *r.by, alone, now);
-    auto from = std::vector<candidate>{};
-    for (auto* it : targets)
-        from.push_back(candidate_of(s, *it, *r.by, fresh, now));
-    auto const best = choose(from, s.random);
-    return best ? targets[*best] : nullptr;
-}
-
-auto running_count(part const& p) -> std::size_t
-{
-    return static_cast<std::size_t>(std::count_if(p.running.begin(),
-        p.running.end(), [](attempt_id id) { return id != attempt_id{}; }));
-}
-
-template <class Array, class Id>
-auto put(Array& where, Id id) -> void
-{
-    auto const free = std::find(where.begin(), where.end(), Id{});
-    if (free != where.end())
-        *free = id;
-}
 
 /// Earns for a part's first request, pays for a further one.
 auto pay(dispatch_state& s, part const& p, attempt_kind kind, time_point now)
@@ -224,13 +83,7 @@
         l.id, l.to, link_state::busy, a.id, now, l.usable_until, l.replied};
     t.health = with_sent(t.health, now);
     record_send(s, e, p, t, a, now, out);
-    put(p.running, a.id);
-    if (!was_tried(p, t.id))
-        put(p.tried, t.id);
-    p.last = t.id;
-    p.state = part_state::running;
-    ++p.sends;
-    ++p.runs;
+    p = with_attempt(p, a);
     s.attempts.emplace(a.id, a);
     auto const left =
         std::chrono::duration_cast<milliseconds>(e.value.deadline - now);
@@ -256,63 +109,31 @@
         std::find_if(waiting.begin(), waiting.end(), less_urgent), key);
 }
 
-} // namespace
-
-auto may_come_back(dispatch_state const& s, service_id service, route const& r,
-    time_point now) -> bool
-{
-    auto const it = s.services.find(service);
-    return it != s.services.end() &&
-           std::any_of(it->second.targets.begin(), it->second.targets.end(),
-               [&](target_id id)
-               {
-                   auto const& t = s.targets.at(id);
-                   return is_usable(t, now) && is_allowed(t, r) &&
-                          is_returning(s, t, now);
-               });
-}
-
-/// True if an opening has begun and has not yet taken unusually long.
-auto is_about_to_open(target_entry const& t, time_point now) -> bool
-{
-    constexpr auto usual_times = 3;
-    constexpr auto unknown = duration{milliseconds{50}};
-    auto const usual = t.opening_takes == duration{0}
-                           ? unknown
-                           : usual_times * t.opening_takes;
-    return t.opening > 0 && now - t.opened_last < usual;
-}
-
-auto is_connecting(dispatch_state const& s, service_id service, route const& r,
-    time_point now) -> bool
-{
-    auto const it = s.services.find(service);
-    if (it == s.services.end())
-        return false;
-    auto const opening = std::any_of(it->second.targets.begin(),
-        it->second.targets.end(),
-        [&](target_id id) { return is_about_to_open(s.targets.at(id), now); });
-    return opening || may_come_back(s, service, r, now);
-}
-
-auto find_part(dispatch_state& s, part_key const& key) -> part*
+/// Sends a part that was just sent to a suspended target too, to see whether
+/// it is sound again.
+auto probe(dispatch_state& s, part_key const& key, time_point now,
+    commands& out) -> void
 {
-    auto const it = s.requests.find(key.request);
-    return it == s.requests.end() ? nullptr : &it->second.parts[key.index];
+    auto& e = s.requests.at(key.request);
+    auto& p = e.parts[key.index];
+    auto const& r = *e.value.by;
+    if (r.repeat != repeatability::idempotent || p.runs >= r.max_attempts ||
+        !can_pay(s, p.service, attempt_kind::probe))
+        return;
+    for (auto const id : s.services.at(p.service).targets)
+    {
+        auto& t = s.targets.at(id);
+        if (!wants_probe(t.health, now) || !is_usable(t, now) ||
+            !is_allowed(t, r) || was_tried(p, id))
+            continue;
+        auto const over = take_idle(s, t, false, now);
+        if (over == connection_id{})
+            continue;
+        return send(s, key, t, over, attempt_kind::probe, now, out);
+    }
 }
 
-auto has_target(dispatch_state& s, service_id service, open_request const& r,
-    time_point now) -> bool
-{
-    auto const it = s.services.find(service);
-    return it != s.services.end() &&
-           std::any_of(it->second.targets.begin(), it->second.targets.end(),
-               [&](target_id id)
-               {
-                   return is_eligible(s, s.targets.at(id), {}, *r.by,
-                       search_steps.back(), now);
-               });
-}
+} // namespace
 
 auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind)
     -> bool
@@ -335,30 +156,6 @@
     e.saved_at = until;
 }
 
-/// Sends a part that was just sent to a suspended target too, to see whether
-/// it is sound again.
-auto probe(dispatch_state& s, part_key const& key, time_point now,
-    commands& out) -> void
-{
-    auto& e = s.requests.at(key.request);
-    auto& p = e.parts[key.index];
-    auto const& r = *e.value.by;
-    if (r.repeat != repeatability::idempotent || p.runs >= r.max_attempts ||
-        !can_pay(s, p.service, attempt_kind::probe))
-        return;
-    for (auto const id : s.services.at(p.service).targets)
-    {
-        auto& t = s.targets.at(id);
-        if (!wants_probe(t.health, now) || !is_usable(t, now) ||
-            !is_allowed(t, r) || was_tried(p, id))
-            continue;
-        auto const over = take_idle(s, t, false, now);
-        if (over == connection_id{})
-            continue;
-        return send(s, key, t, over, attempt_kind::probe, now, out);
-    }
-}
-
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
     time_point now, commands& out) -> placed
 {
@@ -402,7 +199,7 @@
         if (p == nullptr || !p->queued)
             continue;
         p->queued = false;
-        if (p->state == part_state::answered || p->state == part_state::failed)
+        if (!is_open(*p))
             continue;
         if (!can_pay(s, service, p->next))
         {
--- a/src/core/dispatch/placing.hpp
+++ b/src/core/dispatch/placing.hpp
@@ -15,20 +15,6 @@
     nowhere, ///< No target can be used.
 };
 
-/// True if a target of the service can be used for the request now.
-auto has_target(dispatch_state& s, service_id service, open_request const& r,
-    time_point now) -> bool;
-
-/// True if a target of the service that turned connections away is to be
-/// tried again soon.
-auto may_come_back(dispatch_state const& s, service_id service, route const& r,
-    time_point now) -> bool;
-
-/// True if a connection to a target of the service is being opened, or will
-/// be soon.
-auto is_connecting(dispatch_state const& s, service_id service, route const& r,
-    time_point now) -> bool;
-
 /// Sends a part to the best target, or queues it.
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
     time_point now, commands& out) -> placed;
@@ -45,9 +31,6 @@
 /// Saves a service's budget up, if the instance has not started long ago.
 auto save_up(dispatch_state const& s, service_entry& e, time_point now) -> void;
 
-/// Part of a request in flight, or null.
-auto find_part(dispatch_state& s, part_key const& key) -> part*;
-
 } // namespace knapweedstream::dispatch
 
 #endif
--- a/src/core/dispatch/requests.hpp
+++ b/src/core/dispatch/requests.hpp
@@ -15,26 +15,10 @@
 auto on_caller_gone(dispatch_state& s, caller_gone const& e, time_point now,
     commands& out) -> void;
 
-/// A target replied.
-auto on_replied(dispatch_state& s, target_replied const& e, time_point now,
-    commands& out) -> void;
-
-/// A connection ended, or could not be opened.
-auto on_closed(dispatch_state& s, connection_closed const& e, time_point now,
-    commands& out) -> void;
-
 /// A hedge, the queue limit, the objective or the deadline may be due.
 auto on_request_due(dispatch_state& s, request_due const& e, time_point now,
     commands& out) -> void;
 
-/// An abandoned attempt has been out for long enough.
-auto on_loser_due(dispatch_state& s, loser_due const& e, time_point now,
-    commands& out) -> void;
-
-/// No target can take a part.
-auto on_nowhere(dispatch_state& s, part_key const& key, time_point now,
-    commands& out) -> void;
-
 /// Looks at a request again at a time.
 auto watch_request(dispatch_state& s, request_key key, time_point when) -> void;
 
--- /dev/null
+++ b/src/core/dispatch/search.cpp
@@ -0,0 +1,192 @@
+#include "core/dispatch/search.hpp"
+
+#include "core/dispatch/choice.hpp"
+#include "core/dispatch/parts.hpp"
+#include "core/dispatch/pool.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto default_opening = milliseconds{8}; ///< If unknown.
+
+auto prior(proximity p) -> duration
+{
+    switch (p)
+    {
+    case proximity::zone:
+        return milliseconds{20};
+    case proximity::region:
+        return milliseconds{25};
+    case proximity::far:
+        return milliseconds{60};
+    }
+    return milliseconds{60};
+}
+
+auto candidate_of(dispatch_state& s, target_entry& t, route const& r,
+    bool fresh, time_point now) -> candidate
+{
+    auto const& limits = s.init.limits;
+    auto const e = estimate_for(s, r, t.where);
+    auto c = candidate{};
+    c.typical = typical(e, prior(t.where));
+    c.slowness = slowness_at(t.health, limits, now);
+    c.failure_rate = failure_rate_at(t.health, limits, now);
+    c.in_flight = t.health.in_flight;
+    c.slots = t.info.slots;
+    c.silence = silence(t.health, now);
+    c.patience = hedge_patience(e, limits);
+    c.penalty =
+        t.where == proximity::far ? duration{limits.far_penalty} : duration{0};
+    c.idle =
+        !t.idle.empty() && (!fresh || now - s.links.at(t.idle.back()).since <=
+                                          duration{limits.fresh_for});
+    c.may_open = may_open(s, t, now) || t.links == 0;
+    c.opening = t.opening_takes == duration{0} ? duration{default_opening}
+                                               : t.opening_takes;
+    return c;
+}
+
+/// Which targets a search takes; each step takes more of them.
+struct search_step
+{
+    bool suspended = false;  ///< Also those that were silent.
+    bool tried = false;      ///< Also those that were asked for this part.
+    bool over_share = false; ///< Also one connection beyond this instance's
+                             ///< share.
+};
+
+constexpr auto search_steps = std::array{search_step{false, false, false},
+    search_step{false, false, true}, search_step{true, false, true},
+    search_step{true, true, true}};
+
+/// True if the target has a connection, or one may be opened for a request.
+auto can_connect(
+    dispatch_state& s, target_entry& t, bool over_share, time_point now) -> bool
+{
+    return t.links > 0 || may_open(s, t, now) ||
+           (over_share && now >= t.open_after);
+}
+
+/// Suspended targets of idempotent requests are probed beside another one.
+auto may_be_first(target_health const& h, route const& r, time_point now)
+    -> bool
+{
+    return std::holds_alternative<sound>(h.state) ||
+           (r.repeat == repeatability::at_most_once && is_trusted(h, now));
+}
+
+auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
+    route const& r, search_step const& step, time_point now) -> bool
+{
+    return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
+           (step.tried || !was_tried(p, t.id)) &&
+           (step.suspended || may_be_first(t.health, r, now)) &&
+           can_connect(s, t, step.over_share, now);
+}
+
+auto eligible_targets(dispatch_state& s, part const& p, route const& r,
+    bool alone, time_point now) -> std::vector<target_entry*>
+{
+    auto const service = s.services.find(p.service);
+    auto found = std::vector<target_entry*>{};
+    if (service == s.services.end())
+        return found;
+    for (auto const& step : search_steps)
+    {
+        if (step.tried && !alone)
+            break;
+        for (auto const id : service->second.targets)
+            if (auto& t = s.targets.at(id); is_eligible(s, t, p, r, step, now))
+                found.push_back(&t);
+        if (!found.empty())
+            break;
+    }
+    return found;
+}
+
+/// True if an opening has begun and has not yet taken unusually long.
+auto is_about_to_open(target_entry const& t, time_point now) -> bool
+{
+    constexpr auto usual_times = 3;
+    constexpr auto unknown = duration{milliseconds{50}};
+    auto const usual = t.opening_takes == duration{0}
+                           ? unknown
+                           : usual_times * t.opening_takes;
+    return t.opening > 0 && now - t.opened_last < usual;
+}
+
+} // namespace
+
+auto is_allowed(target_entry const& t, route const& r) -> bool
+{
+    return r.regions.empty() || std::find(r.regions.begin(), r.regions.end(),
+                                    t.region) != r.regions.end();
+}
+
+auto estimate_for(dispatch_state const& s, route const& r, proximity p)
+    -> latency_estimate
+{
+    auto const it = s.latencies.find(r.name);
+    return it == s.latencies.end() ? latency_estimate{}
+                                   : it->second.at[static_cast<std::size_t>(p)];
+}
+
+auto choose_target(dispatch_state& s, part const& p, open_request const& r,
+    bool alone, time_point now) -> target_entry*
+{
+    auto const fresh = r.by->repeat == repeatability::at_most_once;
+    auto const targets = eligible_targets(s, p, *r.by, alone, now);
+    auto from = std::vector<candidate>{};
+    for (auto* it : targets)
+        from.push_back(candidate_of(s, *it, *r.by, fresh, now));
+    auto const best = choose(from, s.random);
+    return best ? targets[*best] : nullptr;
+}
+
+auto has_target(dispatch_state& s, service_id service, open_request const& r,
+    time_point now) -> bool
+{
+    auto const it = s.services.find(service);
+    return it != s.services.end() &&
+           std::any_of(it->second.targets.begin(), it->second.targets.end(),
+               [&](target_id id)
+               {
+                   return is_eligible(s, s.targets.at(id), {}, *r.by,
+                       search_steps.back(), now);
+               });
+}
+
+auto may_come_back(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool
+{
+    auto const it = s.services.find(service);
+    return it != s.services.end() &&
+           std::any_of(it->second.targets.begin(), it->second.targets.end(),
+               [&](target_id id)
+               {
+                   auto const& t = s.targets.at(id);
+                   return is_usable(t, now) && is_allowed(t, r) &&
+                          is_returning(s, t, now);
+               });
+}
+
+auto is_connecting(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool
+{
+    auto const it = s.services.find(service);
+    if (it == s.services.end())
+        return false;
+    auto const opening = std::any_of(it->second.targets.begin(),
+        it->second.targets.end(),
+        [&](target_id id) { return is_about_to_open(s.targets.at(id), now); });
+    return opening || may_come_back(s, service, r, now);
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/src/core/dispatch/search.hpp
@@ -0,0 +1,42 @@
+/// The search for a target of a part: who is eligible, who is chosen, and
+/// whether somebody will be soon.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_SEARCH_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_SEARCH_HPP
+
+#include "core/dispatch/tables.hpp"
+
+namespace knapweedstream::dispatch
+{
+
+/// True if the route may be served in the target's region.
+auto is_allowed(target_entry const& t, route const& r) -> bool;
+
+/// Latencies of a route at a distance; empty if none are known.
+auto estimate_for(dispatch_state const& s, route const& r, proximity p)
+    -> latency_estimate;
+
+/// Chooses the target that is expected to answer a part first.
+///
+/// @param[in] alone No attempt of the part is out: a target that was tried may
+///     be chosen again.
+/// @returns The target, or null.
+auto choose_target(dispatch_state& s, part const& p, open_request const& r,
+    bool alone, time_point now) -> target_entry*;
+
+/// True if a target of the service can be used for the request now.
+auto has_target(dispatch_state& s, service_id service, open_request const& r,
+    time_point now) -> bool;
+
+/// True if a target of the service that turned connections away is to be
+/// tried again soon.
+auto may_come_back(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool;
+
+/// True if a connection to a target of the service is being opened, or will
+/// be soon.
+auto is_connecting(dispatch_state const& s, service_id service, route const& r,
+    time_point now) -> bool;
+
+} // namespace knapweedstream::dispatch
+
+#endif
