--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-constexpr auto hang_factor = 3; ///< Beyond it a request hangs, in patiences.
-
 auto abandon_others(dispatch_state& s, part& p, time_point now) -> void
 {
     for (auto& id : p.running)
