Extra requests are counted by window; late parts are rescued; probes leave room

A bucket of tokens loses what it cannot hold and gives the stated number once, not in each window; 1,384 probes took tokens that hedges lacked; and a hedge that could not be paid was never tried again, so that a hung request was kept until its deadline. Change: each instance counts its first and extra requests of the last window (20 slots); what is left is the ratio of the first ones plus its share. A hedge that could not be paid is tried again every 40 ms; past the objective it takes what is kept for retries. Probes leave 40% of the share.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -21,7 +21,8 @@
 
 auto word(dispatch::attempt_kind it) -> char const*
 {
-    return word_of(std::array{"first", "hedge", "retry", "probe"}, it);
+    return word_of(
+        std::array{"first", "hedge", "rescue", "retry", "probe"}, it);
 }
 
 auto word(dispatch::attempt_end it) -> char const*
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -33,9 +33,9 @@
     auto& p = e.parts[key.index];
     if (!is_open(p) || p.queued || running_count(p) > 0)
         return;
-    if (!may_try_again(s, e, p, kind))
+    if (!may_try_again(s, e, p, kind, now))
     {
-        tell_budget(s, e, p, kind, out);
+        tell_budget(s, e, p, kind, now, out);
         return fail_part(e, p, now);
     }
     if (place(s, key, kind, now, out) == placed::nowhere)
@@ -229,19 +229,19 @@
 }
 
 auto may_try_again(dispatch_state const& s, request_entry const& e,
-    part const& p, attempt_kind kind) -> bool
+    part const& p, attempt_kind kind, time_point now) -> bool
 {
     auto const& r = *e.value.by;
     auto const ran_once = r.repeat == repeatability::at_most_once && p.runs > 0;
     return !ran_once && p.runs < r.max_attempts &&
            p.sends < r.max_attempts + s.init.limits.spare_sends &&
-           can_pay(s, p.service, kind);
+           can_pay(s, p.service, kind, now);
 }
 
 auto tell_budget(dispatch_state& s, request_entry const& e, part& p,
-    attempt_kind kind, commands& out) -> void
+    attempt_kind kind, time_point now, commands& out) -> void
 {
-    if (p.over_budget || can_pay(s, p.service, kind))
+    if (p.over_budget || can_pay(s, p.service, kind, now))
         return;
     p.over_budget = true;
     ++s.stats.budget_refusals;
--- a/src/core/dispatch/attempts.hpp
+++ b/src/core/dispatch/attempts.hpp
@@ -32,11 +32,11 @@
 /// True if a part may be sent once more, as far as its route and the budget
 /// go.
 auto may_try_again(dispatch_state const& s, request_entry const& e,
-    part const& p, attempt_kind kind) -> bool;
+    part const& p, attempt_kind kind, time_point now) -> bool;
 
 /// Tells once that an extra request could not be paid.
 auto tell_budget(dispatch_state& s, request_entry const& e, part& p,
-    attempt_kind kind, commands& out) -> void;
+    attempt_kind kind, time_point now, commands& out) -> void;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -17,16 +17,14 @@
 constexpr auto trouble_memory = seconds{10}; ///< After an outage, a vanished
                                              ///< registration may come back.
 
-auto service_entry_of(dispatch_state& s, std::string const& name,
-    time_point now) -> service_entry&
+auto service_entry_of(dispatch_state& s, std::string const& name)
+    -> service_entry&
 {
     auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
     if (fresh)
     {
         it->second.name = name;
         it->second.budget = with_share({}, budget_share_of(s));
-        it->second.saved_at = s.started;
-        save_up(s, it->second, now);
     }
     return it->second;
 }
@@ -112,7 +110,7 @@
     auto const drains = r.draining && !t.info.draining;
     if (fresh || !t.listed)
     {
-        auto& service = service_entry_of(s, r.service, now);
+        auto& service = service_entry_of(s, r.service);
         t.id = id;
         t.service = id_of<service_id>(r.service);
         service.targets.push_back(id);
@@ -136,15 +134,15 @@
     keep_spare(s, t, now, out);
 }
 
-auto mark_routed(dispatch_state& s, time_point now) -> void
+auto mark_routed(dispatch_state& s) -> void
 {
     for (auto& [id, it] : s.services)
         it.routed = false;
     for (auto const& r : s.config->routes)
         for (auto const& name : services_of(r))
-            service_entry_of(s, name, now).routed = true;
+            service_entry_of(s, name).routed = true;
     for (auto const& p : s.config->services)
-        service_entry_of(s, p.name, now).policy = p;
+        service_entry_of(s, p.name).policy = p;
     reshare_all(s);
 }
 
@@ -160,7 +158,7 @@
     ++s.stats.configs;
     s.config = std::make_shared<routing_config const>(c);
     s.config_revision = revision;
-    mark_routed(s, now);
+    mark_routed(s);
     out.push_back(limit_callers{c.limits});
     out.push_back(note{config_in_force{c.version, revision, c.routes.size()}});
     for (auto& [id, t] : s.targets)
--- /dev/null
+++ b/src/core/dispatch/extra_budget.cpp
@@ -0,0 +1,119 @@
+#include "core/dispatch/extra_budget.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto used_part = 0.9;    ///< The rest covers differing views.
+constexpr auto saving_windows = 2; ///< After a start, until the share is whole.
+
+auto slot_of(dispatch_bounds const& bounds, time_point now) -> std::int64_t
+{
+    auto const length = duration{bounds.budget_window} / window_slots;
+    return now.time_since_epoch() / length;
+}
+
+auto index_of(extra_budget const& b, std::int64_t slot) -> std::size_t
+{
+    return static_cast<std::size_t>(slot) % b.slots.size();
+}
+
+/// Forgets what lies before the window that ends with a slot.
+auto moved_on(extra_budget const& b, std::int64_t slot) -> extra_budget
+{
+    auto next = b;
+    auto const size = static_cast<std::int64_t>(b.slots.size());
+    auto const from = std::max(b.newest + 1, slot - size + 1);
+    for (auto i = from; i <= slot; ++i)
+        next.slots[index_of(b, i)] = {};
+    next.newest = std::max(b.newest, slot);
+    return next;
+}
+
+/// Part of the share that may be used, from 0 to 1.
+auto saved_part(dispatch_bounds const& bounds, duration age) -> double
+{
+    auto const span = duration{bounds.budget_window} * saving_windows;
+    return std::clamp(
+        static_cast<double>(age.count()) / static_cast<double>(span.count()),
+        0.0, 1.0);
+}
+
+/// Left to more urgent requests.
+auto reserve(double share, urgency u) -> double
+{
+    constexpr auto kept_part = 0.25;
+    constexpr auto optional_part = 0.4;
+    constexpr auto small_share = 4.0; ///< Too small for parts to be kept.
+    auto const kept = kept_part * std::max(0.0, share - small_share);
+    switch (u)
+    {
+    case urgency::needed:
+        return 0;
+    case urgency::useful:
+        return kept;
+    case urgency::optional:
+        return kept + optional_part * std::max(0.0, share - 1);
+    }
+    return kept;
+}
+
+} // namespace
+
+auto budget_share(dispatch_bounds const& bounds, std::size_t instances)
+    -> double
+{
+    auto const n = static_cast<double>(std::max<std::size_t>(1, instances));
+    return used_part * bounds.retry_budget_extra / n;
+}
+
+auto with_share(extra_budget const& b, double share) -> extra_budget
+{
+    auto next = b;
+    next.share = share;
+    return next;
+}
+
+auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point now) -> extra_budget
+{
+    auto next = moved_on(b, slot_of(bounds, now));
+    ++next.slots[index_of(next, next.newest)].first;
+    return next;
+}
+
+auto with_extra(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point now) -> extra_budget
+{
+    auto next = moved_on(b, slot_of(bounds, now));
+    ++next.slots[index_of(next, next.newest)].extra;
+    return next;
+}
+
+auto left_of(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point started, time_point now) -> double
+{
+    auto const present = moved_on(b, slot_of(bounds, now));
+    auto first = 0.0;
+    auto extra = 0.0;
+    for (auto const& it : present.slots)
+    {
+        first += it.first;
+        extra += it.extra;
+    }
+    auto const oldest = index_of(present, present.newest + 1);
+    first -= present.slots[oldest].first;
+    auto const ratio = used_part * bounds.retry_budget_ratio;
+    return ratio * first + saved_part(bounds, now - started) * b.share - extra;
+}
+
+auto can_pay(extra_budget const& b, double left, urgency u) -> bool
+{
+    return left >= 1 + reserve(b.share, u);
+}
+
+} // namespace knapweedstream::dispatch
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -1,86 +1,80 @@
 /// Budget of extra requests to a service: this instance's part of what all
 /// instances together may send beyond the first request for each part.
 ///
-/// The stated ratio of extra to first requests holds for each instance, and so
-/// for their sum. The stated number beyond it is divided by the number of
-/// instances; an instance that has just started saves its part up slowly,
-/// since the process before it may have spent it in the same window.
+/// In each window an instance may send the stated ratio of its first requests
+/// in that window, and its share of the stated number on top. Both hold for
+/// every instance, and so for their sum. An instance that has just started has
+/// its share only little by little, since the process before it may have spent
+/// it in the same window.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 
 #include "core/dispatch/limits.hpp"
 
-#include <algorithm>
+#include <array>
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 
 namespace knapweedstream::dispatch
 {
 
-/// Extra requests that may be sent now.
+constexpr auto window_slots = std::size_t{20}; ///< Parts of a budget window.
+
+/// Requests sent in one part of a window.
+struct sent_counts
+{
+    std::uint32_t first = 0;
+    std::uint32_t extra = 0;
+
+    auto operator<=>(sent_counts const&) const = default;
+};
+
+/// What was sent to a service in the last window.
 struct extra_budget
 {
-    double tokens = 0;
-    double share = 1; ///< Saved up at most without first requests.
+    double share = 1;        ///< Extra requests a window without first ones.
+    std::int64_t newest = 0; ///< Number of the newest slot.
+    /// By slot number, in turn. One more than a window has, so that extra
+    /// requests are counted for at least a window and first ones for at most.
+    std::array<sent_counts, window_slots + 1> slots{};
 
     auto operator<=>(extra_budget const&) const = default;
 };
 
-/// Part of the stated number that one of `instances` may save up.
-inline auto budget_share(dispatch_bounds const& bounds, std::size_t instances)
-    -> double
+/// How much a caller loses if an extra request is left out.
+enum class urgency : std::uint8_t
 {
-    constexpr auto used_part = 0.9; ///< The rest covers differing views.
-    auto const n = static_cast<double>(std::max<std::size_t>(1, instances));
-    return used_part * bounds.retry_budget_extra / n;
-}
+    needed,   ///< Without it an answer is lost.
+    useful,   ///< Without it an answer may be late.
+    optional, ///< Only later requests gain by it.
+};
 
-/// Greatest number of tokens kept: a whole one may always be earned.
-inline auto most_tokens(extra_budget const& b) -> double
-{
-    return std::max(1.0, b.share);
-}
+/// Part of the stated number that one of `instances` may send in a window.
+auto budget_share(dispatch_bounds const& bounds, std::size_t instances)
+    -> double;
 
 /// The share changed, as instances came or went.
-inline auto with_share(extra_budget const& b, double share) -> extra_budget
-{
-    auto next = extra_budget{b.tokens, share};
-    next.tokens = std::min(next.tokens, most_tokens(next));
-    return next;
-}
+auto with_share(extra_budget const& b, double share) -> extra_budget;
 
-/// Saves up a part of the share, from 0 to 1.
-inline auto with_saved(extra_budget const& b, double part) -> extra_budget
-{
-    auto const more = b.tokens + part * b.share;
-    return {std::max(b.tokens, std::min(more, b.share)), b.share};
-}
+/// Counts the first request of a part.
+auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point now) -> extra_budget;
 
-/// Earns for the first request of a part.
-inline auto with_first(extra_budget const& b, dispatch_bounds const& bounds)
-    -> extra_budget
-{
-    return {std::min(most_tokens(b), b.tokens + bounds.retry_budget_ratio),
-        b.share};
-}
+/// Counts an extra request; `can_pay` must hold.
+auto with_extra(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point now) -> extra_budget;
 
-/// Pays for an extra request; `can_pay` must hold.
-inline auto with_extra(extra_budget const& b) -> extra_budget
-{
-    return {b.tokens - 1, b.share};
-}
+/// Extra requests that may be sent now.
+///
+/// @param[in] started Start of this process.
+auto left_of(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point started, time_point now) -> double;
 
-/// True if an extra request can be paid.
+/// True if an extra request can be paid and leaves enough to more urgent ones.
 ///
-/// @param[in] spare Keep something for failures: the request may be left out.
-inline auto can_pay(extra_budget const& b, bool spare) -> bool
-{
-    constexpr auto kept_part = 0.25;
-    constexpr auto small_share = 4.0; ///< Too small for parts to be kept.
-    auto const kept =
-        spare ? kept_part * std::max(0.0, b.share - small_share) : 0.0;
-    return b.tokens >= 1 + kept;
-}
+/// @param[in] left What `left_of` gives.
+auto can_pay(extra_budget const& b, double left, urgency u) -> bool;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -14,21 +14,34 @@
 namespace
 {
 
-constexpr auto saving_windows = 2; ///< Budget windows after a start in which
-                                   ///< the share is saved up.
-
-/// Earns for a part's first request, pays for a further one.
+/// Counts a request that is sent.
+///
+/// @returns Extra requests that may be sent after it.
 auto pay(dispatch_state& s, part const& p, attempt_kind kind, time_point now)
     -> double
 {
-    auto& service = s.services.at(p.service);
-    save_up(s, service, now);
-    auto& b = service.budget;
+    auto& b = s.services.at(p.service).budget;
     if (kind != attempt_kind::first)
-        b = with_extra(b);
+        b = with_extra(b, s.init.bounds, now);
     else if (p.first_sent == time_point{})
-        b = with_first(b, s.init.bounds);
-    return b.tokens;
+        b = with_first(b, s.init.bounds, now);
+    return left_of(b, s.init.bounds, s.started, now);
+}
+
+auto urgency_of(attempt_kind kind) -> urgency
+{
+    switch (kind)
+    {
+    case attempt_kind::hedge:
+        return urgency::useful;
+    case attempt_kind::probe:
+        return urgency::optional;
+    case attempt_kind::first:
+    case attempt_kind::retry:
+    case attempt_kind::rescue:
+        break;
+    }
+    return urgency::needed;
 }
 
 auto count_extra(dispatch_stats& stats, attempt_kind kind) -> void
@@ -36,6 +49,7 @@
     switch (kind)
     {
     case attempt_kind::hedge:
+    case attempt_kind::rescue:
         ++stats.hedges;
         break;
     case attempt_kind::probe:
@@ -118,7 +132,7 @@
     auto& p = e.parts[key.index];
     auto const& r = *e.value.by;
     if (r.repeat != repeatability::idempotent || p.runs >= r.max_attempts ||
-        !can_pay(s, p.service, attempt_kind::probe))
+        !can_pay(s, p.service, attempt_kind::probe, now))
         return;
     for (auto const id : s.services.at(p.service).targets)
     {
@@ -135,25 +149,17 @@
 
 } // namespace
 
-auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind)
-    -> bool
+auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind,
+    time_point now) -> bool
 {
+    if (kind == attempt_kind::first)
+        return true;
     auto const it = s.services.find(service);
-    auto const spare = kind != attempt_kind::retry;
-    return kind == attempt_kind::first ||
-           (it != s.services.end() && can_pay(it->second.budget, spare));
-}
-
-auto save_up(dispatch_state const& s, service_entry& e, time_point now) -> void
-{
-    auto const span = duration{s.init.bounds.budget_window} * saving_windows;
-    auto const until = std::min(now, s.started + span);
-    if (until <= e.saved_at)
-        return;
-    auto const part = static_cast<double>((until - e.saved_at).count()) /
-                      static_cast<double>(span.count());
-    e.budget = with_saved(e.budget, part);
-    e.saved_at = until;
+    if (it == s.services.end())
+        return false;
+    auto const& b = it->second.budget;
+    return can_pay(
+        b, left_of(b, s.init.bounds, s.started, now), urgency_of(kind));
 }
 
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
@@ -201,7 +207,7 @@
         p->queued = false;
         if (!is_open(*p))
             continue;
-        if (!can_pay(s, service, p->next))
+        if (!can_pay(s, service, p->next, now))
         {
             if (running_count(*p) == 0)
                 stuck.push_back(key);
--- a/src/core/dispatch/placing.hpp
+++ b/src/core/dispatch/placing.hpp
@@ -25,11 +25,8 @@
     commands& out) -> void;
 
 /// True if the service's budget pays for an extra request.
-auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind)
-    -> bool;
-
-/// Saves a service's budget up, if the instance has not started long ago.
-auto save_up(dispatch_state const& s, service_entry& e, time_point now) -> void;
+auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind,
+    time_point now) -> bool;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -19,6 +19,8 @@
 /// Between looks at a request that waits for connections.
 constexpr auto connecting_look = milliseconds{10};
 /// For attempts whose caller hung up.
+/// Between tries to hedge a part, since the budget fills up again.
+constexpr auto hedge_again = milliseconds{40};
 constexpr auto hang_up_patience = milliseconds{200};
 
 /// Services that a request needs; for a split, the one that is its turn.
@@ -101,7 +103,8 @@
 {
     for (auto const id : p.running)
         if (auto const it = s.attempts.find(id); it != s.attempts.end())
-            return it->second.sent_at + it->second.patience;
+            return std::max(
+                it->second.sent_at + it->second.patience, p.hedge_after);
     return time_point::max();
 }
 
@@ -127,10 +130,14 @@
     note_overdue(s, p, now);
     if (e.value.by->repeat != repeatability::idempotent)
         return;
-    if (may_try_again(s, e, p, attempt_kind::hedge))
-        place(s, key, attempt_kind::hedge, now, out);
-    else if (p.runs < e.value.by->max_attempts)
-        tell_budget(s, e, p, attempt_kind::hedge, out);
+    auto const kind =
+        now >= e.value.objective ? attempt_kind::rescue : attempt_kind::hedge;
+    auto const more = p.runs < e.value.by->max_attempts;
+    p.hedge_after = more ? now + hedge_again : time_point::max();
+    if (may_try_again(s, e, p, kind, now))
+        place(s, key, kind, now, out);
+    else if (more)
+        tell_budget(s, e, p, kind, now, out);
 }
 
 /// A request of which no part could be sent by the end of its time in queues
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -97,6 +97,7 @@
     std::array<target_id, max_tried> tried{};
     target_id last; ///< Asked last, or that answered.
     time_point first_sent;
+    time_point hedge_after; ///< No further hedge before.
     time_point ended_at;
     bool over_budget = false; ///< A hedge could not be paid; told once.
 
@@ -163,7 +164,6 @@
     bool routed = false; ///< A route of the configuration in force uses it.
     std::vector<target_id> targets;
     extra_budget budget;
-    time_point saved_at;          ///< When the budget last saved up.
     std::deque<part_key> waiting; ///< Parts that need a connection.
 };
 
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -16,10 +16,11 @@
 /// Why a request was sent to a target.
 enum class attempt_kind : std::uint8_t
 {
-    first, ///< The first one for its shard.
-    hedge, ///< The earlier one is slow.
-    retry, ///< The earlier one failed.
-    probe, ///< A suspended target is tried beside another one.
+    first,  ///< The first one for its shard.
+    hedge,  ///< The earlier one is slow.
+    rescue, ///< The earlier one is slow and the answer late already.
+    retry,  ///< The earlier one failed.
+    probe,  ///< A suspended target is tried beside another one.
 };
 
 /// How an attempt ended.
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -1,11 +1,136 @@
+#include "core/dispatch/extra_budget.hpp"
 #include "dispatch/rig.hpp"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
 
 namespace ks = knapweedstream;
 using namespace knapweedstream::dispatch;
 using ks::milliseconds;
 
+namespace
+{
+
+using counts = std::vector<std::uint32_t>; ///< By step of the simulation.
+
+constexpr auto steps_of_window = std::size_t{40};
+
+auto sum(counts const& all, std::size_t from, std::size_t to) -> double
+{
+    auto n = 0.0;
+    for (auto i = from; i < std::min(to, all.size()); ++i)
+        n += all[i];
+    return n;
+}
+
+/// What all instances together may send in the window from a step.
+auto allowed(dispatch_bounds const& bounds, counts const& first,
+    std::size_t from) -> double
+{
+    auto const half = steps_of_window / 2;
+    auto const before = from < steps_of_window ? 0 : from - steps_of_window;
+    auto const middle = from < half ? 0 : from - half;
+    auto const most = std::max({sum(first, from, from + steps_of_window),
+        sum(first, before, from), sum(first, middle, middle + 2 * half)});
+    return bounds.retry_budget_ratio * most + bounds.retry_budget_extra;
+}
+
+/// One instance's view of one service.
+struct spender
+{
+    extra_budget budget;
+    ks::time_point started;
+    bool greedy = false; ///< Sends whatever it may.
+};
+
+} // namespace
+
+TEST_CASE("budget: all instances together keep to it in every window")
+{
+    auto const holds = rc::check("budget sums",
+        []
+        {
+            auto bounds = dispatch_bounds{};
+            bounds.retry_budget_extra = *rc::gen::inRange(50u, 250u);
+            auto const n = *rc::gen::inRange(std::size_t{6}, std::size_t{100});
+            auto fleet = std::vector<spender>(n);
+            for (auto& it : fleet)
+            {
+                it.budget = with_share({}, budget_share(bounds, n));
+                it.greedy = *rc::gen::inRange(0, 4) != 0;
+            }
+            auto first = counts{};
+            auto extra = counts{};
+            auto now = ks::time_point{ks::seconds{100}};
+            auto rate = 1;
+            for (auto i = 0u; i < 5 * steps_of_window; ++i)
+            {
+                now += ks::duration{bounds.budget_window} / steps_of_window;
+                first.push_back(0);
+                extra.push_back(0);
+                if (i % 10 == 0)
+                    rate = *rc::gen::inRange(0, 4);
+                if (*rc::gen::inRange(0, 20) == 0)
+                { // A process is killed and starts again.
+                    auto& it = fleet[*rc::gen::inRange(std::size_t{0}, n)];
+                    it.budget = with_share({}, budget_share(bounds, n));
+                    it.started = now;
+                }
+                for (auto& it : fleet)
+                {
+                    for (auto k = 0; k < rate; ++k, ++first.back())
+                        it.budget = with_first(it.budget, bounds, now);
+                    while (it.greedy &&
+                           can_pay(it.budget,
+                               left_of(it.budget, bounds, it.started, now),
+                               urgency::needed))
+                    {
+                        it.budget = with_extra(it.budget, bounds, now);
+                        ++extra.back();
+                    }
+                }
+            }
+            for (auto i = std::size_t{0}; i < extra.size(); ++i)
+                RC_ASSERT(sum(extra, i, i + steps_of_window) <=
+                          allowed(bounds, first, i));
+        });
+    CHECK(holds);
+}
+
+TEST_CASE("budget: what is spent comes back after a window")
+{
+    auto const bounds = dispatch_bounds{};
+    auto b = with_share({}, 3);
+    auto now = ks::time_point{ks::seconds{100}};
+    auto const spend = [&]
+    {
+        auto n = 0;
+        while (can_pay(b, left_of(b, bounds, {}, now), urgency::needed))
+        {
+            b = with_extra(b, bounds, now);
+            ++n;
+        }
+        return n;
+    };
+    CHECK(spend() == 3);
+    now += ks::seconds{9};
+    CHECK(spend() == 0);
+    now += ks::seconds{2};
+    CHECK(spend() == 3);
+}
+
+TEST_CASE("budget: probes leave something to hedges, hedges to retries")
+{
+    auto const b = with_share({}, 8);
+    CHECK(can_pay(b, 1, urgency::needed));
+    CHECK(!can_pay(b, 1, urgency::useful));
+    CHECK(can_pay(b, 2, urgency::useful));
+    CHECK(!can_pay(b, 2, urgency::optional));
+}
+
 TEST_CASE("budget: extra requests stay within the stated share")
 {
     auto r = rig{};
