Overload: rooms of targets, expected waits, retries that wait for the budget

Change: an adaptive limit for each target (the one that the product's own queries use for a service) shrinks when replies come late or are refusals; a request is refused at once, with a spread Retry-After, if too many of its parts would wait longer than a quarter of the objective; parts wait for the budget and are sent again; retries that an answer can do without leave the budget to those it needs; a failed request counts 250 ms, not 120, in the choice. A returning caller's objective starts anew. Not ready: come back after 200 ms, 1 s if the store is away.

--- a/src/core/dispatch/answers.cpp
+++ b/src/core/dispatch/answers.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/answers.hpp"
 
+#include "core/dispatch/parts.hpp"
 #include "core/dispatch/route_table.hpp"
 
 #include <knapweedstream/overloaded.hpp>
@@ -14,17 +15,30 @@
 namespace
 {
 
-constexpr auto not_ready_delay = milliseconds{500};
+constexpr auto starting_delay = milliseconds{200};
+constexpr auto store_away_delay = milliseconds{1'000};
 constexpr auto no_target_delay = milliseconds{400};
 constexpr auto overload_delay = milliseconds{150};
-constexpr auto share_rounding = 1e-9;
 
-auto enough(request_entry const& e, std::uint32_t parts) -> bool
+/// Time after which what refused the request is likely to be over.
+auto usual_delay(dispatch_state const& s, refusal_reason why) -> duration
 {
-    auto const* shards = std::get_if<to_shards>(&e.value.by->to);
-    auto const floor = shards == nullptr ? 1.0 : shards->min_coverage;
-    return parts > 0 && static_cast<double>(parts) + share_rounding >=
-                            floor * static_cast<double>(e.parts.size());
+    switch (why)
+    {
+    case refusal_reason::not_ready:
+        return s.prober ? store_away_delay : starting_delay;
+    case refusal_reason::no_target:
+    case refusal_reason::out_of_region:
+        return no_target_delay;
+    case refusal_reason::overloaded:
+    case refusal_reason::no_budget:
+        return overload_delay;
+    case refusal_reason::no_route:
+    case refusal_reason::bad_request:
+    case refusal_reason::deadly:
+        break;
+    }
+    return duration{0};
 }
 
 auto is_due(request_entry const& e, time_point now) -> bool
@@ -66,7 +80,7 @@
         [](part const& p) { return p.runs > 0; });
 }
 
-auto answer_of(dispatch_state const& s, request_entry const& e, time_point now)
+auto answer_of(dispatch_state& s, request_entry const& e, time_point now)
     -> caller_answer
 {
     auto const* shards = std::get_if<to_shards>(&e.value.by->to);
@@ -77,8 +91,7 @@
     if (shards == nullptr && e.failure.status != 0)
         return answer_relayed{e.failure};
     if (!has_run(e))
-        return answer_refused{
-            e.refusal, retry_delay(s, e.refusal, e.parts, now)};
+        return answer_refused{e.refusal, retry_delay(s, e.refusal)};
     return answer_failed{failure_of(e, now)};
 }
 
@@ -212,25 +225,13 @@
     out.push_back(note{std::move(end)});
 }
 
-auto retry_delay(dispatch_state const&, refusal_reason why,
-    std::vector<part> const&, time_point) -> duration
+auto retry_delay(dispatch_state& s, refusal_reason why) -> duration
 {
-    switch (why)
-    {
-    case refusal_reason::not_ready:
-        return not_ready_delay;
-    case refusal_reason::no_target:
-    case refusal_reason::out_of_region:
-        return no_target_delay;
-    case refusal_reason::overloaded:
-    case refusal_reason::no_budget:
-        return overload_delay;
-    case refusal_reason::no_route:
-    case refusal_reason::bad_request:
-    case refusal_reason::deadly:
-        return duration{0};
-    }
-    return duration{0};
+    constexpr auto spread = 0.25; ///< Either way.
+    auto const usual = usual_delay(s, why);
+    auto const factor = 1 - spread + 2 * spread * fraction(s);
+    return duration{static_cast<duration::rep>(
+        static_cast<double>(usual.count()) * factor)};
 }
 
 auto name_of(refusal_reason it) -> char const*
--- a/src/core/dispatch/answers.hpp
+++ b/src/core/dispatch/answers.hpp
@@ -19,9 +19,9 @@
 auto refuse(dispatch_state& s, caller_request const& e, route const* by,
     answer_refused const& why, commands& out) -> void;
 
-/// When a refused caller should come back.
-auto retry_delay(dispatch_state const& s, refusal_reason why,
-    std::vector<part> const& parts, time_point now) -> duration;
+/// When a refused caller should come back; spread, so that those who were
+/// refused together do not return together.
+auto retry_delay(dispatch_state& s, refusal_reason why) -> duration;
 
 /// Words for the log.
 auto name_of(refusal_reason it) -> char const*;
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -4,6 +4,9 @@
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/requests.hpp"
+#include "core/dispatch/room.hpp"
+#include "core/dispatch/search.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -15,6 +18,8 @@
 namespace
 {
 
+constexpr auto retry_pause = milliseconds{20};
+
 auto abandon_others(dispatch_state& s, part& p, time_point now) -> void
 {
     for (auto& id : p.running)
@@ -25,7 +30,8 @@
         }
 }
 
-/// Sends a part again after an attempt that brought nothing, or fails it.
+/// Sends a part again after an attempt that brought nothing, lets it wait for
+/// the budget, or fails it.
 auto try_again(dispatch_state& s, part_key const& key, attempt_kind kind,
     time_point now, commands& out) -> void
 {
@@ -33,10 +39,12 @@
     auto& p = e.parts[key.index];
     if (!is_open(p) || p.queued || running_count(p) > 0)
         return;
-    if (!may_try_again(s, e, p, kind, now))
+    if (!may_send_again(s, e, p))
+        return fail_part(e, p, now);
+    if (!can_pay(s, e, p, kind, now))
     {
         tell_budget(s, e, p, kind, now, out);
-        return fail_part(e, p, now);
+        return wait_to_retry(s, key, now);
     }
     if (place(s, key, kind, now, out) == placed::nowhere)
         fail_part(e, p, now);
@@ -155,7 +163,11 @@
         if (auto const* f = std::get_if<reply_failure>(reply))
             e.failure = f->message;
     auto const again = unread ? a.kind : attempt_kind::retry;
-    try_again(s, a.part, again, now, out);
+    if (m.how == attempt_end::overloaded && !has_untried(s, p, e.value, now) &&
+        may_send_again(s, e, p))
+        wait_to_retry(s, a.part, now);
+    else
+        try_again(s, a.part, again, now, out);
     conclude(s, a.part.request, now, out);
 }
 
@@ -228,20 +240,40 @@
     arm(s, now + patience, loser_due{id});
 }
 
-auto may_try_again(dispatch_state const& s, request_entry const& e,
-    part const& p, attempt_kind kind, time_point now) -> bool
+auto may_send_again(
+    dispatch_state const& s, request_entry const& e, part const& p) -> bool
 {
     auto const& r = *e.value.by;
     auto const ran_once = r.repeat == repeatability::at_most_once && p.runs > 0;
     return !ran_once && p.runs < r.max_attempts &&
-           p.sends < r.max_attempts + s.init.limits.spare_sends &&
-           can_pay(s, p.service, kind, now);
+           p.sends < r.max_attempts + s.init.limits.spare_sends;
+}
+
+auto wait_to_retry(dispatch_state& s, part_key const& key, time_point now)
+    -> void
+{
+    auto& p = s.requests.at(key.request).parts[key.index];
+    p.state = part_state::waiting;
+    p.retry_at = now + retry_pause;
+    watch_request(s, key.request, p.retry_at);
+}
+
+auto retry_parts(
+    dispatch_state& s, request_key key, time_point now, commands& out) -> void
+{
+    auto const n = s.requests.at(key).parts.size();
+    for (std::uint32_t i = 0; i < n; ++i)
+    {
+        auto const& p = s.requests.at(key).parts[i];
+        if (waits_to_retry(p) && now >= p.retry_at)
+            try_again(s, {key, i}, attempt_kind::retry, now, out);
+    }
 }
 
 auto tell_budget(dispatch_state& s, request_entry const& e, part& p,
     attempt_kind kind, time_point now, commands& out) -> void
 {
-    if (p.over_budget || can_pay(s, p.service, kind, now))
+    if (p.over_budget || can_pay(s, e, p, kind, now))
         return;
     p.over_budget = true;
     ++s.stats.budget_refusals;
@@ -261,13 +293,16 @@
     auto const m = meaning_of(e.reply);
     auto& t = s.targets.at(l.to);
     auto const good = m.how == attempt_end::success;
+    auto const full = m.how == attempt_end::overloaded;
+    t.room = with_sample(t.room,
+        {now - a.sent_at, a.late_after, full, good, t.health.in_flight}, now);
     auto const ratio = good ? observe_latency(s, a, t, now) : 0;
     auto const overdue = now - a.sent_at > a.patience;
     if (overdue && !a.overdue)
         t.health = with_overdue(t.health, s.init.limits, now);
     t.health = with_reply(t.health, ratio, !good, overdue, s.init.limits, now);
     t.open_failures = 0;
-    s.stats.overload_replies += m.how == attempt_end::overloaded ? 1 : 0;
+    s.stats.overload_replies += full ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
     s.attempts.erase(a.id);
     if (m.how == attempt_end::wrong_target)
--- a/src/core/dispatch/attempts.hpp
+++ b/src/core/dispatch/attempts.hpp
@@ -29,10 +29,17 @@
 auto abandon(dispatch_state& s, attempt_id id, duration patience,
     time_point now) -> void;
 
-/// True if a part may be sent once more, as far as its route and the budget
-/// go.
-auto may_try_again(dispatch_state const& s, request_entry const& e,
-    part const& p, attempt_kind kind, time_point now) -> bool;
+/// True if a part may be sent once more, as far as its route goes.
+auto may_send_again(
+    dispatch_state const& s, request_entry const& e, part const& p) -> bool;
+
+/// Lets a part without an attempt wait; `retry_parts` takes it up again.
+auto wait_to_retry(dispatch_state& s, part_key const& key, time_point now)
+    -> void;
+
+/// Sends the parts of a request again that have waited for it.
+auto retry_parts(
+    dispatch_state& s, request_key key, time_point now, commands& out) -> void;
 
 /// Tells once that an extra request could not be paid.
 auto tell_budget(dispatch_state& s, request_entry const& e, part& p,
--- a/src/core/dispatch/choice.cpp
+++ b/src/core/dispatch/choice.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr auto retry_cost = milliseconds{120}; ///< Of a failed request.
+constexpr auto retry_cost = milliseconds{250}; ///< Of a failed request.
 constexpr auto stall_cost = milliseconds{250}; ///< A stall's length to come.
 constexpr auto jitter_bits = 4u; ///< Of one draw for each candidate.
 constexpr auto jitter_draws = 64u / jitter_bits;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -20,13 +20,6 @@
 constexpr auto stop_check = milliseconds{50};      ///< Between looks.
 constexpr auto grace_margin = milliseconds{500};   ///< Left of the grace.
 constexpr auto quiet_time = milliseconds{300};     ///< Before leaving.
-constexpr auto fraction_steps = std::uint64_t{1} << 20;
-
-auto fraction(dispatch_state& s) -> double
-{
-    return static_cast<double>(draw_below(s.random, fraction_steps)) /
-           static_cast<double>(fraction_steps);
-}
 
 /// Limits that keep to the bounds: news of a leaving target must be in time.
 auto fitted(dispatch_limits limits, dispatch_bounds const& bounds)
@@ -325,6 +318,13 @@
     s.timers.push({when, s.timer_order++, std::move(what)});
 }
 
+auto fraction(dispatch_state& s) -> double
+{
+    constexpr auto steps = std::uint64_t{1} << 20;
+    return static_cast<double>(draw_below(s.random, steps)) /
+           static_cast<double>(steps);
+}
+
 auto budget_share_of(dispatch_state const& s) -> double
 {
     return budget_share(s.init.bounds, s.instances.size());
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -22,7 +22,7 @@
     milliseconds first_patience{50};  ///< Before any latency is known.
     milliseconds far_penalty{12};     ///< A far target must be faster by this.
     milliseconds loser_patience{400}; ///< An abandoned attempt may still end.
-    std::uint32_t spare_sends = 2;    ///< Sends of a shard beyond its attempts.
+    std::uint32_t spare_sends = 4;    ///< Sends of a shard beyond its attempts.
 
     milliseconds connect_timeout{400};     ///< Opening a connection.
     milliseconds reopen_first{50};         ///< Wait after a failed opening;
--- a/src/core/dispatch/parts.cpp
+++ b/src/core/dispatch/parts.cpp
@@ -34,6 +34,58 @@
     return p.state != part_state::answered && p.state != part_state::failed;
 }
 
+auto coverage_floor(route const& r) -> double
+{
+    auto const* it = std::get_if<to_shards>(&r.to);
+    return it == nullptr ? 1.0 : it->min_coverage;
+}
+
+auto enough(request_entry const& e, std::uint32_t parts) -> bool
+{
+    constexpr auto rounding = 1e-9;
+    return parts > 0 && static_cast<double>(parts) + rounding >=
+                            coverage_floor(*e.value.by) *
+                                static_cast<double>(e.parts.size());
+}
+
+auto can_do_without_more(request_entry const& e, time_point now) -> bool
+{
+    auto const late = now >= e.value.objective;
+    auto const lacking = std::count_if(e.parts.begin(), e.parts.end(),
+        [&](part const& p)
+        {
+            return p.state == part_state::failed ||
+                   (is_open(p) && (late || running_count(p) == 0));
+        });
+    auto const n = static_cast<std::uint32_t>(e.parts.size());
+    return enough(e, n - static_cast<std::uint32_t>(lacking));
+}
+
+auto urgency_of(request_entry const& e, attempt_kind kind, time_point now)
+    -> urgency
+{
+    switch (kind)
+    {
+    case attempt_kind::probe:
+        return urgency::optional;
+    case attempt_kind::hedge:
+        return urgency::useful;
+    case attempt_kind::rescue:
+    case attempt_kind::retry:
+        return can_do_without_more(e, now) ? urgency::optional
+                                           : urgency::needed;
+    case attempt_kind::first:
+        break;
+    }
+    return urgency::needed;
+}
+
+auto waits_to_retry(part const& p) -> bool
+{
+    return p.state == part_state::waiting && !p.queued &&
+           p.retry_at != time_point{};
+}
+
 auto with_attempt(part const& p, attempt const& a) -> part
 {
     auto next = p;
--- a/src/core/dispatch/parts.hpp
+++ b/src/core/dispatch/parts.hpp
@@ -16,6 +16,23 @@
 /// True if the part is neither answered nor given up.
 auto is_open(part const& p) -> bool;
 
+/// Share of the parts that an answer needs.
+auto coverage_floor(route const& r) -> double;
+
+/// True if so many parts are enough for an answer.
+auto enough(request_entry const& e, std::uint32_t parts) -> bool;
+
+/// True if an answer is possible though all parts that are late, failed or
+/// without an attempt stay out.
+auto can_do_without_more(request_entry const& e, time_point now) -> bool;
+
+/// How much an extra request for a part of the request matters.
+auto urgency_of(request_entry const& e, attempt_kind kind, time_point now)
+    -> urgency;
+
+/// True if it was sent, has no attempt any more and waits for the next one.
+auto waits_to_retry(part const& p) -> bool;
+
 /// An attempt was sent to a target.
 auto with_attempt(part const& p, attempt const& a) -> part;
 
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/requests.hpp"
+#include "core/dispatch/room.hpp"
 #include "core/dispatch/search.hpp"
 
 #include <algorithm>
@@ -28,22 +29,6 @@
     return left_of(b, s.init.bounds, s.started, now);
 }
 
-auto urgency_of(attempt_kind kind) -> urgency
-{
-    switch (kind)
-    {
-    case attempt_kind::hedge:
-        return urgency::useful;
-    case attempt_kind::probe:
-        return urgency::optional;
-    case attempt_kind::first:
-    case attempt_kind::retry:
-    case attempt_kind::rescue:
-        break;
-    }
-    return urgency::needed;
-}
-
 auto count_extra(dispatch_stats& stats, attempt_kind kind) -> void
 {
     switch (kind)
@@ -90,8 +75,9 @@
     a.over = over;
     a.kind = kind;
     a.sent_at = now;
-    a.patience =
-        hedge_patience(estimate_for(s, *e.value.by, t.where), s.init.limits);
+    auto const usual = estimate_for(s, *e.value.by, t.where);
+    a.patience = hedge_patience(usual, s.init.limits);
+    a.late_after = late_after(usual, duration{e.value.by->latency_objective});
     auto& l = s.links.at(over);
     l = link{
         l.id, l.to, link_state::busy, a.id, now, l.usable_until, l.replied};
@@ -132,7 +118,7 @@
     auto& p = e.parts[key.index];
     auto const& r = *e.value.by;
     if (r.repeat != repeatability::idempotent || p.runs >= r.max_attempts ||
-        !can_pay(s, p.service, attempt_kind::probe, now))
+        !can_pay(s, e, p, attempt_kind::probe, now))
         return;
     for (auto const id : s.services.at(p.service).targets)
     {
@@ -149,17 +135,17 @@
 
 } // namespace
 
-auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind,
-    time_point now) -> bool
+auto can_pay(dispatch_state const& s, request_entry const& e, part const& p,
+    attempt_kind kind, time_point now) -> bool
 {
     if (kind == attempt_kind::first)
         return true;
-    auto const it = s.services.find(service);
+    auto const it = s.services.find(p.service);
     if (it == s.services.end())
         return false;
     auto const& b = it->second.budget;
     return can_pay(
-        b, left_of(b, s.init.bounds, s.started, now), urgency_of(kind));
+        b, left_of(b, s.init.bounds, s.started, now), urgency_of(e, kind, now));
 }
 
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
@@ -207,10 +193,10 @@
         p->queued = false;
         if (!is_open(*p))
             continue;
-        if (!can_pay(s, service, p->next, now))
+        if (!can_pay(s, s.requests.at(key.request), *p, p->next, now))
         {
             if (running_count(*p) == 0)
-                stuck.push_back(key);
+                wait_to_retry(s, key, now);
             continue;
         }
         if (place(s, key, p->next, now, out) == placed::nowhere)
--- a/src/core/dispatch/placing.hpp
+++ b/src/core/dispatch/placing.hpp
@@ -24,9 +24,9 @@
 auto serve_queue(dispatch_state& s, service_id service, time_point now,
     commands& out) -> void;
 
-/// True if the service's budget pays for an extra request.
-auto can_pay(dispatch_state const& s, service_id service, attempt_kind kind,
-    time_point now) -> bool;
+/// True if the service's budget pays for an extra request for a part.
+auto can_pay(dispatch_state const& s, request_entry const& e, part const& p,
+    attempt_kind kind, time_point now) -> bool;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -122,6 +122,11 @@
            t.links < link_limit(s, t);
 }
 
+auto may_have_links(dispatch_state& s, target_entry& t) -> std::uint32_t
+{
+    return link_limit(s, t);
+}
+
 auto open_link(
     dispatch_state& s, target_entry& t, time_point now, commands& out) -> void
 {
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -30,6 +30,9 @@
 auto open_link(
     dispatch_state& s, target_entry& t, time_point now, commands& out) -> void;
 
+/// Connections that this instance may have to the target.
+auto may_have_links(dispatch_state& s, target_entry& t) -> std::uint32_t;
+
 /// Opens a connection ahead of need if the target has none to spare.
 auto keep_spare(
     dispatch_state& s, target_entry& t, time_point now, commands& out) -> void;
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -18,9 +18,9 @@
 constexpr auto queue_share = 4; ///< Part of the objective spent in a queue.
 /// Between looks at a request that waits for connections.
 constexpr auto connecting_look = milliseconds{10};
-/// For attempts whose caller hung up.
 /// Between tries to hedge a part, since the budget fills up again.
 constexpr auto hedge_again = milliseconds{40};
+/// For attempts whose caller hung up.
 constexpr auto hang_up_patience = milliseconds{200};
 
 /// Services that a request needs; for a split, the one that is its turn.
@@ -37,23 +37,12 @@
     return services_of(r);
 }
 
-/// Time that the caller has spent on earlier attempts: its deadline is that
-/// much shorter than the longest one seen on the route.
-auto spent_before(dispatch_state& s, route const& r, duration deadline)
-    -> duration
-{
-    auto& longest = s.longest_deadline[r.name];
-    longest = std::max(longest, deadline);
-    return longest - deadline;
-}
-
 auto open(dispatch_state& s, caller_request const& e, route const& r,
     time_point now) -> open_request
 {
     auto const timeout = duration{r.timeout};
     auto const stated =
         e.request->deadline ? duration{*e.request->deadline} : timeout;
-    auto const spent = spent_before(s, r, stated);
     auto const objective = duration{r.latency_objective};
     auto const margin = duration{s.init.limits.answer_margin};
     auto v = open_request{};
@@ -64,18 +53,12 @@
     v.started = now;
     v.deadline =
         now + std::max(duration{0}, std::min(stated, timeout) - margin);
-    v.objective = std::min(
-        v.deadline, now + std::max(duration{0}, objective - spent - margin));
+    v.objective =
+        std::min(v.deadline, now + std::max(duration{0}, objective - margin));
     v.queue_until = std::min(v.deadline, now + objective / queue_share);
     return v;
 }
 
-auto coverage_floor(route const& r) -> double
-{
-    auto const* it = std::get_if<to_shards>(&r.to);
-    return it == nullptr ? 1.0 : it->min_coverage;
-}
-
 /// True if too many parts have no target for the route's least coverage.
 auto is_hopeless(dispatch_state& s, request_entry const& e, time_point now)
     -> bool
@@ -91,6 +74,21 @@
     return able == 0 || share < coverage_floor(*e.value.by);
 }
 
+/// True if so many parts find no room that an answer is not to be expected.
+auto is_overloaded(dispatch_state& s, request_entry const& e, time_point now)
+    -> bool
+{
+    auto const able = std::count_if(e.parts.begin(), e.parts.end(),
+        [&](part const& p)
+        {
+            return expected_wait(s, p, e.value, now) <=
+                       e.value.queue_until - now ||
+                   may_come_back(s, p.service, *e.value.by, now);
+        });
+    return static_cast<double>(able) <
+           coverage_floor(*e.value.by) * static_cast<double>(e.parts.size());
+}
+
 auto needs_hedge(part const& p) -> bool
 {
     return p.state == part_state::running && !p.queued &&
@@ -134,7 +132,7 @@
         now >= e.value.objective ? attempt_kind::rescue : attempt_kind::hedge;
     auto const more = p.runs < e.value.by->max_attempts;
     p.hedge_after = more ? now + hedge_again : time_point::max();
-    if (may_try_again(s, e, p, kind, now))
+    if (may_send_again(s, e, p) && can_pay(s, e, p, kind, now))
         place(s, key, kind, now, out);
     else if (more)
         tell_budget(s, e, p, kind, now, out);
@@ -175,6 +173,9 @@
     };
     consider(e.value.objective);
     consider(e.value.queue_until);
+    for (auto const& p : e.parts)
+        if (waits_to_retry(p))
+            consider(p.retry_at);
     if (e.value.by->repeat == repeatability::idempotent)
         for (auto const& p : e.parts)
             if (needs_hedge(p))
@@ -201,7 +202,7 @@
     if (s.config == nullptr)
         return refuse(s, e, nullptr,
             {refusal_reason::not_ready,
-                retry_delay(s, refusal_reason::not_ready, {}, now)},
+                retry_delay(s, refusal_reason::not_ready)},
             out);
     auto const* r = find_route(*s.config, e.request->host, e.request->target);
     if (r == nullptr)
@@ -224,8 +225,12 @@
         auto const why = s.requests.size() >= s.init.limits.max_requests
                              ? refusal_reason::overloaded
                              : refusal_reason::no_target;
-        return refuse(
-            s, e, r, {why, retry_delay(s, why, entry.parts, now)}, out);
+        return refuse(s, e, r, {why, retry_delay(s, why)}, out);
+    }
+    if (is_overloaded(s, entry, now))
+    {
+        auto const why = refusal_reason::overloaded;
+        return refuse(s, e, r, {why, retry_delay(s, why)}, out);
     }
     auto const key = next_handle<request_key>(s);
     auto const n = entry.open;
@@ -268,6 +273,7 @@
         if (needs_hedge(it->second.parts[i]) &&
             now >= hedge_time(s, it->second.parts[i]))
             hedge(s, {e.request, i}, now, out);
+    retry_parts(s, e.request, now, out);
     conclude(s, e.request, now, out);
     it = s.requests.find(e.request);
     if (it != s.requests.end())
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/choice.hpp"
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/room.hpp"
 
 #include <algorithm>
 #include <array>
@@ -103,7 +104,9 @@
         if (step.tried && !alone)
             break;
         for (auto const id : service->second.targets)
-            if (auto& t = s.targets.at(id); is_eligible(s, t, p, r, step, now))
+            if (auto& t = s.targets.at(id);
+                has_room(t.room, t.health.in_flight) &&
+                is_eligible(s, t, p, r, step, now))
                 found.push_back(&t);
         if (!found.empty())
             break;
@@ -150,6 +153,35 @@
     return best ? targets[*best] : nullptr;
 }
 
+auto has_untried(dispatch_state& s, part const& p, open_request const& r,
+    time_point now) -> bool
+{
+    return !eligible_targets(s, p, *r.by, false, now).empty();
+}
+
+auto expected_wait(dispatch_state& s, part const& p, open_request const& r,
+    time_point now) -> duration
+{
+    auto const targets = eligible_targets(s, p, *r.by, true, now);
+    if (targets.empty())
+        return duration::max();
+    auto width = 0.0; // Requests that they may have at once.
+    auto each = 0.0;  // Time that one takes, us.
+    for (auto* it : targets)
+    {
+        auto const links = std::max(it->links, may_have_links(s, *it));
+        width += std::max(1.0, std::min<double>(links, it->room.limit));
+        auto const usual =
+            typical(estimate_for(s, *r.by, it->where), prior(it->where));
+        each += slowness_at(it->health, s.init.limits, now) *
+                static_cast<double>(usual.count());
+    }
+    each /= static_cast<double>(targets.size());
+    auto const waiting = s.services.at(p.service).waiting.size();
+    return duration{static_cast<duration::rep>(
+        each * static_cast<double>(waiting) / width)};
+}
+
 auto has_target(dispatch_state& s, service_id service, open_request const& r,
     time_point now) -> bool
 {
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -23,6 +23,16 @@
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool alone, time_point now) -> target_entry*;
 
+/// True if a target that was not asked for the part yet has room for it.
+auto has_untried(dispatch_state& s, part const& p, open_request const& r,
+    time_point now) -> bool;
+
+/// Time that a new part is expected to wait until a target has room for it.
+///
+/// @returns The greatest possible value if none is about to have any.
+auto expected_wait(dispatch_state& s, part const& p, open_request const& r,
+    time_point now) -> duration;
+
 /// True if a target of the service can be used for the request now.
 auto has_target(dispatch_state& s, service_id service, open_request const& r,
     time_point now) -> bool;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -2,6 +2,7 @@
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_TABLES_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_TABLES_HPP
 
+#include "core/adaptive_limit.hpp"
 #include "core/dispatch/dispatcher.hpp"
 #include "core/dispatch/extra_budget.hpp"
 #include "core/dispatch/follow.hpp"
@@ -66,6 +67,7 @@
     attempt_kind kind = attempt_kind::first;
     time_point sent_at;
     duration patience{0};   ///< After which it is worth a hedge.
+    duration late_after{0}; ///< A later reply shows that the target is full.
     bool overdue = false;   ///< Told to the target's health.
     bool abandoned = false; ///< Its reply is no longer wanted.
 
@@ -98,6 +100,7 @@
     target_id last; ///< Asked last, or that answered.
     time_point first_sent;
     time_point hedge_after; ///< No further hedge before.
+    time_point retry_at;    ///< If it waits to be sent again.
     time_point ended_at;
     bool over_budget = false; ///< A hedge could not be paid; told once.
 
@@ -145,6 +148,7 @@
     time_point lapses = time_point::max(); ///< Vanished; gone at this time.
     time_point cold_until;
     target_health health;
+    adaptive_limit room; ///< Requests that it may have at once from here.
     std::vector<connection_id> idle;         ///< The one used last is the last.
     std::optional<std::uint32_t> link_limit; ///< Links that it may have.
     std::uint32_t links = 0;                 ///< Opening, idle or busy.
@@ -258,8 +262,7 @@
     std::map<std::string, instance_record> instances;
 
     std::unordered_map<std::string, std::vector<std::int64_t>> splits;
-    std::unordered_map<std::string, route_latency> latencies;   ///< By route.
-    std::unordered_map<std::string, duration> longest_deadline; ///< By route.
+    std::unordered_map<std::string, route_latency> latencies; ///< By route.
     std::unordered_map<service_id, service_entry> services;
     std::unordered_map<target_id, target_entry> targets;
     std::unordered_map<connection_id, link> links;
@@ -268,6 +271,9 @@
     std::unordered_map<caller_id, request_key> callers;
 };
 
+/// Drawn evenly from 0 to 1.
+auto fraction(dispatch_state& s) -> double;
+
 /// Arms a timer.
 auto arm(dispatch_state& s, time_point when, timer what) -> void;
 
--- a/src/core/entry_run.cpp
+++ b/src/core/entry_run.cpp
@@ -16,6 +16,7 @@
 constexpr auto max_canary_shards = 3u;      ///< Canaries tried before the rest.
 constexpr auto canary_share = 4;            ///< Canary's part of the deadline.
 constexpr auto asked_as_suspect = 1u << 31; ///< Bit of `entry_shard::asked`.
+constexpr auto least_queries = 4.0;         ///< Open for one service.
 constexpr auto rerun_share = 3; ///< Least part left for a second run.
 
 auto send_sub_query(node_state& s, query_entry& e, instance_id owner,
@@ -94,7 +95,7 @@
             [](missing_shard const& m)
             { return m.reason == shard_failure::overload; });
     auto& a = it->second.admitted;
-    a = overloaded ? with_overload(a, now)
+    a = overloaded ? with_overload(a, least_queries, now)
                    : with_room(a, s.init.limits.max_queries);
 }
 
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -2,7 +2,7 @@
 #ifndef KNAPWEEDSTREAM_CORE_STATE_HPP
 #define KNAPWEEDSTREAM_CORE_STATE_HPP
 
-#include "core/admission.hpp"
+#include "core/adaptive_limit.hpp"
 #include "core/budget.hpp"
 #include "core/member.hpp"
 #include "core/merge.hpp"
@@ -262,7 +262,7 @@
     std::vector<shard_entry> shards;
     quantile_estimate latency;
     retry_budget budget;
-    admission admitted;
+    adaptive_limit admitted; ///< Queries open for it.
     rollout_entry rollout;
 };
 
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -236,3 +236,35 @@
     r.lose(r.take_sent()[0]);
     CHECK(r.core.stats().retries == before + 1);
 }
+
+TEST_CASE("budget: a part waits for what it cannot pay, and is sent again")
+{
+    auto r = rig{};
+    r.age();
+    r.begin(config_of(single_route("s")), three_of("s"),
+        {{"i1", "a", "north"}, {"i2", "a", "north"}, {"i3", "a", "north"}});
+    // All that may be spent is spent.
+    auto n = 0;
+    while (r.facts<budget_spent>().empty())
+    {
+        r.ask("q" + std::to_string(n++));
+        while (!r.unanswered.empty())
+            for (auto const& it : r.take_sent())
+                r.reply(it, ks::reply_overloaded{});
+        r.advance(milliseconds{1});
+    }
+    auto const c = r.ask("last");
+    r.reply(r.take_sent().back(), ks::reply_overloaded{});
+    r.advance(milliseconds{100});
+    CHECK(!r.answer_to(c)); // Not given up while there is time.
+    // First requests of others fill the budget up.
+    for (auto i = 0; i < 60; ++i)
+    {
+        r.ask("later" + std::to_string(i));
+        for (auto const& it : r.take_sent())
+            r.succeed(it);
+        r.advance(milliseconds{10});
+    }
+    REQUIRE(r.answer_to(c));
+    CHECK(is<ks::answer_relayed>(r.answer_to(c)->answer));
+}
--- /dev/null
+++ b/tests/dispatch/test_load.cpp
@@ -0,0 +1,81 @@
+// What callers get under the loads that queueing, refusing and placing answer.
+#include "dispatch/load.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ks = knapweedstream;
+using namespace knapweedstream::dispatch;
+using ks::milliseconds;
+
+namespace
+{
+
+constexpr auto objective = milliseconds{200};
+constexpr auto instances = std::size_t{8};
+
+auto share(std::size_t n, load_result const& r) -> double
+{
+    return static_cast<double>(n) / static_cast<double>(r.asked);
+}
+
+/// One target with 3 slots, which serves 200 requests a second.
+auto one_target() -> load_rig
+{
+    return {instances, config_of(single_route("s")),
+        {registered("s-a", "s", "a")}, {{"s-a", {}}}};
+}
+
+} // namespace
+
+TEST_CASE("load: a target that is asked too much serves what it can in time")
+{
+    auto load = one_target();
+    auto const got = load.play(290, ks::seconds{5}, objective);
+    CHECK(share(got.in_time, got) >= 0.6);
+    CHECK(share(got.failed, got) <= 0.02);
+    CHECK(got.slowest_refusal <= objective / 4);
+}
+
+TEST_CASE("load: without overload nothing is refused")
+{
+    auto load = one_target();
+    auto const got = load.play(150, ks::seconds{5}, objective);
+    CHECK(got.refused == 0);
+    CHECK(share(got.in_time, got) >= 0.99);
+}
+
+TEST_CASE("load: gathers that need a shard with too little room are refused")
+{
+    auto targets = three_of("s1");
+    targets.push_back(registered("s0-a", "s0", "a"));
+    auto load = load_rig{instances, config_of(shard_route({"s0", "s1"}, 1.0)),
+        targets, {{"s0-a", {}}, {"s1-a", {}}, {"s1-b", {}}, {"s1-c", {}}}};
+    auto const got = load.play(290, ks::seconds{5}, objective);
+    CHECK(share(got.in_time, got) >= 0.6);
+    CHECK(share(got.failed, got) <= 0.02);
+    CHECK(got.slowest_refusal <= objective / 4);
+}
+
+TEST_CASE("load: shards whose targets refuse part of it cost few answers")
+{
+    auto shards = std::vector<std::string>{};
+    auto targets = std::vector<ks::target_registration>{};
+    auto models = std::map<std::string, modelled_target>{};
+    for (auto i = 0; i < 6; ++i)
+    {
+        auto const service = "s" + std::to_string(i);
+        shards.push_back(service);
+        for (auto const& it : three_of(service))
+        {
+            targets.push_back(it);
+            models[it.name].refuses_each = i < 3 ? 3 : 0;
+        }
+    }
+    auto load = load_rig{
+        instances, config_of(shard_route(shards, 0.8)), targets, models};
+    auto const got = load.play(150, ks::seconds{5}, objective);
+    // Each shard's budget pays for half of the refusals; an answer can do
+    // without one shard of the six.
+    CHECK(share(got.in_time, got) >= 0.95);
+    CHECK(share(got.failed, got) <= 0.02);
+}
