Rollout orders of the operators are carried out on the routed path

Cause: orders were read and ignored; a bad version would have got a third of a service's requests as soon as its targets registered, and a good one would never have been completed. Change: while an order stands, a few instances (4, or more in large fleets, by rank) try the new version with half of the share that may be exposed; results of both versions are compared by the product's own judge; an instance that finds it bad leaves it at once and writes rolled_back. 3.5 s before the stated end all requests move, 1.5 s before it the first in rank writes completed, others follow if it does not. Writes are conditional; a lost answer is settled by the watch or by writing again. Orders are watched from data that may be stale, and closely while one is open. Weighed: a first-come driver with a lease (one more write and one more way to stall); weights that rise step by step (exposes a version that turns bad late to far more than the stated share). Tests: 'rollout: *' (6) in virtual time, 'platform: *' (2).

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -167,6 +167,13 @@
            " changes=" + std::to_string(it.changes);
 }
 
+auto line_of(dispatch::rollout_moved const& it) -> std::string
+{
+    return "Rollout moved. service=" + it.service + " version=" + it.version +
+           " phase=" + it.phase + " revision=" + std::to_string(it.revision) +
+           " " + it.input;
+}
+
 auto line_of(dispatch::zone_changed const& it) -> std::string
 {
     return std::string{it.evacuated ? "Zone evacuated. zone="
@@ -220,6 +227,8 @@
             [](dispatch::watch_silent const&) -> line_kind {
                 return {"store", log_level::warning};
             },
+            [](dispatch::rollout_moved const&) -> line_kind
+            { return {"rollout"}; },
             [](dispatch::zone_changed const&) -> line_kind
             { return {"config"}; },
             [](dispatch::readiness_changed const&) -> line_kind
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -92,30 +92,31 @@
 
 auto store_client::run(dispatch::store_record const& c) -> void
 {
-    auto const name = c.record.name;
-    auto const on_failure = [name](store_failure why) -> dispatch::event
-    {
-        return dispatch::store_written{store_kind::instances, name, 0, why};
-    };
-    call(
-        "write", dialect_.record(c.record, c.exists), call_limit,
-        [this, name](http_message const& m)
-        { return dialect_.read_write(name, m); },
-        on_failure);
+    write("write", store_kind::instances, c.record.name,
+        dialect_.record(c.record, c.exists));
+}
+
+auto store_client::run(dispatch::store_order_state const& c) -> void
+{
+    write("order-" + c.name, store_kind::rollouts, c.name,
+        dialect_.order_state(c));
 }
 
 auto store_client::run(dispatch::store_remove const& c) -> void
 {
-    auto const name = c.name;
-    auto const on_failure = [name](store_failure why) -> dispatch::event
-    {
-        return dispatch::store_written{store_kind::instances, name, 0, why};
-    };
+    write("write", store_kind::instances, c.name, dialect_.remove(c.name));
+}
+
+auto store_client::write(std::string const& over, store_kind kind,
+    std::string const& name, http_message const& m) -> void
+{
     call(
-        "write", dialect_.remove(name), call_limit,
-        [this, name](http_message const& m)
-        { return dialect_.read_write(name, m); },
-        on_failure);
+        over, m, call_limit,
+        [this, kind, name](http_message const& answer)
+        { return dialect_.read_write(kind, name, answer); },
+        [kind, name](store_failure why) -> dispatch::event {
+            return dispatch::store_written{kind, name, 0, why};
+        });
 }
 
 auto store_client::call(std::string const& name, http_message const& m,
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -21,10 +21,12 @@
         list;
     std::function<http_message(dispatch::store_watch const&)> watch;
     std::function<http_message(instance_record const&, bool exists)> record;
+    std::function<http_message(dispatch::store_order_state const&)> order_state;
     std::function<http_message(std::string const& name)> remove;
     std::function<dispatch::event(store_kind, http_message const&)> read_list;
     std::function<dispatch::event(store_kind, http_message const&)> read_watch;
-    std::function<dispatch::event(std::string const&, http_message const&)>
+    std::function<dispatch::event(
+        store_kind, std::string const&, http_message const&)>
         read_write;
 };
 
@@ -39,6 +41,7 @@
     auto run(dispatch::store_watch const& c) -> void;
     auto run(dispatch::store_check const& c) -> void;
     auto run(dispatch::store_record const& c) -> void;
+    auto run(dispatch::store_order_state const& c) -> void;
     auto run(dispatch::store_remove const& c) -> void;
 
     /// Calls made since the start.
@@ -63,6 +66,8 @@
 
     auto call(std::string const& name, http_message const& m, duration limit,
         reader read, failed fail) -> void;
+    auto write(std::string const& over, store_kind kind,
+        std::string const& name, http_message const& m) -> void;
     auto connect(std::string const& name, channel& c) -> void;
     auto end(std::string const& name, store_failure why) -> void;
     auto on_replied(
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -150,6 +150,7 @@
             [this](dispatch::store_watch const& it) { store_.run(it); },
             [this](dispatch::store_check const& it) { store_.run(it); },
             [this](dispatch::store_record const& it) { store_.run(it); },
+            [this](dispatch::store_order_state const& it) { store_.run(it); },
             [this](dispatch::store_remove const& it) { store_.run(it); },
             [this](dispatch::set_ready const& it)
             {
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -5,6 +5,7 @@
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/requests.hpp"
+#include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/room.hpp"
 #include "core/dispatch/search.hpp"
 
@@ -217,6 +218,7 @@
     {
         ++s.stats.lost_attempts;
         t.health = with_lost(t.health, s.init.limits, now);
+        note_version_result(s, t, true, now - a.sent_at);
     }
     else
         t.health = with_dropped(t.health);
@@ -301,6 +303,8 @@
     if (overdue && !a.overdue)
         t.health = with_overdue(t.health, s.init.limits, now);
     t.health = with_reply(t.health, ratio, !good, overdue, s.init.limits, now);
+    if (m.ran)
+        note_version_result(s, t, !good, now - a.sent_at);
     t.open_failures = 0;
     s.stats.overload_replies += full ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/route_table.hpp"
 
 #include <knapweedstream/overloaded.hpp>
@@ -17,18 +18,6 @@
 constexpr auto trouble_memory = seconds{10}; ///< After an outage, a vanished
                                              ///< registration may come back.
 
-auto service_entry_of(dispatch_state& s, std::string const& name)
-    -> service_entry&
-{
-    auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
-    if (fresh)
-    {
-        it->second.name = name;
-        it->second.budget = with_share({}, budget_share_of(s));
-    }
-    return it->second;
-}
-
 auto is_evacuated(dispatch_state const& s, std::string const& zone) -> bool
 {
     return s.evacuated.contains(zone);
@@ -211,7 +200,8 @@
             { take_target(s, it, o.revision, now, out); },
             [&](zone_evacuation const& it)
             { set_evacuated(s, it.zone, true, o.revision, now, out); },
-            [&](rollout_order const&) {},
+            [&](rollout_order const& it)
+            { take_order(s, it, o.revision, now, out); },
             [&](instance_record const& it)
             {
                 set_instance(s, o.name, &it);
@@ -231,8 +221,9 @@
         return set_evacuated(s, name, false, revision, now, out);
     case store_kind::instances:
         return set_instance(s, name, nullptr);
-    case store_kind::configuration:
     case store_kind::rollouts:
+        return drop_order(s, name);
+    case store_kind::configuration:
         return;
     }
 }
@@ -246,6 +237,8 @@
             names.push_back(it.info.name);
     if (kind == store_kind::evacuations)
         names.assign(s.evacuated.begin(), s.evacuated.end());
+    if (kind == store_kind::rollouts)
+        names = ordered_services(s);
     if (kind == store_kind::instances)
         for (auto const& [name, it] : s.instances)
             names.push_back(name);
@@ -254,6 +247,18 @@
 
 } // namespace
 
+auto service_entry_of(dispatch_state& s, std::string const& name)
+    -> service_entry&
+{
+    auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
+    if (fresh)
+    {
+        it->second.name = name;
+        it->second.budget = with_share({}, budget_share_of(s));
+    }
+    return it->second;
+}
+
 auto take_change(dispatch_state& s, store_kind kind, stored_change const& c,
     time_point now, commands& out) -> void
 {
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/catalog.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/requests.hpp"
+#include "core/dispatch/rollout_orders.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -193,6 +194,8 @@
 auto on_written(dispatch_state& s, store_written const& e, commands& out)
     -> void
 {
+    if (e.kind != store_kind::instances)
+        return; // What has become of a rollout order is watched.
     if (!s.stop.asked && e.why == store_failure::conflict)
         out.push_back(store_record{s.init.self, true});
 }
@@ -251,6 +254,7 @@
                    [&](link_due const& e) { on_link_due(s, e, now, out); },
                    [&](target_due const& e) { on_target_due(s, e, now, out); },
                    [&](follow_due const& e) { on_follow_due(s, e, now, out); },
+                   [&](shift_due const& e) { on_shift_due(s, e, now, out); },
                    [&](check_due const&) { on_check_due(s, now, out); },
                    [&](stop_due const&)
                    {
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -27,7 +27,7 @@
 {
     auto const asks = f.failures > 0; // Is the store back?
     auto const wait = asks ? no_wait : policy.wait;
-    auto const stale = asks || policy.may_be_stale;
+    auto const stale = asks || (policy.may_be_stale && !f.closely);
     f.phase = watching{};
     auto out = commands{store_watch{f.kind, f.revision, wait, stale}};
     return {std::move(f), std::move(out)};
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -66,6 +66,7 @@
     std::uint64_t revision = 0; ///< Watched from; 0: a list is needed.
     std::uint32_t failures = 0; ///< In a row.
     std::uint32_t lists = 0;    ///< Whole lists read.
+    bool closely = false;       ///< News must not be seconds old for now.
     bool history_lost = false;  ///< Changes since a revision were gone once.
 
     auto operator<=>(followed const&) const = default;
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -124,7 +124,7 @@
     {
         auto& t = s.targets.at(id);
         if (!wants_probe(t.health, now) || !is_usable(t, now) ||
-            !is_allowed(t, r) || was_tried(p, id))
+            !is_allowed(t, r) || was_tried(p, id) || !suits(s, p, t))
             continue;
         auto const over = take_idle(s, t, false, now);
         if (over == connection_id{})
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/attempts.hpp"
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/placing.hpp"
+#include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/route_table.hpp"
 #include "core/dispatch/search.hpp"
 
@@ -66,7 +67,7 @@
     auto const able = std::count_if(e.parts.begin(), e.parts.end(),
         [&](part const& p)
         {
-            return has_target(s, p.service, e.value, now) ||
+            return has_target(s, p, e.value, now) ||
                    may_come_back(s, p.service, *e.value.by, now);
         });
     auto const share =
@@ -215,6 +216,7 @@
     {
         auto p = part{};
         p.service = id_of<service_id>(name);
+        p.side = next_side(s, p.service);
         entry.parts.push_back(p);
     }
     entry.answers.resize(entry.parts.size());
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -83,6 +83,12 @@
            (r.repeat == repeatability::at_most_once && is_trusted(h, now));
 }
 
+auto is_of_side(service_entry const& service, version_side side,
+    target_entry const& t) -> bool
+{
+    return !service.shift || fits(*service.shift, side, t.info.version);
+}
+
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
     route const& r, search_step const& step, time_point now) -> bool
 {
@@ -92,20 +98,20 @@
            can_connect(s, t, step.over_share, now);
 }
 
-auto eligible_targets(dispatch_state& s, part const& p, route const& r,
-    bool alone, time_point now) -> std::vector<target_entry*>
+/// Targets of one side, while the service's versions are shifted.
+auto eligible_of_side(dispatch_state& s, service_entry const& service,
+    part const& p, version_side side, route const& r, bool alone,
+    time_point now) -> std::vector<target_entry*>
 {
-    auto const service = s.services.find(p.service);
     auto found = std::vector<target_entry*>{};
-    if (service == s.services.end())
-        return found;
     for (auto const& step : search_steps)
     {
         if (step.tried && !alone)
             break;
-        for (auto const id : service->second.targets)
+        for (auto const id : service.targets)
             if (auto& t = s.targets.at(id);
                 has_room(t.room, t.health.in_flight) &&
+                is_of_side(service, side, t) &&
                 is_eligible(s, t, p, r, step, now))
                 found.push_back(&t);
         if (!found.empty())
@@ -114,6 +120,20 @@
     return found;
 }
 
+auto eligible_targets(dispatch_state& s, part const& p, route const& r,
+    bool alone, time_point now) -> std::vector<target_entry*>
+{
+    auto const it = s.services.find(p.service);
+    if (it == s.services.end())
+        return {};
+    auto const& service = it->second;
+    auto found = eligible_of_side(s, service, p, p.side, r, alone, now);
+    if (found.empty() && p.side == version_side::prefer_new)
+        found =
+            eligible_of_side(s, service, p, version_side::any, r, alone, now);
+    return found;
+}
+
 /// True if an opening has begun and has not yet taken unusually long.
 auto is_about_to_open(target_entry const& t, time_point now) -> bool
 {
@@ -153,6 +173,12 @@
     return best ? targets[*best] : nullptr;
 }
 
+auto suits(dispatch_state const& s, part const& p, target_entry const& t)
+    -> bool
+{
+    return is_of_side(s.services.at(p.service), p.side, t);
+}
+
 auto has_untried(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> bool
 {
@@ -182,17 +208,21 @@
         each * static_cast<double>(waiting) / width)};
 }
 
-auto has_target(dispatch_state& s, service_id service, open_request const& r,
+auto has_target(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> bool
 {
-    auto const it = s.services.find(service);
-    return it != s.services.end() &&
-           std::any_of(it->second.targets.begin(), it->second.targets.end(),
-               [&](target_id id)
-               {
-                   return is_eligible(s, s.targets.at(id), {}, *r.by,
-                       search_steps.back(), now);
-               });
+    auto const it = s.services.find(p.service);
+    if (it == s.services.end())
+        return false;
+    auto const side =
+        p.side == version_side::prefer_new ? version_side::any : p.side;
+    return std::any_of(it->second.targets.begin(), it->second.targets.end(),
+        [&](target_id id)
+        {
+            auto& t = s.targets.at(id);
+            return is_of_side(it->second, side, t) &&
+                   is_eligible(s, t, p, *r.by, search_steps.back(), now);
+        });
 }
 
 auto may_come_back(dispatch_state const& s, service_id service, route const& r,
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -23,6 +23,10 @@
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool alone, time_point now) -> target_entry*;
 
+/// True if the target's version may get the part.
+auto suits(dispatch_state const& s, part const& p, target_entry const& t)
+    -> bool;
+
 /// True if a target that was not asked for the part yet has room for it.
 auto has_untried(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> bool;
@@ -33,8 +37,8 @@
 auto expected_wait(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> duration;
 
-/// True if a target of the service can be used for the request now.
-auto has_target(dispatch_state& s, service_id service, open_request const& r,
+/// True if a target can be used for the part now, whatever its room.
+auto has_target(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> bool;
 
 /// True if a target of the service that turned connections away is to be
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -8,6 +8,7 @@
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
+#include "core/dispatch/version_shift.hpp"
 #include "core/random.hpp"
 
 #include <array>
@@ -91,6 +92,7 @@
 {
     service_id service;
     part_state state = part_state::waiting;
+    version_side side = version_side::any;   ///< While versions are shifted.
     bool queued = false;                     ///< Stands in its service's queue.
     attempt_kind next = attempt_kind::first; ///< Kind of the queued send.
     std::uint32_t sends = 0;                 ///< Requests sent.
@@ -168,7 +170,8 @@
     bool routed = false; ///< A route of the configuration in force uses it.
     std::vector<target_id> targets;
     extra_budget budget;
-    std::deque<part_key> waiting; ///< Parts that need a connection.
+    std::optional<version_shift> shift; ///< While a rollout order stands.
+    std::deque<part_key> waiting;       ///< Parts that need a connection.
 };
 
 // What a timer is for. A timer that has become pointless does nothing.
@@ -197,6 +200,11 @@
     store_kind kind = store_kind::configuration;
     auto operator<=>(follow_due const&) const = default;
 };
+struct shift_due
+{
+    service_id service; ///< Its rollout order may move on.
+    auto operator<=>(shift_due const&) const = default;
+};
 struct check_due
 {
     auto operator<=>(check_due const&) const = default;
@@ -207,7 +215,7 @@
 };
 
 using timer = std::variant<request_due, loser_due, link_due, target_due,
-    follow_due, check_due, stop_due>;
+    follow_due, check_due, shift_due, stop_due>;
 
 /// A timer with its time; `order` keeps equal times in arming order.
 struct timed
@@ -277,6 +285,10 @@
 /// Arms a timer.
 auto arm(dispatch_state& s, time_point when, timer what) -> void;
 
+/// The entry of a service, made if it is new.
+auto service_entry_of(dispatch_state& s, std::string const& name)
+    -> service_entry&;
+
 /// Extra requests to a service that this instance may save up.
 auto budget_share_of(dispatch_state const& s) -> double;
 
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -80,6 +80,16 @@
     auto operator<=>(store_record const&) const = default;
 };
 
+/// Writes the state of a rollout order, if the order is still as it was.
+struct store_order_state
+{
+    std::string name;    ///< Of the order.
+    std::string version; ///< That it asks for.
+    order_state state = order_state::waiting;
+    std::uint64_t revision = 0; ///< Of the order.
+    auto operator<=>(store_order_state const&) const = default;
+};
+
 /// Removes an instance's record.
 struct store_remove
 {
@@ -127,10 +137,10 @@
     auto operator<=>(note const&) const = default;
 };
 
-using command =
-    std::variant<answer_caller, open_connection, close_connection, send_request,
-        store_list, store_watch, store_check, store_record, store_remove,
-        limit_callers, set_ready, retire_callers, exit_now, wake_at, note>;
+using command = std::variant<answer_caller, open_connection, close_connection,
+    send_request, store_list, store_watch, store_check, store_record,
+    store_order_state, store_remove, limit_callers, set_ready, retire_callers,
+    exit_now, wake_at, note>;
 
 using commands = std::vector<command>;
 
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -190,6 +190,17 @@
     auto operator<=>(zone_changed const&) const = default;
 };
 
+/// A rollout order was taken up, has moved on, or its state was written.
+struct rollout_moved
+{
+    std::string service;
+    std::string version;
+    std::string phase;
+    std::uint64_t revision = 0; ///< Of the order.
+    std::string input;          ///< Results that decided it.
+    auto operator<=>(rollout_moved const&) const = default;
+};
+
 /// The instance takes callers, or no longer does.
 struct readiness_changed
 {
@@ -198,10 +209,10 @@
     auto operator<=>(readiness_changed const&) const = default;
 };
 
-using fact =
-    std::variant<extra_sent, attempt_failed, budget_spent, request_ended,
-        target_judged, config_in_force, config_ignored, object_skipped,
-        store_contact, watch_silent, zone_changed, readiness_changed>;
+using fact = std::variant<extra_sent, attempt_failed, budget_spent,
+    request_ended, target_judged, config_in_force, config_ignored,
+    object_skipped, store_contact, watch_silent, zone_changed, rollout_moved,
+    readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
--- /dev/null
+++ b/tests/dispatch/test_rollouts.cpp
@@ -0,0 +1,179 @@
+#include "core/dispatch/version_shift.hpp"
+#include "dispatch/rig.hpp"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+namespace ks = knapweedstream;
+using namespace knapweedstream::dispatch;
+using ks::milliseconds;
+
+namespace
+{
+
+constexpr auto order_length = ks::seconds{12};
+constexpr auto per_s = 100;
+
+auto of_version(std::vector<ks::target_registration> list,
+    std::string const& version) -> std::vector<ks::target_registration>
+{
+    for (auto& it : list)
+    {
+        it.version = version;
+        it.name += "-" + version;
+    }
+    return list;
+}
+
+/// An instance with targets of two versions and an order to move to v2.
+struct ordered
+{
+    rig r;
+    std::uint64_t revision = 1'000;
+    std::size_t old_sent = 0;
+    std::size_t new_sent = 0;
+
+    ordered()
+    {
+        auto targets = of_version(three_of("s"), "v1");
+        for (auto const& it : of_version(three_of("s"), "v2"))
+            targets.push_back(it);
+        r.age();
+        r.begin(config_of(single_route("s")), targets);
+        tell(ks::order_state::waiting);
+    }
+
+    auto tell(ks::order_state state) -> void
+    {
+        auto const o = ks::rollout_order{"s", "v2", order_length, state};
+        r.feed(store_changed{ks::store_kind::rollouts,
+            {{{"s", ++revision, o}, false}}, revision});
+    }
+
+    /// Plays requests; `bad` says which of the new version's fail. What the
+    /// instance writes is told back.
+    auto play(ks::duration length, std::function<bool()> const& bad) -> void
+    {
+        auto written = r.ordered<store_order_state>().size();
+        for (auto const end = r.now + length; r.now < end;)
+        {
+            r.ask("q");
+            r.advance(milliseconds{5});
+            for (auto const& it : r.take_sent())
+            {
+                auto const is_new = it.target.ends_with("v2");
+                (is_new ? new_sent : old_sent) += 1;
+                if (is_new && bad())
+                    r.reply(it, ks::reply_failure{{500, "sig", {}, ""}});
+                else
+                    r.succeed(it);
+            }
+            r.advance(milliseconds{1'000 / per_s - 5});
+            auto const all = r.ordered<store_order_state>();
+            for (; written < all.size(); ++written)
+                tell(all[written].state);
+        }
+    }
+
+    auto last_state() const -> ks::order_state
+    {
+        auto const all = r.ordered<store_order_state>();
+        return all.empty() ? ks::order_state::waiting : all.back().state;
+    }
+
+    auto exposed() const -> double
+    {
+        return static_cast<double>(new_sent) /
+               static_cast<double>(new_sent + old_sent);
+    }
+};
+
+auto never() -> bool
+{
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("rollout: a good version is tried with few requests, then completed")
+{
+    auto o = ordered{};
+    o.play(ks::seconds{8}, never);
+    CHECK(o.last_state() == ks::order_state::running);
+    CHECK(o.new_sent > 10);
+    CHECK(o.exposed() <= dispatch_bounds{}.exposure_share);
+    o.play(ks::seconds{3}, never);
+    CHECK(o.last_state() == ks::order_state::completed);
+    o.old_sent = 0;
+    o.play(ks::seconds{2}, never);
+    CHECK(o.old_sent == 0);
+}
+
+TEST_CASE("rollout: a bad version is left at once and rolled back")
+{
+    auto o = ordered{};
+    auto n = 0;
+    o.play(ks::seconds{12}, [&] { return ++n % 2 == 0; });
+    CHECK(o.last_state() == ks::order_state::rolled_back);
+    CHECK(o.exposed() <= dispatch_bounds{}.exposure_share);
+    o.new_sent = 0;
+    o.play(ks::seconds{2}, never);
+    CHECK(o.new_sent == 0);
+}
+
+TEST_CASE("rollout: a version that turns bad once it has all requests is left")
+{
+    auto o = ordered{};
+    o.play(ks::seconds{8}, never);
+    auto const before = o.new_sent;
+    o.play(ks::seconds{4}, [] { return true; });
+    CHECK(o.last_state() == ks::order_state::rolled_back);
+    CHECK(o.new_sent - before <= dispatch_bounds{}.exposure_slack);
+}
+
+TEST_CASE("rollout: what another instance decided is followed")
+{
+    auto o = ordered{};
+    o.play(ks::seconds{2}, never);
+    o.tell(ks::order_state::rolled_back);
+    o.new_sent = 0;
+    o.play(ks::seconds{2}, never);
+    CHECK(o.new_sent == 0);
+    auto p = ordered{};
+    p.play(ks::seconds{2}, never);
+    p.tell(ks::order_state::completed);
+    p.old_sent = 0;
+    p.play(ks::seconds{2}, never);
+    CHECK(p.old_sent == 0);
+}
+
+TEST_CASE("rollout: a lost answer to a write is settled by writing again")
+{
+    auto o = ordered{};
+    o.r.advance(milliseconds{1});
+    auto const first = o.r.ordered<store_order_state>();
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].state == ks::order_state::running);
+    o.r.feed(store_written{
+        ks::store_kind::rollouts, "s", 0, ks::store_failure::silent});
+    o.r.advance(ks::seconds{2});
+    CHECK(o.r.ordered<store_order_state>().size() >= 2);
+}
+
+TEST_CASE("rollout: few instances try, all of them within the stated share")
+{
+    auto const bounds = dispatch_bounds{};
+    for (auto const n : {1u, 6u, 8u, 80u, 440u})
+    {
+        auto sum = 0.0;
+        for (std::size_t rank = 0; rank < n; ++rank)
+        {
+            auto const share = trial_share(bounds, rank, n);
+            CHECK(share <= 0.5);
+            sum += share;
+        }
+        CHECK(sum / n <= bounds.exposure_share / 2 + 1e-9);
+        CHECK(sum > 0);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_platform.cpp
@@ -0,0 +1,46 @@
+#include "adapter/json_fields.hpp"
+#include "platform/decode.hpp"
+#include "platform/store.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ks = knapweedstream;
+namespace json = boost::json;
+
+TEST_CASE("platform: a rollout order's state is written as it is read")
+{
+    auto const dialect = ks::platform::make_store_dialect();
+    for (auto const state : {ks::order_state::running,
+             ks::order_state::completed, ks::order_state::rolled_back})
+    {
+        auto const m = dialect.order_state({"s", "v2", state, 41});
+        CHECK(m.method == "PUT");
+        CHECK(m.target == "/objects/rollouts/s/status");
+        auto const body = json::parse(m.body).as_object();
+        CHECK(body.at("meta").at("revision").to_number<int>() == 41);
+        auto const stored = json::object{
+            {"meta", json::object{{"name", "s"}, {"revision", 42}}},
+            {"spec", json::object{{"service", "s"}, {"target_version", "v2"},
+                         {"duration_s", 12}}},
+            {"status", body.at("status")}};
+        auto const o =
+            ks::platform::decode_object(ks::store_kind::rollouts, stored);
+        REQUIRE(std::holds_alternative<ks::rollout_order>(o.value));
+        CHECK(std::get<ks::rollout_order>(o.value).state == state);
+        CHECK(std::get<ks::rollout_order>(o.value).duration == ks::seconds{12});
+    }
+}
+
+TEST_CASE("platform: the state of an order for another version does not count")
+{
+    auto const stored = json::object{
+        {"meta", json::object{{"name", "s"}, {"revision", 42}}},
+        {"spec", json::object{{"service", "s"}, {"target_version", "v3"},
+                     {"duration_s", 12}}},
+        {"status",
+            json::object{{"state", "completed"}, {"target_version", "v2"}}}};
+    auto const o =
+        ks::platform::decode_object(ks::store_kind::rollouts, stored);
+    CHECK(
+        std::get<ks::rollout_order>(o.value).state == ks::order_state::waiting);
+}
