Cold targets get what they bear, all instances together; admission costs less

Change: a few instances, near ones first, share a cold target's rate; each sends at most one request beyond its part; the others leave it alone. Whether parts have a target, and would wait too long, is found in one pass that searches only where something waits.

--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -82,6 +82,8 @@
     l = link{
         l.id, l.to, link_state::busy, a.id, now, l.usable_until, l.replied};
     t.health = with_sent(t.health, now);
+    if (now < t.cold_until)
+        t.warmup = with_sent(t.warmup);
     record_send(s, e, p, t, a, now, out);
     p = with_attempt(p, a);
     s.attempts.emplace(a.id, a);
@@ -124,7 +126,8 @@
     {
         auto& t = s.targets.at(id);
         if (!wants_probe(t.health, now) || !is_usable(t, now) ||
-            !is_allowed(t, r) || was_tried(p, id) || !suits(s, p, t))
+            !is_allowed(t, r) || was_tried(p, id) || !suits(s, p, t) ||
+            !bears_more(s, t, now))
             continue;
         auto const over = take_idle(s, t, false, now);
         if (over == connection_id{})
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -9,6 +9,7 @@
 #include "core/dispatch/search.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace knapweedstream::dispatch
 {
@@ -60,34 +61,26 @@
     return v;
 }
 
-/// True if too many parts have no target for the route's least coverage.
-auto is_hopeless(dispatch_state& s, request_entry const& e, time_point now)
-    -> bool
+/// Why a request cannot be served now, if so.
+auto obstacle(dispatch_state& s, request_entry const& e, time_point now)
+    -> std::optional<refusal_reason>
 {
-    auto const able = std::count_if(e.parts.begin(), e.parts.end(),
-        [&](part const& p)
-        {
-            return has_target(s, p, e.value, now) ||
-                   may_come_back(s, p.service, *e.value.by, now);
-        });
-    auto const share =
-        static_cast<double>(able) / static_cast<double>(e.parts.size());
-    return able == 0 || share < coverage_floor(*e.value.by);
-}
-
-/// True if so many parts find no room that an answer is not to be expected.
-auto is_overloaded(dispatch_state& s, request_entry const& e, time_point now)
-    -> bool
-{
-    auto const able = std::count_if(e.parts.begin(), e.parts.end(),
-        [&](part const& p)
-        {
-            return expected_wait(s, p, e.value, now) <=
-                       e.value.queue_until - now ||
-                   may_come_back(s, p.service, *e.value.by, now);
-        });
-    return static_cast<double>(able) <
-           coverage_floor(*e.value.by) * static_cast<double>(e.parts.size());
+    auto possible = std::uint32_t{0};
+    auto soon = std::uint32_t{0};
+    for (auto const& p : e.parts)
+    {
+        auto const returns = may_come_back(s, p.service, *e.value.by, now);
+        possible += returns || has_target(s, p, e.value, now) ? 1 : 0;
+        soon += returns || expected_wait(s, p, e.value, now) <=
+                               e.value.queue_until - now
+                    ? 1
+                    : 0;
+    }
+    if (!enough(e, possible))
+        return refusal_reason::no_target;
+    if (!enough(e, soon) || s.requests.size() >= s.init.limits.max_requests)
+        return refusal_reason::overloaded;
+    return std::nullopt;
 }
 
 auto needs_hedge(part const& p) -> bool
@@ -221,19 +214,8 @@
     }
     entry.answers.resize(entry.parts.size());
     entry.open = static_cast<std::uint32_t>(entry.parts.size());
-    if (entry.parts.empty() || is_hopeless(s, entry, now) ||
-        s.requests.size() >= s.init.limits.max_requests)
-    {
-        auto const why = s.requests.size() >= s.init.limits.max_requests
-                             ? refusal_reason::overloaded
-                             : refusal_reason::no_target;
-        return refuse(s, e, r, {why, retry_delay(s, why)}, out);
-    }
-    if (is_overloaded(s, entry, now))
-    {
-        auto const why = refusal_reason::overloaded;
-        return refuse(s, e, r, {why, retry_delay(s, why)}, out);
-    }
+    if (auto const why = obstacle(s, entry, now))
+        return refuse(s, e, r, {*why, retry_delay(s, *why)}, out);
     auto const key = next_handle<request_key>(s);
     auto const n = entry.open;
     s.callers.emplace(e.caller, key);
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -89,13 +89,27 @@
     return !service.shift || fits(*service.shift, side, t.info.version);
 }
 
+/// Place of this instance among all that may warm a target: near ones first.
+auto warming_rank(dispatch_state const& s, target_entry const& t) -> std::size_t
+{
+    auto const rank = [&](instance_record const& it)
+    {
+        return std::pair{it.region != t.region, hash_name(it.name, t.id.value)};
+    };
+    auto const mine = rank(s.init.self);
+    return static_cast<std::size_t>(std::count_if(s.instances.begin(),
+        s.instances.end(),
+        [&](auto const& it)
+        { return it.first != s.init.self.name && rank(it.second) < mine; }));
+}
+
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
     route const& r, search_step const& step, time_point now) -> bool
 {
     return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
            (step.tried || !was_tried(p, t.id)) &&
            (step.suspended || may_be_first(t.health, r, now)) &&
-           can_connect(s, t, step.over_share, now);
+           can_connect(s, t, step.over_share, now) && bears_more(s, t, now);
 }
 
 /// Targets of one side, while the service's versions are shifted.
@@ -134,6 +148,16 @@
     return found;
 }
 
+auto any_has_room(dispatch_state const& s, service_entry const& service) -> bool
+{
+    return std::any_of(service.targets.begin(), service.targets.end(),
+        [&](target_id id)
+        {
+            auto const& t = s.targets.at(id);
+            return has_room(t.room, t.health.in_flight);
+        });
+}
+
 /// True if an opening has begun and has not yet taken unusually long.
 auto is_about_to_open(target_entry const& t, time_point now) -> bool
 {
@@ -147,6 +171,16 @@
 
 } // namespace
 
+auto bears_more(dispatch_state& s, target_entry& t, time_point now) -> bool
+{
+    auto const rate = s.services.at(t.service).policy.cold_requests_per_s;
+    if (now >= t.cold_until || rate <= 0)
+        return true;
+    t.warmup =
+        with_time(t.warmup, s.init.bounds, rate, warming_rank(s, t), now);
+    return may_send(t.warmup);
+}
+
 auto is_allowed(target_entry const& t, route const& r) -> bool
 {
     return r.regions.empty() || std::find(r.regions.begin(), r.regions.end(),
@@ -188,6 +222,12 @@
 auto expected_wait(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> duration
 {
+    auto const service = s.services.find(p.service);
+    if (service == s.services.end())
+        return duration::max();
+    auto const waiting = service->second.waiting.size();
+    if (waiting == 0)
+        return any_has_room(s, service->second) ? duration{0} : duration::max();
     auto const targets = eligible_targets(s, p, *r.by, true, now);
     if (targets.empty())
         return duration::max();
@@ -203,7 +243,6 @@
                 static_cast<double>(usual.count());
     }
     each /= static_cast<double>(targets.size());
-    auto const waiting = s.services.at(p.service).waiting.size();
     return duration{static_cast<duration::rep>(
         each * static_cast<double>(waiting) / width)};
 }
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -23,6 +23,9 @@
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool alone, time_point now) -> target_entry*;
 
+/// True if the target is warm, or bears one more request from this instance.
+auto bears_more(dispatch_state& s, target_entry& t, time_point now) -> bool;
+
 /// True if the target's version may get the part.
 auto suits(dispatch_state const& s, part const& p, target_entry const& t)
     -> bool;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -9,6 +9,7 @@
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
 #include "core/dispatch/version_shift.hpp"
+#include "core/dispatch/warmup.hpp"
 #include "core/random.hpp"
 
 #include <array>
@@ -149,6 +150,7 @@
     bool listed = false;    ///< Stands in its service's list.
     time_point lapses = time_point::max(); ///< Vanished; gone at this time.
     time_point cold_until;
+    warmup_allowance warmup; ///< While it is cold.
     target_health health;
     adaptive_limit room; ///< Requests that it may have at once from here.
     std::vector<connection_id> idle;         ///< The one used last is the last.
--- /dev/null
+++ b/src/core/dispatch/warmup.cpp
@@ -0,0 +1,39 @@
+#include "core/dispatch/warmup.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+auto warming_instances(dispatch_bounds const& bounds, double rate)
+    -> std::size_t
+{
+    constexpr auto used_part = 0.5; ///< The rest covers differing views.
+    auto const beyond = bounds.warmup_slack + (bounds.warmup_factor - 1) * rate;
+    return static_cast<std::size_t>(std::max(1.0, used_part * beyond));
+}
+
+auto with_time(warmup_allowance const& a, dispatch_bounds const& bounds,
+    double rate, std::size_t rank, time_point now) -> warmup_allowance
+{
+    auto const sharing = warming_instances(bounds, rate);
+    if (rank >= sharing)
+        return {0, now};
+    if (a.at == time_point{})
+        return {0, now}; // Another process may have sent just before.
+    auto const elapsed = std::chrono::duration<double>(now - a.at).count();
+    auto const each = rate / static_cast<double>(sharing);
+    return {std::min(1.0, a.requests + each * std::max(0.0, elapsed)), now};
+}
+
+auto with_sent(warmup_allowance const& a) -> warmup_allowance
+{
+    return {a.requests - 1, a.at};
+}
+
+auto may_send(warmup_allowance const& a) -> bool
+{
+    return a.requests >= 1;
+}
+
+} // namespace knapweedstream::dispatch
