Fault soak of real instances; news of targets is collected longer until asked for

The soak runs instances as processes against the stand-ins of the store and the targets, behind loopback proxies that delay, reset, cut one way or silence connections; it kills, pauses, stops and restarts instances, changes the configuration, lets targets crash, drain, lapse and answer badly, and checks the promises from what callers and targets saw.

--- a/src/adapter/tcp_stream.cpp
+++ b/src/adapter/tcp_stream.cpp
@@ -147,7 +147,8 @@
     {
         connecting_ = false;
         watch(EV_READ);
-        f_.opened();
+        if (f_.opened)
+            f_.opened();
     }
     return error == 0 && is_open();
 }
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -14,7 +14,8 @@
 constexpr auto no_wait = milliseconds{1}; ///< Of a watch that shows whether
                                           ///< the store is back.
 constexpr auto long_batch = 200u; ///< Changes after which more may be waiting.
-constexpr auto exact_poll = 1u;   ///< Number of the list that is not stale.
+constexpr auto unhurried_pauses = 3; ///< In place of one.
+constexpr auto exact_poll = 1u;      ///< Number of the list that is not stale.
 constexpr auto most_doublings = 10u;
 
 auto doubled(milliseconds first, std::uint32_t times, milliseconds most)
@@ -139,7 +140,20 @@
         return {f, {}};
     if (e.changes.empty() || e.changes.size() >= long_batch)
         return watch(std::move(next), *watched);
-    return pause(std::move(next), now + watched->pause);
+    auto const times = f.unhurried ? unhurried_pauses : 1;
+    return pause(std::move(next), now + times * watched->pause);
+}
+
+auto hurried(followed const& f, dispatch_limits const& limits, time_point now)
+    -> follow_step
+{
+    auto next = f;
+    next.unhurried = false;
+    auto const waits = std::holds_alternative<pausing>(f.phase);
+    if (!f.unhurried || !waits || f.failures > 0)
+        return {std::move(next), {}};
+    next.phase = pausing{now};
+    return resume(next, limits, now);
 }
 
 auto check_of(followed const& f) -> std::optional<store_check>
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -67,6 +67,7 @@
     std::uint32_t failures = 0; ///< In a row.
     std::uint32_t lists = 0;    ///< Whole lists read.
     bool closely = false;       ///< News must not be seconds old for now.
+    bool unhurried = false;     ///< Nobody needs news yet.
     bool history_lost = false;  ///< Changes since a revision were gone once.
 
     auto operator<=>(followed const&) const = default;
@@ -104,6 +105,10 @@
 auto with_checked(followed const& f, store_checked const& e,
     dispatch_limits const& limits) -> follow_step;
 
+/// News is needed from now on.
+auto hurried(followed const& f, dispatch_limits const& limits, time_point now)
+    -> follow_step;
+
 /// Starts over, since the changes are gone.
 auto without_history(followed const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
--- /dev/null
+++ b/src/core/dispatch/stop.hpp
@@ -0,0 +1,23 @@
+/// The graceful stop: not ready at once, callers' connections go after a while,
+/// the exit when nothing has been asked for some time. Also readiness.
+#ifndef KNAPWEEDSTREAM_CORE_DISPATCH_STOP_HPP
+#define KNAPWEEDSTREAM_CORE_DISPATCH_STOP_HPP
+
+#include "core/dispatch/tables.hpp"
+
+namespace knapweedstream::dispatch
+{
+
+/// Tells whether the instance takes callers, if that has changed.
+auto update_ready(dispatch_state& s, commands& out) -> void;
+
+auto on_stop(dispatch_state& s, time_point now, commands& out) -> void;
+auto on_stop_due(dispatch_state& s, time_point now, commands& out) -> void;
+
+/// Leaves once no caller has asked for anything for a while. To be called
+/// when all that is due has been handled, so that no request is cut.
+auto leave_if_quiet(dispatch_state& s, time_point now, commands& out) -> void;
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -114,3 +114,32 @@
     CHECK(r.ordered<store_watch>().size() == watches);
     CHECK(r.facts<watch_silent>().empty());
 }
+
+TEST_CASE("store: until a caller asks, news of targets is collected for longer")
+{
+    auto r = rig{};
+    r.advance(milliseconds{100});
+    r.begin(config_of(single_route("s")), three_of("s"));
+    auto const watches = [&]
+    {
+        auto n = 0;
+        for (auto const& it : r.ordered<store_watch>())
+            n += it.kind == ks::store_kind::targets ? 1 : 0;
+        return n;
+    };
+    auto const tell = [&](std::uint64_t revision)
+    {
+        r.feed(store_changed{ks::store_kind::targets,
+            {{{"s-d", revision, registered("s-d", "s", "a")}, false}},
+            revision});
+    };
+    tell(1'000);
+    auto const before = watches();
+    r.advance(milliseconds{4'000});
+    CHECK(watches() == before);
+    r.ask("q");
+    CHECK(watches() == before + 1);
+    tell(1'001);
+    r.advance(milliseconds{2'000});
+    CHECK(watches() == before + 2);
+}
--- a/tests/process/processes.hpp
+++ b/tests/process/processes.hpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -50,6 +51,7 @@
         pid_ = fork();
         if (pid_ != 0)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with the test.
         auto raw = std::vector<char*>{};
         for (auto const& it : args)
             raw.push_back(const_cast<char*>(it.c_str()));
--- /dev/null
+++ b/tests/soak/promises.cpp
@@ -0,0 +1,183 @@
+#include "promises.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace soak
+{
+
+namespace
+{
+
+constexpr auto timeout = ks::milliseconds{1'000};    ///< Of all routes.
+constexpr auto answer_slack = ks::milliseconds{500}; ///< Beyond the timeout.
+constexpr auto drain_bound = ks::seconds{4};
+constexpr auto min_share = 0.5;
+constexpr auto top_k = std::size_t{10};
+constexpr auto record_bytes = std::size_t{16};
+
+using finds = std::vector<finding>;
+using run = standin::run_record;
+
+auto is_excused(std::vector<excuse> const& all, ks::time_point from,
+    ks::time_point to) -> bool
+{
+    return std::any_of(all.begin(), all.end(),
+        [&](excuse const& e) { return e.from <= to && from <= e.to; });
+}
+
+auto excuses_of(history const& h, std::size_t instance) -> std::vector<excuse>
+{
+    auto const it = h.instances.find(instance);
+    return it == h.instances.end() ? std::vector<excuse>{} : it->second;
+}
+
+auto runs_by_id(history const& h)
+    -> std::map<std::string, std::vector<run const*>>
+{
+    auto all = std::map<std::string, std::vector<run const*>>{};
+    for (auto const& it : h.runs)
+        all[it.id].push_back(&it);
+    return all;
+}
+
+auto split_list(std::string_view text) -> std::vector<std::string>
+{
+    auto out = std::vector<std::string>{};
+    auto in = std::istringstream{std::string{text}};
+    for (auto it = std::string{}; std::getline(in, it, ',');)
+        out.push_back(it.substr(it.find_first_not_of(' ')));
+    return out;
+}
+
+/// The run that a signature `target.id` names; null if there is none.
+auto signed_run(std::vector<run const*> const& runs, std::string const& mark)
+    -> run const*
+{
+    for (auto const* it : runs)
+        if (mark == it->target + "." + it->id && !it->reply_body.empty())
+            return it;
+    return nullptr;
+}
+
+auto greatest(std::vector<run const*> const& parts) -> std::string
+{
+    auto records = std::vector<std::string>{};
+    for (auto const* p : parts)
+        for (std::size_t at = 0; at + record_bytes <= p->reply_body.size();
+             at += record_bytes)
+            records.push_back(p->reply_body.substr(at, record_bytes));
+    std::sort(records.begin(), records.end(), std::greater<>{});
+    records.resize(std::min(records.size(), top_k));
+    auto out = std::string{};
+    for (auto const& it : records)
+        out += it;
+    return out;
+}
+
+auto check_merged(history const& h, asked_request const& a,
+    std::vector<run const*> const& runs, finds& out) -> void
+{
+    auto parts = std::vector<run const*>{};
+    auto services = std::set<std::string>{};
+    for (auto const& mark :
+        split_list(ks::find_field(a.answer, "X-Part-Stamps")))
+    {
+        auto const* r = signed_run(runs, mark);
+        if (r == nullptr || !services.insert(h.services.at(r->target)).second)
+            return out.push_back({"each part is an answer to this request",
+                a.id + " part " + mark});
+        parts.push_back(r);
+    }
+    auto const missing = std::stoul(
+        "0" + std::string{ks::find_field(a.answer, "X-Missing-Parts")});
+    if (parts.size() + missing != h.shards)
+        out.push_back({"coverage is true", a.id});
+    if (static_cast<double>(parts.size()) <
+        min_share * static_cast<double>(h.shards))
+        out.push_back({"a success covers the least share", a.id});
+    if (a.answer.body != greatest(parts))
+        out.push_back({"the greatest records of the parts named", a.id});
+}
+
+auto check_answer(history const& h, asked_request const& a,
+    std::vector<run const*> const& runs, finds& out) -> void
+{
+    if (ks::find_field(a.answer, "X-Request-Id") != a.id)
+        out.push_back({"an answer belongs to its request", a.id});
+    if (a.answer.status != 200)
+        return;
+    if (a.kind == route_kind::all)
+        return check_merged(h, a, runs, out);
+    auto const mark = std::string{ks::find_field(a.answer, "X-Server-Stamp")};
+    auto const* r = signed_run(runs, mark);
+    if (r == nullptr || r->reply_body != a.answer.body)
+        out.push_back({"the target's whole body, unchanged", a.id});
+}
+
+/// A refusal says that the request has not run and never will.
+auto check_once(asked_request const& a, std::vector<run const*> const& runs,
+    finds& out) -> void
+{
+    if (a.kind != route_kind::once)
+        return;
+    if (runs.size() > 1)
+        out.push_back({"at most once", a.id});
+    auto const refused = a.answer.status == 503 || a.answer.status == 429 ||
+                         a.answer.status == 408 || a.answer.status == 421;
+    if (refused && !runs.empty())
+        out.push_back({"\"not run\" is true", a.id});
+}
+
+auto check_time(history const& h, asked_request const& a, finds& out) -> void
+{
+    auto const due = a.sent + timeout + answer_slack;
+    auto const answered = a.ended != ks::time_point{} && !a.cut;
+    auto const excused = is_excused(excuses_of(h, a.instance), a.sent, due);
+    if (a.cut && !excused)
+        out.push_back({"no request is cut", a.id});
+    else if (!excused && (!answered || a.ended > due))
+        out.push_back({"each request is answered in time", a.id});
+}
+
+auto check_draining(history const& h, finds& out) -> void
+{
+    auto troubles = h.store;
+    for (auto const& [i, list] : h.instances)
+        troubles.insert(troubles.end(), list.begin(), list.end());
+    for (auto const& r : h.runs)
+    {
+        auto const it = h.draining.find(r.target);
+        if (it == h.draining.end() || r.at <= it->second + drain_bound)
+            continue;
+        if (!is_excused(troubles, it->second, r.at))
+            out.push_back({"a leaving target gets nothing new", r.target});
+    }
+}
+
+} // namespace
+
+auto check_promises(history const& h) -> std::vector<finding>
+{
+    auto out = finds{};
+    auto const runs = runs_by_id(h);
+    auto ids = std::set<std::string>{};
+    for (auto const& a : h.asked)
+    {
+        ids.insert(a.id);
+        auto const it = runs.find(a.id);
+        auto const mine =
+            it == runs.end() ? std::vector<run const*>{} : it->second;
+        check_once(a, mine, out);
+        check_time(h, a, out);
+        if (a.ended != ks::time_point{} && !a.cut)
+            check_answer(h, a, mine, out);
+    }
+    for (auto const& r : h.runs)
+        if (!ids.contains(r.id))
+            out.push_back({"targets run only what was asked", r.id});
+    check_draining(h, out);
+    return out;
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/proxy.hpp
@@ -0,0 +1,79 @@
+/// Loopback proxy that stands between two programs and misbehaves on order.
+#ifndef KNAPWEEDSTREAM_SOAK_PROXY_HPP
+#define KNAPWEEDSTREAM_SOAK_PROXY_HPP
+
+#include "adapter/tcp_stream.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace soak
+{
+
+namespace ks = knapweedstream;
+
+/// What the proxy does to the bytes of its connections.
+enum class link_fault : std::uint8_t
+{
+    none,
+    slow,         ///< Each piece is held up.
+    cut_requests, ///< Bytes to the server vanish.
+    cut_replies,  ///< Bytes to the client vanish.
+    silent,       ///< Bytes vanish both ways, connections stay open.
+    refuse,       ///< New connections are reset.
+};
+
+/// Forwards one port to another on loopback.
+class proxy
+{
+public:
+    proxy(event_base* base, std::uint16_t from, std::uint16_t to);
+    ~proxy();
+    proxy(proxy const&) = delete;
+    auto operator=(proxy const&) -> proxy& = delete;
+
+    /// Holds for open and new connections.
+    auto set(link_fault f) -> void { fault_ = f; }
+
+    /// Open connections go silent for good; new ones work.
+    auto silence_open() -> void;
+
+    /// Resets all open connections.
+    auto reset_open() -> void;
+
+    auto open() const -> std::size_t { return pairs_.size(); }
+
+private:
+    struct pair;
+    struct held
+    {
+        ks::time_point due;
+        std::uint64_t pair = 0;
+        bool to_server = false;
+        std::string bytes;
+    };
+
+    auto accept(int fd) -> void;
+    auto pass(std::uint64_t id, bool to_server, std::string_view bytes) -> void;
+    auto deliver(held const& h) -> void;
+    auto end(std::uint64_t id, bool by_server) -> void;
+    auto release() -> void;
+
+    event_base* base_;
+    std::string to_;
+    link_fault fault_ = link_fault::none;
+    std::uint64_t next_ = 1;
+    std::map<std::uint64_t, std::unique_ptr<pair>> pairs_;
+    std::vector<std::unique_ptr<pair>> closed_;
+    std::deque<held> held_;
+    ks::loop_event timer_;
+    ks::tcp_listener listener_;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/world.cpp
@@ -0,0 +1,230 @@
+#include "world.hpp"
+
+#include <fstream>
+
+namespace soak
+{
+
+namespace
+{
+
+constexpr auto replicas = std::uint32_t{3};
+constexpr auto links_of_instance = std::size_t{3};
+constexpr auto nothing = ~std::size_t{0};
+constexpr auto served_at_least = 0.95; ///< Once all faults have ended.
+constexpr auto zones = std::array{"a", "b", "c"};
+
+} // namespace
+
+world::world(soak_settings const& s)
+    : settings_(s), base_(ks::make_event_base()), random_(s.seed)
+{
+    auto d = standin::routed_settings{};
+    auto const targets = s.shards * replicas;
+    d.store_port = static_cast<std::uint16_t>(s.first_port + 1);
+    d.first_target_port = static_cast<std::uint16_t>(s.first_port + 10);
+    d.first_listed_port =
+        static_cast<std::uint16_t>(d.first_target_port + targets);
+    d.shards = s.shards;
+    d.replicas = replicas;
+    d.like.connections = 60;
+    d.like.service = ks::milliseconds{4};
+    d.like.seed = s.seed;
+    d.like.ledger = &history_.runs;
+    history_.shards = s.shards;
+    deployment_ = std::make_unique<standin::routed_deployment>(base_.get(), d);
+    store_proxy_ =
+        std::make_unique<proxy>(base_.get(), s.first_port, d.store_port);
+    for (std::size_t i = 0; i < targets; ++i)
+        proxies_.push_back(std::make_unique<proxy>(base_.get(),
+            static_cast<std::uint16_t>(d.first_listed_port + i),
+            static_cast<std::uint16_t>(d.first_target_port + i)));
+    instances_.resize(s.instances);
+    for (std::size_t i = 0; i < s.instances; ++i)
+        start_instance(i);
+}
+
+world::~world() = default;
+
+auto world::port(std::size_t i) const -> std::uint16_t
+{
+    return static_cast<std::uint16_t>(settings_.first_port + 200 + 2 * i);
+}
+
+auto world::start_instance(std::size_t i) -> void
+{
+    auto const path = settings_.dir + "/i" + std::to_string(i);
+    auto const zone = zones.at(i % zones.size());
+    std::ofstream{path + ".ini"}
+        << "[instance]\nfront_end = routes\nname = i" << i
+        << "\nzone = " << zone << "\nregion = r" << zone
+        << "\ncaller_address = 127.0.0.1:" << port(i)
+        << "\nready_address = 127.0.0.1:" << port(i) + 1
+        << "\nplatform_address = 127.0.0.1:" << settings_.first_port
+        << "\n[zones]\na = ra\nb = rb\nc = rc\n";
+    auto& it = instances_[i];
+    it.running = std::make_unique<processes::process>(
+        std::vector<std::string>{settings_.binary, "run", path + ".ini"},
+        path + ".log");
+    it.stopping = false;
+    it.paused = false;
+    for (auto& link : it.links)
+        if (link)
+        {
+            link->close();
+            dead_links_.push_back(std::move(link));
+        }
+    it.links.clear();
+    it.links.resize(links_of_instance);
+    it.in_flight.assign(links_of_instance, nothing);
+    excuse_instance(i, ks::seconds{2}); // It starts.
+    for (std::size_t k = 0; k < links_of_instance; ++k)
+        after(ks::milliseconds{400}, [this, i, k] { connect(i, k); });
+}
+
+auto world::connect(std::size_t i, std::size_t k) -> void
+{
+    auto& it = instances_[i];
+    if (it.links[k])
+    {
+        it.links[k]->close();
+        dead_links_.push_back(std::move(it.links[k]));
+    }
+    it.in_flight[k] = nothing;
+    it.links[k] = std::make_unique<ks::http_link>(base_.get(),
+        "127.0.0.1:" + std::to_string(port(i)), ks::stream_options{},
+        ks::read_limits{},
+        ks::http_link::callbacks{{},
+            [this, i, k](ks::http_message&& m, bool)
+            { on_answer(i, k, std::move(m)); },
+            [this, i, k](ks::link_end)
+            {
+                on_cut(i, k);
+            }});
+}
+
+auto world::ask() -> void
+{
+    if (!asking_)
+        return;
+    after(ks::duration{static_cast<ks::duration::rep>(
+              1e6 / settings_.rate_per_s)},
+        [this] { ask(); });
+    auto const i = below(instances_.size());
+    auto const k = below(links_of_instance);
+    auto const& it = instances_[i];
+    if (it.links[k] && it.links[k]->is_open() && it.in_flight[k] == nothing)
+        ask(i, k);
+}
+
+auto world::ask(std::size_t i, std::size_t k) -> void
+{
+    constexpr auto paths = std::array{"/all/x", "/one/x", "/once/x"};
+    auto a = asked_request{};
+    a.id = "s" + std::to_string(settings_.seed) + "-" +
+           std::to_string(history_.asked.size());
+    a.kind = static_cast<route_kind>(below(3));
+    a.instance = i;
+    a.sent = ks::present();
+    auto m = ks::http_message{};
+    m.method = a.kind == route_kind::once ? "POST" : "GET";
+    m.target = paths.at(static_cast<std::size_t>(a.kind));
+    m.fields = {{"Host", "h.example"}, {"X-Request-Id", a.id},
+        {"X-Request-Deadline", "1000"}};
+    m.body = a.kind == route_kind::once ? a.id : "";
+    instances_[i].in_flight[k] = history_.asked.size();
+    history_.asked.push_back(std::move(a));
+    instances_[i].links[k]->send(ks::request_text(m));
+}
+
+auto world::on_answer(std::size_t i, std::size_t k, ks::http_message&& m)
+    -> void
+{
+    auto& a = history_.asked.at(instances_[i].in_flight[k]);
+    instances_[i].in_flight[k] = nothing;
+    a.ended = ks::present();
+    a.answer = std::move(m);
+}
+
+auto world::on_cut(std::size_t i, std::size_t k) -> void
+{
+    auto const n = std::exchange(instances_[i].in_flight[k], nothing);
+    if (n != nothing)
+    {
+        history_.asked[n].ended = ks::present();
+        history_.asked[n].cut = true;
+    }
+    after(ks::milliseconds{50}, [this, i, k] { connect(i, k); });
+}
+
+auto world::check_last(std::size_t first) -> void
+{
+    auto served = std::size_t{0};
+    auto total = std::size_t{0};
+    for (auto i = first; i < history_.asked.size(); ++i)
+        if (history_.asked[i].ended != ks::time_point{})
+        {
+            ++total;
+            served += history_.asked[i].answer.status == 200 ? 1 : 0;
+        }
+    if (static_cast<double>(served) <
+        served_at_least * static_cast<double>(total))
+        found_.push_back({"served again after all faults have ended",
+            std::to_string(served) + " of " + std::to_string(total)});
+}
+
+auto world::run() -> std::vector<finding>
+{
+    for (std::size_t i = 0; i < proxies_.size(); ++i)
+        history_.services[deployment_->name_of(i)] = deployment_->service_of(i);
+    run_for(2);
+    ask();
+    next_fault();
+    run_for(settings_.seconds);
+    heal();
+    run_for(9); // Stopped instances and leaving targets are back.
+    auto const first = history_.asked.size();
+    run_for(3);
+    asking_ = false;
+    run_for(2); // For the last answers.
+    check_last(first);
+    for (std::size_t i = 0; i < instances_.size(); ++i)
+        if (!instances_[i].stopping &&
+            instances_[i].running->exit_code(ks::seconds{0}) != -1)
+            found_.push_back(
+                {"no instance ends by itself", "i" + std::to_string(i)});
+    auto all = check_promises(history_);
+    found_.insert(found_.end(), all.begin(), all.end());
+    return found_;
+}
+
+auto world::below(std::size_t n) -> std::size_t
+{
+    return std::uniform_int_distribution<std::size_t>{0, n - 1}(random_);
+}
+
+auto world::between(double from, double to) -> ks::duration
+{
+    auto const s = std::uniform_real_distribution<>{from, to}(random_);
+    return ks::duration{static_cast<ks::duration::rep>(s * 1e6)};
+}
+
+auto world::after(ks::duration d, std::function<void()> f) -> void
+{
+    timers_.push_back(
+        std::make_unique<ks::loop_event>(base_.get(), std::move(f)));
+    timers_.back()->after(d);
+}
+
+auto world::run_for(double seconds) -> void
+{
+    auto end = ks::loop_event{base_.get(), [this]
+        {
+            event_base_loopbreak(base_.get());
+        }};
+    end.after(ks::duration{static_cast<ks::duration::rep>(seconds * 1e6)});
+    event_base_dispatch(base_.get());
+    dead_links_.clear();
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/world.hpp
@@ -0,0 +1,104 @@
+/// A deployment under faults: real instances as processes, stand-ins of the
+/// store and the targets behind proxies, callers that keep connections open.
+#ifndef KNAPWEEDSTREAM_SOAK_WORLD_HPP
+#define KNAPWEEDSTREAM_SOAK_WORLD_HPP
+
+#include "../process/processes.hpp"
+#include "adapter/http_link.hpp"
+#include "promises.hpp"
+#include "proxy.hpp"
+#include "routed.hpp"
+
+#include <memory>
+#include <random>
+
+namespace soak
+{
+
+/// Sizes of a run.
+struct soak_settings
+{
+    std::string binary; ///< Of the instances.
+    std::string dir;    ///< For settings and logs.
+    std::uint64_t seed = 1;
+    double seconds = 15; ///< With faults.
+    std::size_t instances = 3;
+    std::uint32_t shards = 5;
+    double rate_per_s = 60;
+    std::uint16_t first_port = 26'000;
+};
+
+/// Runs a seeded schedule of faults and collects what callers and targets saw.
+class world
+{
+public:
+    explicit world(soak_settings const& s);
+    ~world();
+    world(world const&) = delete;
+    auto operator=(world const&) -> world& = delete;
+
+    /// @returns What was broken, and how many of the last requests, sent after
+    ///     all faults had ended, were served.
+    auto run() -> std::vector<finding>;
+
+    auto requests() const -> std::size_t { return history_.asked.size(); }
+    auto faults() const -> std::size_t { return faults_; }
+
+private:
+    struct instance
+    {
+        std::unique_ptr<processes::process> running;
+        std::vector<std::unique_ptr<ks::http_link>> links;
+        std::vector<std::size_t> in_flight; ///< By link; none: `nothing`.
+        bool stopping = false;
+        bool paused = false;
+    };
+
+    auto port(std::size_t i) const -> std::uint16_t;
+    auto start_instance(std::size_t i) -> void;
+    auto connect(std::size_t i, std::size_t link) -> void;
+    auto ask() -> void;
+    auto ask(std::size_t i, std::size_t link) -> void;
+    auto on_answer(std::size_t i, std::size_t link, ks::http_message&& m)
+        -> void;
+    auto on_cut(std::size_t i, std::size_t link) -> void;
+    auto next_fault() -> void;
+    auto fault_target() -> void;
+    auto fault_link() -> void;
+    auto fault_store() -> void;
+    auto fault_instance() -> void;
+    auto change_config() -> void;
+    auto stop(std::size_t i) -> void;
+    auto kill_instance(std::size_t i) -> void;
+    auto pause(std::size_t i) -> void;
+    auto watch_exit(std::size_t i, ks::time_point asked) -> void;
+    auto heal() -> void;
+    auto excuse_instance(std::size_t i, ks::duration for_) -> void;
+    auto excuse_store(ks::duration for_) -> void;
+    auto check_last(std::size_t first) -> void;
+
+    auto below(std::size_t n) -> std::size_t;
+    auto between(double from, double to) -> ks::duration;
+    auto after(ks::duration d, std::function<void()> f) -> void;
+    auto run_for(double seconds) -> void;
+
+    soak_settings settings_;
+    ks::event_base_ptr base_;
+    std::mt19937_64 random_;
+    history history_;
+    std::vector<finding> found_;
+    std::unique_ptr<standin::routed_deployment> deployment_;
+    std::vector<std::unique_ptr<proxy>> proxies_; ///< Of targets.
+    std::unique_ptr<proxy> store_proxy_;
+    std::vector<instance> instances_;
+    std::vector<std::unique_ptr<ks::http_link>> dead_links_;
+    std::vector<std::unique_ptr<ks::loop_event>> timers_;
+    bool faulty_ = true;
+    bool asking_ = true;
+    std::size_t faults_ = 0;
+    std::uint64_t config_ = 1;
+};
+
+} // namespace soak
+
+#endif
--- a/tests/standin/routed.cpp
+++ b/tests/standin/routed.cpp
@@ -28,34 +28,68 @@
 } // namespace
 
 routed_deployment::routed_deployment(event_base* base, routed_settings const& s)
-    : settings_(s), store_(base, s.store_port)
+    : settings_(s), store_(base, s.store_port), base_(base),
+      starts_(s.shards * s.replicas)
 {
     for (std::size_t i = 0; i < s.shards * s.replicas; ++i)
     {
-        auto one = s.like;
-        one.port = static_cast<std::uint16_t>(s.first_target_port + i);
-        one.name = "t" + std::to_string(i);
-        one.seed = i + 1;
-        targets_.push_back(std::make_unique<routed_target>(base, one));
-        enlist(i, "ready");
+        targets_.emplace_back();
+        restart(i);
     }
     configure(1);
 }
 
+auto routed_deployment::name_of(std::size_t i) const -> std::string
+{
+    return "t" + std::to_string(i) + "-" + std::to_string(starts_.at(i));
+}
+
+auto routed_deployment::service_of(std::size_t i) const -> std::string
+{
+    return service_name(i / settings_.replicas);
+}
+
+auto routed_deployment::restart(std::size_t i) -> void
+{
+    delist(i);
+    ++starts_[i];
+    auto one = settings_.like;
+    one.port = static_cast<std::uint16_t>(settings_.first_target_port + i);
+    one.name = name_of(i);
+    one.seed = settings_.like.seed * 1'000 + i + starts_[i];
+    targets_[i].reset();
+    targets_[i] = std::make_unique<routed_target>(base_, one);
+    enlist(i, "ready");
+}
+
+auto routed_deployment::kill(std::size_t i) -> void
+{
+    targets_.at(i).reset();
+}
+
+auto routed_deployment::delist(std::size_t i) -> void
+{
+    store_.table().remove("servers", name_of(i));
+    store_.wake();
+}
+
 auto routed_deployment::enlist(std::size_t i, std::string const& state) -> void
 {
-    auto const& t = targets_.at(i)->settings();
-    store_.table().put("servers", t.name, "spec",
-        json::object{{"service", service_name(i / settings_.replicas)},
-            {"address", "127.0.0.1:" + std::to_string(t.port)},
+    auto const first = settings_.first_listed_port == 0
+                           ? settings_.first_target_port
+                           : settings_.first_listed_port;
+    store_.table().put("servers", name_of(i), "spec",
+        json::object{{"service", service_of(i)},
+            {"address", "127.0.0.1:" + std::to_string(first + i)},
             {"zone", zones.at(i % settings_.replicas % zones.size())},
-            {"version", "v1"}, {"slots", t.slots}, {"state", state},
-            {"warmup_left_ms", 0}, {"sequence", 1}},
+            {"version", "v1"}, {"slots", settings_.like.slots},
+            {"state", state}, {"warmup_left_ms", 0}, {"sequence", 1}},
         {});
     store_.wake();
 }
 
-auto routed_deployment::configure(std::uint64_t version) -> void
+auto routed_deployment::configure(std::uint64_t version, std::size_t single)
+    -> void
 {
     auto shards = json::array{};
     auto services = json::array{};
@@ -71,9 +105,9 @@
     all["top_k"] = 10;
     all["min_success_share"] = 0.5;
     auto one = route("one", "/one/", "safe");
-    one["service"] = service_name(0);
+    one["service"] = service_name(single);
     auto once = route("once", "/once/", "unsafe");
-    once["service"] = service_name(0);
+    once["service"] = service_name(single);
     store_.table().put("config", "main", "spec",
         json::object{{"version", version},
             {"routes", json::array{all, one, once}}, {"services", services},
--- a/tests/standin/routed.hpp
+++ b/tests/standin/routed.hpp
@@ -16,7 +16,9 @@
     std::uint16_t first_target_port = 0;
     std::uint32_t shards = 10;
     std::uint32_t replicas = 3;
-    routed_target_settings like; ///< Of each target.
+    routed_target_settings like;         ///< Of each target.
+    std::uint16_t first_listed_port = 0; ///< Ports that are registered; 0: the
+                                         ///< targets' own.
 };
 
 /// Store with a configuration of three routes, and its targets, one in each
@@ -31,16 +33,35 @@
     auto target(std::size_t i) -> routed_target& { return *targets_.at(i); }
     auto targets() const -> std::size_t { return targets_.size(); }
 
-    /// Writes the configuration with a version.
-    auto configure(std::uint64_t version) -> void;
+    /// Writes the configuration with a version; `/one/` and `/once/` go to the
+    /// service of this shard.
+    auto configure(std::uint64_t version, std::size_t single = 0) -> void;
 
     /// Registers or changes a target.
     auto enlist(std::size_t i, std::string const& state) -> void;
 
+    /// Removes a target's registration.
+    auto delist(std::size_t i) -> void;
+
+    /// A target's process ends; its registration stays.
+    auto kill(std::size_t i) -> void;
+
+    /// It starts again, under a new name, and registers.
+    auto restart(std::size_t i) -> void;
+
+    auto is_up(std::size_t i) const -> bool
+    {
+        return targets_.at(i) != nullptr;
+    }
+    auto name_of(std::size_t i) const -> std::string;
+    auto service_of(std::size_t i) const -> std::string;
+
 private:
     routed_settings settings_;
     store_server store_;
+    event_base* base_;
     std::vector<std::unique_ptr<routed_target>> targets_;
+    std::vector<std::uint32_t> starts_; ///< Of each target.
 };
 
 /// A load of callers.
--- a/tests/standin/routed_target.cpp
+++ b/tests/standin/routed_target.cpp
@@ -64,15 +64,22 @@
         return server_.reply(id, no);
     }
     if (running_.size() >= settings_.slots)
-        queue_.push_back({id, std::move(m)});
+        queue_.push_back({id, std::move(m), 0});
     else
-        start({id, std::move(m)});
+        start({id, std::move(m), 0});
 }
 
 auto routed_target::start(job j) -> void
 {
-    runs_.push_back({std::string{ks::find_field(j.request, "X-Request-Id")},
-        j.request.method, j.request.target, j.request.body});
+    if (settings_.ledger != nullptr)
+    {
+        auto const request_id =
+            std::string{ks::find_field(j.request, "X-Request-Id")};
+        j.run = settings_.ledger->size();
+        settings_.ledger->push_back(
+            {settings_.name, request_id, j.request.method, j.request.target,
+                j.request.body, {}, ks::present()});
+    }
     auto const id = next_++;
     auto timer =
         std::make_unique<ks::loop_event>(base_, [this, id] { finish(id); });
@@ -108,6 +115,8 @@
         auto const n = std::to_string(random_());
         m.body += (n + std::string(record_bytes, '0')).substr(0, record_bytes);
     }
+    if (settings_.ledger != nullptr)
+        settings_.ledger->at(j.run).reply_body = m.body;
     if (f == reply_fault::encoded)
         m.fields.push_back({"Content-Encoding", "gzip"});
     if (f == reply_fault::failing)
--- a/tests/standin/routed_target.hpp
+++ b/tests/standin/routed_target.hpp
@@ -28,6 +28,21 @@
     mute,      ///< Runs it and never answers.
 };
 
+/// A request that a target has run.
+struct run_record
+{
+    std::string target;
+    std::string id;
+    std::string method;
+    std::string path;
+    std::string request_body;
+    std::string reply_body; ///< Once it has been answered.
+    ks::time_point at;
+};
+
+/// All that targets have run; outlives them.
+using run_ledger = std::vector<run_record>;
+
 /// What a target is like.
 struct routed_target_settings
 {
@@ -39,15 +54,7 @@
     ks::duration service{5'000};
     std::size_t body_bytes = 160; ///< Rounded to whole records.
     std::uint64_t seed = 1;
-};
-
-/// A request that a target has run.
-struct run_record
-{
-    std::string id;
-    std::string method;
-    std::string target;
-    std::string body;
+    run_ledger* ledger = nullptr; ///< Where runs are noted, if anywhere.
 };
 
 /// A target on loopback.
@@ -59,7 +66,6 @@
     /// The next `n` requests are treated so.
     auto plant(reply_fault f, std::size_t n) -> void;
 
-    auto runs() const -> std::vector<run_record> const& { return runs_; }
     auto settings() -> routed_target_settings& { return settings_; }
     auto open() const -> std::size_t { return server_.open(); }
 
@@ -68,6 +74,7 @@
     {
         peer_id peer = 0;
         ks::http_message request;
+        std::size_t run = 0; ///< Its place in the ledger.
     };
 
     auto on_request(peer_id id, ks::http_message m) -> void;
@@ -87,7 +94,6 @@
     std::deque<job> queue_;
     std::deque<reply_fault> faults_;
     std::string late_; ///< Answer that goes out before the next one.
-    std::vector<run_record> runs_;
 };
 
 } // namespace standin
