--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -16,16 +16,20 @@
 {
 
 /// Counts a request that is sent.
-///
-/// @returns Extra requests that may be sent after it.
 auto pay(dispatch_state& s, part const& p, attempt_kind kind, time_point now)
-    -> double
+    -> void
 {
     auto& b = s.services.at(p.service).budget;
     if (kind != attempt_kind::first)
         b = with_extra(b, s.init.bounds, now);
     else if (p.first_sent == time_point{})
         b = with_first(b, s.init.bounds, now);
+}
+
+auto budget_left(dispatch_state const& s, service_id service, time_point now)
+    -> double
+{
+    auto const& b = s.services.at(service).budget;
     return left_of(b, s.init.bounds, s.started, now);
 }
 
@@ -50,7 +54,7 @@
 auto record_send(dispatch_state& s, request_entry& e, part& p, target_entry& t,
     attempt const& a, time_point now, commands& out) -> void
 {
-    auto const budget = pay(s, p, a.kind, now);
+    pay(s, p, a.kind, now);
     if (a.kind == attempt_kind::first)
     {
         s.stats.first_sends += p.first_sent == time_point{} ? 1 : 0;
@@ -58,8 +62,9 @@
         return;
     }
     count_extra(s.stats, a.kind);
-    out.push_back(note{extra_sent{e.value.request->id, t.info.service,
-        t.info.name, a.kind, now - p.first_sent, a.patience, budget}});
+    out.push_back(note{
+        extra_sent{e.value.request->id, t.info.service, t.info.name, a.kind,
+            now - p.first_sent, a.patience, budget_left(s, p.service, now)}});
 }
 
 auto send(dispatch_state& s, part_key const& key, target_entry& t,
@@ -146,9 +151,8 @@
     auto const it = s.services.find(p.service);
     if (it == s.services.end())
         return false;
-    auto const& b = it->second.budget;
-    return can_pay(
-        b, left_of(b, s.init.bounds, s.started, now), urgency_of(e, kind, now));
+    return can_pay(it->second.budget, budget_left(s, p.service, now),
+        urgency_of(e, kind, now));
 }
 
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
