--- /dev/null
+++ b/tests/fakes.cpp
@@ -0,0 +1,169 @@
+// What tests do to the fake world.
+#include "fakes.hpp"
+
+namespace fakes
+{
+
+auto world::add_instance(std::string const& name, std::string const& zone)
+    -> std::size_t
+{
+    instances.push_back(std::make_unique<fake_instance>());
+    instances.back()->info = {name, name + ":1", zone, false};
+    start(instances.size() - 1);
+    return instances.size() - 1;
+}
+
+auto world::start(std::size_t i) -> void
+{
+    auto& n = *instances[i];
+    if (n.it && !n.exited)
+        return;
+    n.exited = false;
+    n.paused = false;
+    n.it.emplace(node_init{n.info, seed_of(n), limits, policy}, now);
+    give(i, tick{});
+    auto listed = std::vector<instance_info>{};
+    for (auto const& it : instances)
+        if (!listed_only_first || it == instances.front())
+            listed.push_back(it->info);
+    for (std::size_t k = 0; k < instances.size(); ++k)
+        give(k, instances_listed{listed});
+    if (!config.name.empty())
+        give(i, config_read{config});
+}
+
+auto world::kill(std::size_t i) -> void
+{
+    auto& n = *instances[i];
+    n.it.reset();
+    n.while_paused.clear();
+    n.wake.reset();
+    ++n.incarnation;
+    for (auto& [address, l] : leafs)
+        std::erase_if(
+            l.open, [&](connection_id c) { return owner_of_[c] == i; });
+}
+
+auto world::resume(std::size_t i) -> void
+{
+    auto& n = *instances[i];
+    if (!n.paused)
+        return;
+    n.paused = false;
+    auto const missed = std::exchange(n.while_paused, {});
+    // Timers and what has arrived meanwhile may come in either order.
+    auto const timers_first = draw(2) == 0;
+    if (timers_first)
+        give(i, tick{});
+    for (auto const& e : missed)
+        give(i, e);
+    if (!timers_first)
+        give(i, tick{});
+}
+
+auto world::add_service(std::string const& name, std::uint32_t shards,
+    std::vector<std::string> const& zones) -> void
+{
+    auto s = service_info{};
+    s.name = name;
+    s.shards = shards;
+    s.limits.slots = 3;
+    s.limits.warmup = milliseconds{200};
+    for (std::uint32_t i = 0; i < shards; ++i)
+        for (std::size_t r = 0; r < zones.size(); ++r)
+        {
+            auto const id =
+                name + "-" + std::to_string(i) + "-" + std::to_string(r);
+            s.targets.push_back({id, id, zones[r], shard_id{i}, {}});
+            leafs[id].info = s.targets.back();
+        }
+    config.services.push_back(s);
+}
+
+auto world::publish() -> void
+{
+    ++config.version;
+    for (std::size_t i = 0; i < instances.size(); ++i)
+        give(i, config_read{config});
+}
+
+auto world::query(std::size_t i, std::string const& service,
+    std::string const& text, milliseconds deadline) -> std::uint64_t
+{
+    auto const id = ++next_caller_;
+    callers[id] = {};
+    give(i, caller_query{{id}, {config.name, service, text, deadline, 100}});
+    return id;
+}
+
+auto world::book(std::size_t i, std::string const& service,
+    std::string const& key, milliseconds deadline) -> std::uint64_t
+{
+    auto const id = ++next_caller_;
+    callers[id] = {};
+    give(i,
+        caller_booking{{id},
+            {config.name, service, key, "item-" + key, key, deadline}, 1'000});
+    return id;
+}
+
+auto world::book_text(std::size_t i, std::string const& service,
+    std::string const& key, std::string const& text) -> std::uint64_t
+{
+    auto const id = ++next_caller_;
+    callers[id] = {};
+    give(i,
+        caller_booking{{id},
+            {config.name, service, key, "item-" + key, text, milliseconds{200}},
+            1'000});
+    return id;
+}
+
+auto world::read_config(std::size_t i, customer_config const& c) -> void
+{
+    give(i, config_read{c});
+}
+
+auto world::at(us wait, std::function<void()> f) -> void
+{
+    queue_.push({now + wait, ++order_, std::move(f)});
+}
+
+auto world::run_for(us span) -> void
+{
+    auto const end = now + span;
+    while (!queue_.empty() && queue_.top().when <= end)
+    {
+        auto const next = queue_.top();
+        queue_.pop();
+        now = next.when;
+        next.what();
+        if (after_event)
+            after_event();
+    }
+    now = end;
+}
+
+auto world::crash(std::string const& address, us down) -> void
+{
+    auto& l = leafs.at(address);
+    ++l.crashes;
+    ++l.boot;
+    l.dead = true;
+    l.in_flight = 0;
+    auto const lost = std::exchange(l.open, {});
+    for (auto const c : lost)
+    {
+        auto const later =
+            crash_told_apart * static_cast<us::rep>(owner_of_.at(c));
+        to_owner(c, leaf_closed{c, false}, us{200} + later);
+    }
+    at(down, [&l] { l.dead = false; });
+}
+
+auto world::draw(std::int64_t below) -> std::int64_t
+{
+    return std::uniform_int_distribution<std::int64_t>{0, below - 1}(random_);
+}
+
+} // namespace fakes
