A stop answers callers who go on asking until the end of the grace

Change: after a stop order a request's deadline ends before the exit, and in the last second what comes in is refused at once (503, not run) with a time to come back. Test: 'stop: callers who go on asking', failed before (requests of the last second without an answer).

--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -7,6 +7,7 @@
 #include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/route_table.hpp"
 #include "core/dispatch/search.hpp"
+#include "core/dispatch/stop.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -53,8 +54,8 @@
     v.config = s.config;
     v.by = &r;
     v.started = now;
-    v.deadline =
-        now + std::max(duration{0}, std::min(stated, timeout) - margin);
+    v.deadline = std::min(leave_time(s) - margin,
+        now + std::max(duration{0}, std::min(stated, timeout) - margin));
     v.objective =
         std::min(v.deadline, now + std::max(duration{0}, objective - margin));
     v.queue_until = std::min(v.deadline, now + objective / queue_share);
@@ -193,7 +194,7 @@
 {
     ++s.stats.requests;
     s.last_request = now;
-    if (s.config == nullptr)
+    if (s.config == nullptr || is_closing(s, now))
         return refuse(s, e, nullptr,
             {refusal_reason::not_ready,
                 retry_delay(s, refusal_reason::not_ready)},
--- a/src/core/dispatch/stop.cpp
+++ b/src/core/dispatch/stop.cpp
@@ -10,10 +10,11 @@
 namespace
 {
 
-constexpr auto retire_after = milliseconds{3'000}; ///< From the stop order.
-constexpr auto stop_check = milliseconds{50};      ///< Between looks.
-constexpr auto grace_margin = milliseconds{500};   ///< Left of the grace.
-constexpr auto quiet_time = milliseconds{300};     ///< Before leaving.
+constexpr auto retire_after = milliseconds{3'000};   ///< From the stop order.
+constexpr auto stop_check = milliseconds{50};        ///< Between looks.
+constexpr auto grace_margin = milliseconds{300};     ///< Left of the grace.
+constexpr auto closing_before = milliseconds{1'000}; ///< The exit.
+constexpr auto quiet_time = milliseconds{300};       ///< Before leaving.
 
 /// From the stop order until callers' connections are closed.
 auto retire_time(dispatch_state const& s) -> duration
@@ -35,6 +36,18 @@
         ready, s.stop.asked ? "stopping" : "store followed"}});
 }
 
+auto leave_time(dispatch_state const& s) -> time_point
+{
+    if (!s.stop.asked)
+        return time_point::max();
+    return s.stop.since + s.init.bounds.grace - grace_margin;
+}
+
+auto is_closing(dispatch_state const& s, time_point now) -> bool
+{
+    return s.stop.asked && now >= leave_time(s) - closing_before;
+}
+
 auto on_stop(dispatch_state& s, time_point now, commands& out) -> void
 {
     if (s.stop.asked)
@@ -59,12 +72,11 @@
 {
     if (!s.stop.retired || s.stop.left)
         return;
-    auto const last = duration{s.init.bounds.grace} - duration{grace_margin};
     auto const quiet =
         s.requests.empty() &&
         now - std::max(s.last_request, s.stop.since + retire_time(s)) >=
             duration{quiet_time};
-    if (!quiet && now - s.stop.since < last)
+    if (!quiet && now < leave_time(s))
         return;
     s.stop.left = true;
     out.push_back(exit_now{});
--- a/src/core/dispatch/stop.hpp
+++ b/src/core/dispatch/stop.hpp
@@ -11,6 +11,12 @@
 /// Tells whether the instance takes callers, if that has changed.
 auto update_ready(dispatch_state& s, commands& out) -> void;
 
+/// The process leaves then at the latest; no limit if no stop was asked for.
+auto leave_time(dispatch_state const& s) -> time_point;
+
+/// True if a request that comes in now could not be answered before the exit.
+auto is_closing(dispatch_state const& s, time_point now) -> bool;
+
 auto on_stop(dispatch_state& s, time_point now, commands& out) -> void;
 auto on_stop_due(dispatch_state& s, time_point now, commands& out) -> void;
 
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -246,6 +246,26 @@
     CHECK(r.take_sent().size() == 1);
 }
 
+TEST_CASE("stop: callers who go on asking are all answered before the exit")
+{
+    auto r = rig{};
+    r.age();
+    r.begin(config_of(single_route("s")), three_of("s"));
+    r.feed(stop_requested{});
+    auto const stopped = r.now;
+    auto asked = std::size_t{0};
+    // The targets hang; the exit comes at the end of the grace.
+    while (r.ordered<exit_now>().empty())
+    {
+        r.ask("q" + std::to_string(asked++), "/p/x", milliseconds{3'000});
+        r.advance(milliseconds{50});
+    }
+    CHECK(r.now - stopped < dispatch_bounds{}.grace);
+    CHECK(r.answers.size() + 1 >= asked); // All but one of the last turn.
+    // What came too late was refused at once, and has not run.
+    CHECK(is<ks::answer_refused>(r.answers.back().answer));
+}
+
 TEST_CASE("stop: a request of the last moment is answered before the exit")
 {
     auto r = rig{};
