Soak: leaving targets are checked per sender, over a longer leave

Now only the sender's and the store's troubles do, and the bound counts from their end; a target leaves for 8 to 10 s.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -63,7 +63,7 @@
     case 1: // It leaves in order.
         history_.draining[name] = ks::present();
         deployment_->enlist(i, "draining");
-        after(between(4.5, 6), restart);
+        after(between(8, 10), restart);
         break;
     case 2: // Its registration lapses and comes back.
         deployment_->delist(i);
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -140,17 +140,31 @@
         out.push_back({"each request is answered in time", a.id});
 }
 
-auto check_draining(history const& h, finds& out) -> void
+/// When the last of the troubles that had begun by then ended.
+auto calm_since(std::vector<excuse> const& all, ks::time_point at)
+    -> ks::time_point
+{
+    auto last = ks::time_point{};
+    for (auto const& it : all)
+        if (it.from <= at)
+            last = std::max(last, it.to);
+    return last;
+}
+
+/// Counted from the order to leave, or from the end of the last trouble of the
+/// store or of the instance that sent the request.
+auto check_draining(history const& h,
+    std::map<std::string, std::size_t> const& instance_of, finds& out) -> void
 {
-    auto troubles = h.store;
-    for (auto const& [i, list] : h.instances)
-        troubles.insert(troubles.end(), list.begin(), list.end());
     for (auto const& r : h.runs)
     {
-        auto const it = h.draining.find(r.target);
-        if (it == h.draining.end() || r.at <= it->second + drain_bound)
+        auto const left = h.draining.find(r.target);
+        auto const sender = instance_of.find(r.id);
+        if (left == h.draining.end() || sender == instance_of.end())
             continue;
-        if (!is_excused(troubles, it->second, r.at))
+        auto const since = std::max({left->second, calm_since(h.store, r.at),
+            calm_since(excuses_of(h, sender->second), r.at)});
+        if (r.at > since + drain_bound)
             out.push_back({"a leaving target gets nothing new", r.target});
     }
 }
@@ -161,10 +175,10 @@
 {
     auto out = finds{};
     auto const runs = runs_by_id(h);
-    auto ids = std::set<std::string>{};
+    auto instance_of = std::map<std::string, std::size_t>{}; // By request id.
     for (auto const& a : h.asked)
     {
-        ids.insert(a.id);
+        instance_of.emplace(a.id, a.instance);
         auto const it = runs.find(a.id);
         auto const mine =
             it == runs.end() ? std::vector<run const*>{} : it->second;
@@ -174,9 +188,9 @@
             check_answer(h, a, mine, out);
     }
     for (auto const& r : h.runs)
-        if (!ids.contains(r.id))
+        if (!instance_of.contains(r.id))
             out.push_back({"targets run only what was asked", r.id});
-    check_draining(h, out);
+    check_draining(h, instance_of, out);
     return out;
 }
 
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -182,7 +182,7 @@
     next_fault();
     run_for(settings_.seconds);
     heal();
-    run_for(9); // Stopped instances and leaving targets are back.
+    run_for(11); // Stopped instances and leaving targets are back.
     auto const first = history_.asked.size();
     run_for(3);
     asking_ = false;
