Connections leave room for new ones beside those of lost instances

Change: 60% of a target's connections are divided, so that one for each shard and instance fits beside the old ones (80 instances, 72 connections, three targets); more, up to 85%, only if a fleet's instances could not reach each shard otherwise. Test: 'connections: after a loss of power all fit beside the old ones', failed with 85%.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -177,10 +177,14 @@
 auto set_instance(dispatch_state& s, std::string const& name,
     instance_record const* r) -> void
 {
+    auto const known = s.instances.find(name);
+    auto const listed = known != s.instances.end();
+    if (r == nullptr ? !listed : listed && known->second == *r)
+        return;
     if (r != nullptr)
         s.instances[name] = *r;
     else
-        s.instances.erase(name);
+        s.instances.erase(known);
     reshare_all(s);
     for (auto& [id, it] : s.services)
         it.budget = with_share(it.budget, budget_share_of(s));
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -31,14 +31,25 @@
     return all;
 }
 
-auto shared_targets(dispatch_state const& s, service_entry const& service)
-    -> std::vector<shared_target>
+/// Connections to one target that all instances together hold.
+auto used_connections(dispatch_state const& s, service_entry const& service,
+    std::size_t instances) -> std::uint32_t
 {
     auto const accepted = service.policy.max_connections == 0
                               ? unknown_accepted
                               : service.policy.max_connections;
-    auto const used =
-        static_cast<std::uint32_t>(s.init.limits.connection_share * accepted);
+    auto const targets = std::max<std::size_t>(1, service.targets.size());
+    auto const wanted =
+        static_cast<double>((instances + targets - 1) / targets);
+    auto const usual = s.init.limits.connection_share * accepted;
+    auto const most = s.init.limits.most_connection_share * accepted;
+    return static_cast<std::uint32_t>(std::max(usual, std::min(wanted, most)));
+}
+
+auto shared_targets(dispatch_state const& s, service_entry const& service,
+    std::size_t instances) -> std::vector<shared_target>
+{
+    auto const used = used_connections(s, service, instances);
     auto all = std::vector<shared_target>{};
     for (auto const id : service.targets)
         all.push_back({id, s.targets.at(id).region, used});
@@ -52,12 +63,13 @@
     auto const it = s.services.find(t.service);
     if (it == s.services.end())
         return 0;
-    auto const all = shared_targets(s, it->second);
+    auto const fleet = fleet_of(s);
+    auto const all = shared_targets(s, it->second, fleet.size());
     auto const mine = std::find_if(all.begin(), all.end(),
         [&](shared_target const& o) { return o.id == t.id; });
     t.link_limit = mine == all.end()
                        ? 0
-                       : connection_share(*mine, all, fleet_of(s), s.init.self);
+                       : connection_share(*mine, all, fleet, s.init.self);
     return *t.link_limit;
 }
 
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -296,3 +296,27 @@
     }
     CHECK(twice >= 65);
 }
+
+TEST_CASE("connections: after a loss of power all fit beside the old ones")
+{
+    // 80 instances; the targets still count those of the processes before.
+    auto f = fleet{};
+    for (auto i = 0; i < 80; ++i)
+        f.instances.push_back(
+            {"i" + std::to_string(i), "z", std::to_string(i % 3)});
+    constexpr auto accepted = 72u;
+    constexpr auto targets = 3u;
+    auto const used =
+        static_cast<std::uint32_t>(limits.connection_share * accepted);
+    CHECK((accepted - used) * targets >= f.instances.size());
+    for (auto i = 0u; i < targets; ++i)
+        f.targets.push_back({ks::target_id{i + 1}, std::to_string(i), used});
+    for (auto const& it : f.instances)
+    {
+        auto reached = 0;
+        for (auto const& t : f.targets)
+            reached +=
+                connection_share(t, f.targets, f.instances, it) > 0 ? 1 : 0;
+        CHECK(reached >= 1);
+    }
+}
