--- a/include/knapweedstream/booking.hpp
+++ b/include/knapweedstream/booking.hpp
@@ -19,7 +19,7 @@
 {
     std::string customer;
     std::string service;
-    std::string key;          ///< Idempotency key, chosen by the caller.
+    std::string key;          ///< Idempotency key, made by the caller.
     std::string item;         ///< Decides the shard.
     std::string text;         ///< Passed on to the target.
     milliseconds deadline{0}; ///< 0 takes the service's default.
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -1,4 +1,4 @@
-/// The search for a target of a part: who is eligible, who is chosen, and
+/// The search for a target of a part: who is eligible, who is best, and
 /// whether somebody will be soon.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_SEARCH_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_SEARCH_HPP
@@ -18,7 +18,7 @@
 /// Chooses the target that is expected to answer a part first.
 ///
 /// @param[in] alone No attempt of the part is out: a target that was tried may
-///     be chosen again.
+///     be asked again.
 /// @returns The target, or null.
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool alone, time_point now) -> target_entry*;
