The room kept for new connections follows the fleet's size

Change: as much is kept as the fleet needs for one connection a shard and instance, between 15% and 40%; 15% if there is not enough for both. Test: 'queue: a small fleet uses most', failed before (2 of 3).

--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -35,10 +35,9 @@
     milliseconds turned_away_within{500}; ///< A new connection that breaks so
     ///< soon was one too many.
     milliseconds turned_away_slack{5}; ///< Beyond a round trip, likewise.
-    double connection_share = 0.6; ///< Of a target's limit that is used; the
-    ///< rest takes new connections while those of lost instances linger.
-    double most_connection_share = 0.85; ///< If each instance could not reach
-                                         ///< a target of a shard otherwise.
+    double connection_share = 0.6;     ///< Of a target's limit: used at least;
+    ///< the rest takes new connections while those of lost instances linger.
+    double most_connection_share = 0.85; ///< Likewise: used at most.
 
     std::uint32_t late_in_a_row =
         2; ///< Overdue requests that suspend a target.
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -31,7 +31,9 @@
     return all;
 }
 
-/// Connections to one target that all instances together hold.
+/// Connections to one target that all instances together hold. What is left
+/// takes one new connection for each shard and instance, as long as there is
+/// enough for both.
 auto used_connections(dispatch_state const& s, service_entry const& service,
     std::size_t instances) -> std::uint32_t
 {
@@ -41,9 +43,12 @@
     auto const targets = std::max<std::size_t>(1, service.targets.size());
     auto const wanted =
         static_cast<double>((instances + targets - 1) / targets);
-    auto const usual = s.init.limits.connection_share * accepted;
+    auto const least = s.init.limits.connection_share * accepted;
     auto const most = s.init.limits.most_connection_share * accepted;
-    return static_cast<std::uint32_t>(std::max(usual, std::min(wanted, most)));
+    if (wanted > least)
+        return static_cast<std::uint32_t>(std::max(least, most));
+    return static_cast<std::uint32_t>(
+        std::max(least, std::min(most, accepted - wanted)));
 }
 
 auto shared_targets(dispatch_state const& s, service_entry const& service,
--- a/tests/dispatch/test_queue.cpp
+++ b/tests/dispatch/test_queue.cpp
@@ -154,3 +154,19 @@
     REQUIRE(r.answer_to(c));
     CHECK(merged_of(r, c).missing == 1);
 }
+
+TEST_CASE("queue: a small fleet uses most of a target's connections")
+{
+    auto r = rig{};
+    r.age();
+    auto fleet = std::vector<ks::instance_record>{};
+    for (auto i = 1; i < 8; ++i)
+        fleet.push_back({"i" + std::to_string(i), "a", "north"});
+    auto c = config_of(single_route("s"));
+    c.services = {{"s", "/health", 31, milliseconds{0}, 0}};
+    r.begin(c, {registered("s-a", "s", "a")}, fleet);
+    for (auto i = 0; i < 3; ++i)
+        r.ask("q" + std::to_string(i));
+    // 85% of 31 connections among 8 instances.
+    CHECK(r.take_sent().size() == 3);
+}
