One count of running attempts, one rank of this instance

Cause: needs_hedge counted a part's running attempts itself beside running_count; rollouts and warm-up each counted the instances ranked before this one. Change: needs_hedge calls running_count; rank_of_self (tables) serves both, by the key that each had. Behaviour and tests are unchanged.

--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -86,9 +86,7 @@
 
 auto needs_hedge(part const& p) -> bool
 {
-    return p.state == part_state::running && !p.queued &&
-           std::count_if(p.running.begin(), p.running.end(),
-               [](attempt_id id) { return id != attempt_id{}; }) == 1;
+    return p.state == part_state::running && !p.queued && running_count(p) == 1;
 }
 
 /// When the one running attempt of a part has taken too long.
--- a/src/core/dispatch/rollout_orders.cpp
+++ b/src/core/dispatch/rollout_orders.cpp
@@ -13,16 +13,10 @@
 constexpr auto look_each = milliseconds{100}; ///< At an order that is open.
 
 /// Place of this instance among all, for a service.
-auto rank_of_self(dispatch_state const& s, service_id service) -> std::size_t
+auto rank_for(dispatch_state const& s, service_id service) -> std::size_t
 {
-    auto const mine = hash_name(s.init.self.name, service.value);
-    return static_cast<std::size_t>(
-        std::count_if(s.instances.begin(), s.instances.end(),
-            [&](auto const& it)
-            {
-                return it.first != s.init.self.name &&
-                       hash_name(it.first, service.value) < mine;
-            }));
+    return rank_of_self(s, [&](instance_record const& it)
+        { return hash_name(it.name, service.value); });
 }
 
 auto is_open_order(version_shift const& v) -> bool
@@ -65,7 +59,7 @@
 auto write_state(
     dispatch_state& s, service_entry& e, time_point now, commands& out) -> void
 {
-    auto const rank = rank_of_self(s, id_of<service_id>(e.name));
+    auto const rank = rank_for(s, id_of<service_id>(e.name));
     auto const state = state_to_tell(*e.shift, rank, now);
     if (!state)
         return;
@@ -112,7 +106,7 @@
     auto const it = s.services.find(service);
     if (it == s.services.end() || !it->second.shift)
         return version_side::any;
-    auto const share = trial_share(s.init.bounds, rank_of_self(s, service),
+    auto const share = trial_share(s.init.bounds, rank_for(s, service),
         std::max<std::size_t>(1, s.instances.size()));
     auto const c = choose_side(*it->second.shift, share);
     it->second.shift = c.next;
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -92,15 +92,11 @@
 /// Place of this instance among all that may warm a target: near ones first.
 auto warming_rank(dispatch_state const& s, target_entry const& t) -> std::size_t
 {
-    auto const rank = [&](instance_record const& it)
-    {
-        return std::pair{it.region != t.region, hash_name(it.name, t.id.value)};
-    };
-    auto const mine = rank(s.init.self);
-    return static_cast<std::size_t>(std::count_if(s.instances.begin(),
-        s.instances.end(),
-        [&](auto const& it)
-        { return it.first != s.init.self.name && rank(it.second) < mine; }));
+    return rank_of_self(s,
+        [&](instance_record const& it) {
+            return std::pair{
+                it.region != t.region, hash_name(it.name, t.id.value)};
+        });
 }
 
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -291,6 +291,18 @@
 auto service_entry_of(dispatch_state& s, std::string const& name)
     -> service_entry&;
 
+/// Place of this instance among all that are known, by a key of each; 0 is
+/// first.
+template <class Key>
+auto rank_of_self(dispatch_state const& s, Key const& key) -> std::size_t
+{
+    auto const mine = key(s.init.self);
+    auto n = std::size_t{0};
+    for (auto const& [name, it] : s.instances)
+        n += name != s.init.self.name && key(it) < mine ? 1 : 0;
+    return n;
+}
+
 /// Extra requests to a service that this instance may save up.
 auto budget_share_of(dispatch_state const& s) -> double;
 
