Bookings whose claim cannot be stored are refused in time

The executor gave a booking up 2 ms before the entry's own deadline, so its "not run" came too late beside load; and if the entry had asked a second executor meanwhile, two answers "not run" made an "unknown".

The test now requires that the stand-in confirmed the outage.

Change: an executor gives up a claim that is not stored 100 ms (a quarter of short deadlines) before the deadline. An entry answers "not run" once all executors that it asked said so, and waits for the others until then.

--- a/include/knapweedstream/limits.hpp
+++ b/include/knapweedstream/limits.hpp
@@ -37,6 +37,8 @@
     std::uint32_t max_runs = 2;               ///< Runs of one query.
     milliseconds fingerprint_ban{60'000};     ///< Refusal of a deadly query.
     milliseconds claim_retry{50};             ///< Between claim attempts.
+    milliseconds claim_margin{100};           ///< Before the deadline, given
+                                              ///< up if not stored by then.
     seconds claim_expiry{86'400};             ///< Age at which claims go.
     std::uint32_t claims_per_write = 256;     ///< Claims in one commit.
     std::uint32_t max_claims_per_bucket = 4'000; ///< Below 1 MB per object.
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -148,6 +148,7 @@
         limit_count("max_runs", &l::max_runs),
         limit_ms("fingerprint_ban_ms", &l::fingerprint_ban),
         limit_ms("claim_retry_ms", &l::claim_retry),
+        limit_ms("claim_margin_ms", &l::claim_margin),
         limit_count("claims_per_write", &l::claims_per_write),
         limit_count("max_claims_per_bucket", &l::max_claims_per_bucket),
         limit_ms("drain_quiet_ms", &l::drain_quiet)};
--- a/src/core/booking_entry.cpp
+++ b/src/core/booking_entry.cpp
@@ -132,10 +132,11 @@
     if (it == s.bookings.end())
         return;
     // "Not run" by one executor says nothing of another that was asked.
-    auto const alone = it->second.forwards == 1;
+    auto& b = it->second;
     auto const not_run = std::holds_alternative<booking_not_run>(m.answer);
-    close_booking(s, m.id,
-        not_run && !alone ? booking_answer{booking_unknown{}} : m.answer, out);
+    b.not_run += not_run ? 1 : 0;
+    if (!not_run || b.not_run == b.forwards)
+        close_booking(s, m.id, m.answer, out);
 }
 
 auto on_forward_due(
--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -231,6 +231,16 @@
     pump(s, id, out);
 }
 
+/// When a booking whose claim is not stored is given up, so that "not run"
+/// still reaches its caller in time.
+auto claim_until(node_state const& s, duration left, time_point now)
+    -> time_point
+{
+    constexpr auto most_of_deadline = 4; // The inverse: a quarter.
+    auto const margin = duration{s.init.limits.claim_margin};
+    return now + left - std::min(margin, left / most_of_deadline);
+}
+
 } // namespace
 
 auto on_booking_forward(node_state& s, instance_id from,
@@ -258,6 +268,7 @@
     e.wall_s = m.wall_s;
     s.executions.emplace(e.token, e);
     s.buckets[e.bucket].waiting.push_back(e.token);
+    arm(s, claim_until(s, m.time_left, now), exec_due{e.token});
     arm(s, e.deadline, exec_due{e.token});
     pump(s, e.bucket, out);
 }
@@ -319,12 +330,15 @@
         end);
 }
 
-auto on_exec_due(node_state& s, exec_due const& e, time_point, commands& out)
-    -> void
+auto on_exec_due(
+    node_state& s, exec_due const& e, time_point now, commands& out) -> void
 {
     auto const it = s.executions.find(e.token);
     if (it == s.executions.end())
         return;
+    auto const claiming = it->second.state == exec_state::claiming;
+    if (!claiming && now < it->second.deadline)
+        return;
     switch (it->second.state)
     {
     case exec_state::claiming:
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -179,7 +179,8 @@
     booking_request request;
     time_point deadline;
     instance_id executor;
-    std::uint32_t forwards = 0; ///< Executors that may have it.
+    std::uint32_t forwards = 0; ///< Executors that may have it,
+    std::uint32_t not_run = 0;  ///< and those of them that did not run it.
 
     auto operator<=>(entry_booking const&) const = default;
 };
--- a/tests/failure/test_bookings.cpp
+++ b/tests/failure/test_bookings.cpp
@@ -69,6 +69,21 @@
     CHECK(runs_of(*w, "k") == 1);
 }
 
+TEST_CASE("a platform outage refuses bookings in time, though the executor's "
+          "answer takes long")
+{
+    auto w = standard_world(23);
+    w->platform.down = true;
+    w->peer_delay = us{20'000};
+    auto ids = std::vector<std::uint64_t>{};
+    for (std::size_t i = 0; i < 3; ++i)
+        ids.push_back(w->book(i, "voorraad", "k"));
+    w->run_for(milliseconds{500});
+    for (auto const id : ids)
+        CHECK(is<booking_not_run>(w->callers[id]));
+    CHECK(runs_of(*w, "k") == 0);
+}
+
 TEST_CASE("a claim whose answer was lost is found and used")
 {
     auto w = standard_world(23);
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -114,6 +114,7 @@
     time_point now{us{1'000'000}};
     customer_config config;
     std::vector<std::pair<time_point, std::string>> work_log; ///< Address.
+    us peer_delay{0};                  ///< Added to each message of a peer.
     bool listed_only_first = false;    ///< The list names one instance.
     std::function<void()> after_event; ///< Checked after each event.
 
--- a/tests/fakes_ports.cpp
+++ b/tests/fakes_ports.cpp
@@ -165,7 +165,8 @@
     if (to >= instances.size() || cut.contains({i, to}))
         return;
     auto const from = id_of<instance_id>(instances[i]->info.name);
-    later(to, us{300 + draw(400)}, peer_received{from, p.messages});
+    later(
+        to, us{300 + draw(400)} + peer_delay, peer_received{from, p.messages});
 }
 
 auto world::store(std::size_t i, claims_write const& w) -> void
--- a/tests/process/test_processes.cpp
+++ b/tests/process/test_processes.cpp
@@ -126,7 +126,7 @@
 {
     auto c = cluster{24'000};
     REQUIRE(c.start(2, 2, 2));
-    c.control(c.platform(), "down=1");
+    REQUIRE(!c.control(c.platform(), "down=1").empty());
     for (auto n = 0; n < 4; ++n)
         CHECK(c.complete(n % 2, "q" + std::to_string(n)));
     auto const r = c.book(0, "outage");
