Connections beyond an instance's share are borrowed, not kept

Instances whose share is none opened one beyond it and kept it, so that the targets were full of idle connections and reset the rest.

Change: a connection beyond the share is closed once it has rested 20 ms; where the limit does not suffice for a connection each, 40% of it are left to such connections instead of 15%.

--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -36,8 +36,11 @@
     ///< soon was one too many.
     milliseconds turned_away_slack{5}; ///< Beyond a round trip, likewise.
     double connection_share = 0.6;     ///< Of a target's limit: used at least;
-    ///< the rest takes new connections while those of lost instances linger.
+    ///< the rest takes new connections while those of lost instances linger,
+    ///< and borrowed ones.
     double most_connection_share = 0.85; ///< Likewise: used at most.
+    milliseconds borrowed_for{20};       ///< Idle time of a connection beyond
+                                         ///< this instance's share.
 
     std::uint32_t late_in_a_row =
         2; ///< Overdue requests that suspend a target.
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -32,8 +32,8 @@
 }
 
 /// Connections to one target that all instances together hold. What is left
-/// takes one new connection for each shard and instance, as long as there is
-/// enough for both.
+/// takes one new connection for each shard and instance if there is enough for
+/// both, and the connections that instances borrow.
 auto used_connections(dispatch_state const& s, service_entry const& service,
     std::size_t instances) -> std::uint32_t
 {
@@ -45,8 +45,6 @@
         static_cast<double>((instances + targets - 1) / targets);
     auto const least = s.init.limits.connection_share * accepted;
     auto const most = s.init.limits.most_connection_share * accepted;
-    if (wanted > least)
-        return static_cast<std::uint32_t>(std::max(least, most));
     return static_cast<std::uint32_t>(
         std::max(least, std::min(most, accepted - wanted)));
 }
@@ -95,6 +93,21 @@
     return old + duration{static_cast<duration::rep>(d * opening_weight)};
 }
 
+/// Until when an idle connection may be used. One beyond this instance's share
+/// is borrowed: it is soon left to other instances.
+auto idle_until(dispatch_state& s, target_entry& t, duration idle_limit,
+    time_point now) -> time_point
+{
+    auto const margin = duration{s.init.limits.idle_margin};
+    auto const by_target =
+        idle_limit == duration{0}
+            ? time_point::max()
+            : now + std::max(idle_limit - margin, idle_limit / 2);
+    if (t.links <= link_limit(s, t))
+        return by_target;
+    return std::min(by_target, now + s.init.limits.borrowed_for);
+}
+
 auto present_view(dispatch_state const& s, target_entry const& t,
     time_point now) -> target_view
 {
@@ -243,13 +256,10 @@
     next.state = link_state::idle;
     next.attempt = {};
     next.since = now;
-    auto const margin = duration{s.init.limits.idle_margin};
-    next.usable_until =
-        idle_limit == duration{0}
-            ? time_point::max()
-            : now + std::max(idle_limit - margin, idle_limit / 2);
+    auto& t = s.targets.at(l.to);
+    next.usable_until = idle_until(s, t, idle_limit, now);
     s.links.at(l.id) = next;
-    s.targets.at(l.to).idle.push_back(l.id);
+    t.idle.push_back(l.id);
     if (next.usable_until != time_point::max())
         arm(s, next.usable_until, link_due{l.id});
 }
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -1,7 +1,8 @@
 /// Connections to targets: how many, when opened, when closed.
 ///
 /// A target accepts a limited number of connections from all instances
-/// together; each instance keeps to its share (see `sharing.hpp`).
+/// together; each instance keeps its share (see `sharing.hpp`). One that needs
+/// another connection borrows it: it closes it as soon as it has rested.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_POOL_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_POOL_HPP
 
--- a/tests/dispatch/load.cpp
+++ b/tests/dispatch/load.cpp
@@ -15,14 +15,17 @@
 
 load_rig::load_rig(std::size_t instances, routing_config const& c,
     std::vector<target_registration> const& registered,
-    std::map<std::string, modelled_target> const& targets)
+    std::map<std::string, modelled_target> const& targets, std::size_t accepts)
 {
+    accepted_.limit = accepts;
     auto fleet = std::vector<instance_record>{};
-    for (std::size_t i = 1; i < instances; ++i)
-        fleet.push_back({"i" + std::to_string(i), "a", "north"});
     for (std::size_t i = 0; i < instances; ++i)
+        fleet.push_back({"i" + std::to_string(i), "a", "north"});
+    for (auto const& it : fleet)
     {
-        rigs_.push_back(std::make_unique<rig>());
+        rigs_.push_back(
+            std::make_unique<rig>(dispatch_limits{}, it.zone, it.name));
+        rigs_.back()->accepted = &accepted_;
         rigs_.back()->age();
         rigs_.back()->begin(c, registered, fleet);
     }
--- a/tests/dispatch/load.hpp
+++ b/tests/dispatch/load.hpp
@@ -38,9 +38,12 @@
 {
 public:
     /// Instances that know one configuration, the targets and each other.
+    ///
+    /// @param[in] accepts Connections that each target accepts.
     load_rig(std::size_t instances, routing_config const& c,
         std::vector<target_registration> const& registered,
-        std::map<std::string, modelled_target> const& targets);
+        std::map<std::string, modelled_target> const& targets,
+        std::size_t accepts = 10'000);
 
     /// Callers ask at a rate for a time; then all that is open may end.
     auto play(double per_s, duration length, duration objective) -> load_result;
@@ -67,6 +70,7 @@
     auto result_of(asked_at const& asked, duration objective) const
         -> load_result;
 
+    accepted_connections accepted_;
     std::vector<std::unique_ptr<rig>> rigs_;
     std::map<std::string, served> targets_;
     time_point now_;
--- a/tests/dispatch/rig.cpp
+++ b/tests/dispatch/rig.cpp
@@ -9,20 +9,20 @@
 namespace
 {
 
-auto make_init(dispatch_limits const& limits, std::string const& zone)
-    -> dispatcher_init
+auto make_init(dispatch_limits const& limits, std::string const& zone,
+    std::string const& name) -> dispatcher_init
 {
     auto i = dispatcher_init{};
     i.regions = {{"a", "north"}, {"b", "south"}, {"c", "west"}};
-    i.self = {"me", zone, i.regions[zone]};
+    i.self = {name, zone, i.regions[zone]};
     i.limits = limits;
     return i;
 }
 
 } // namespace
 
-rig::rig(dispatch_limits const& limits, std::string zone)
-    : core(make_init(limits, zone))
+rig::rig(dispatch_limits const& limits, std::string zone, std::string name)
+    : core(make_init(limits, zone, name))
 {
     carry_out(core.start(now));
 }
@@ -110,6 +110,7 @@
 {
     std::erase_if(
         unanswered, [&](sent const& it) { return it.attempt == s.attempt; });
+    hang_up(s.connection);
     feed(connection_closed{s.connection, how, false});
 }
 
@@ -137,20 +138,50 @@
     }
 }
 
+auto rig::open(open_connection const& c) -> void
+{
+    auto const refused = std::find(
+        refused_addresses.begin(), refused_addresses.end(), c.address);
+    if (refused != refused_addresses.end())
+        waiting_.push_back(
+            connection_closed{c.connection, connection_end::refused, true});
+    else if (!accept(c))
+        waiting_.push_back(
+            connection_closed{c.connection, connection_end::reset, true});
+    else if (hold_opens)
+        held.push_back(c.connection);
+    else
+        waiting_.push_back(connection_opened{c.connection});
+}
+
+auto rig::accept(open_connection const& c) -> bool
+{
+    if (accepted == nullptr)
+        return true;
+    auto& n = accepted->open[c.address];
+    if (n >= accepted->limit)
+        return false;
+    ++n;
+    ++accepted->opened;
+    open_to_[c.connection] = c.address;
+    return true;
+}
+
+auto rig::hang_up(connection_id c) -> void
+{
+    auto const it = open_to_.find(c);
+    if (it == open_to_.end())
+        return;
+    --accepted->open.at(it->second);
+    open_to_.erase(it);
+}
+
 auto rig::carry_out(command const& c) -> void
 {
     if (auto const* it = std::get_if<open_connection>(&c))
-    {
-        auto const refused = std::find(
-            refused_addresses.begin(), refused_addresses.end(), it->address);
-        if (refused != refused_addresses.end())
-            waiting_.push_back(connection_closed{
-                it->connection, connection_end::refused, true});
-        else if (hold_opens)
-            held.push_back(it->connection);
-        else
-            waiting_.push_back(connection_opened{it->connection});
-    }
+        open(*it);
+    if (auto const* it = std::get_if<close_connection>(&c))
+        hang_up(it->connection);
     if (auto const* it = std::get_if<send_request>(&c))
         unanswered.push_back({it->connection, it->attempt, it->target,
             it->request->id, it->time_left, now});
--- a/tests/dispatch/rig.hpp
+++ b/tests/dispatch/rig.hpp
@@ -5,6 +5,7 @@
 #include "core/dispatch/dispatcher.hpp"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,11 +32,20 @@
     time_point at;
 };
 
+/// Connections that targets have from all instances, by address.
+struct accepted_connections
+{
+    std::size_t limit = 0; ///< Of one target; what is beyond it is reset.
+    std::map<std::string, std::size_t> open;
+    std::size_t opened = 0; ///< All in all.
+};
+
 /// Drives a dispatcher; connections open at once unless `hold_opens` is set.
 class rig
 {
 public:
-    explicit rig(dispatch_limits const& limits = {}, std::string zone = "a");
+    explicit rig(dispatch_limits const& limits = {}, std::string zone = "a",
+        std::string name = "me");
 
     /// Lets the instance be up for half a minute before it is given anything.
     auto age() -> void { advance(seconds{30}); }
@@ -102,11 +112,16 @@
     bool hold_opens = false;
     std::vector<connection_id> held;
     std::vector<std::string> refused_addresses; ///< Opening fails there.
+    accepted_connections* accepted = nullptr;   ///< Shared by all, if set.
 
 private:
     auto carry_out(commands const& list) -> void;
     auto carry_out(command const& c) -> void;
+    auto open(open_connection const& c) -> void;
+    auto accept(open_connection const& c) -> bool;
+    auto hang_up(connection_id c) -> void;
 
+    std::map<connection_id, std::string> open_to_; ///< While `accepted` is set.
     std::optional<time_point> wake_;
     std::deque<event> waiting_;
     std::uint64_t callers_ = 0;
--- a/tests/dispatch/test_load.cpp
+++ b/tests/dispatch/test_load.cpp
@@ -79,3 +79,16 @@
     CHECK(share(got.in_time, got) >= 0.95);
     CHECK(share(got.failed, got) <= 0.02);
 }
+
+TEST_CASE("load: a fleet larger than a service's connections is served whole")
+{
+    constexpr auto many = std::size_t{60};
+    constexpr auto accepts = std::uint32_t{8}; // Of each of three targets.
+    auto c = config_of(single_route("s"));
+    c.services = {{"s", "/health", accepts, milliseconds{0}, 0}};
+    auto load = load_rig{many, c, three_of("s"),
+        {{"s-a", {}}, {"s-b", {}}, {"s-c", {}}}, accepts};
+    auto const got = load.play(100, ks::seconds{10}, objective);
+    CHECK(share(got.in_time, got) >= 0.99);
+    CHECK(share(got.failed + got.refused, got) <= 0.002);
+}
