An experiment tool: two policies under the same load, in virtual time

Change: tests/dispatch/load became a model of targets (slots, queues, varying work, ways, pauses, hangs, refusals, a limit on connections) and of callers (random arrivals by seed, one return after a refusal). bench/experiment plays eight loads with two policies, given as limits by their names in the settings, under the same seeds, prints tables with 95% intervals and paired differences, and plots as SVG.

--- /dev/null
+++ b/bench/experiment/scenarios.cpp
@@ -0,0 +1,136 @@
+#include "scenarios.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto shard_count = 12;
+constexpr auto min_coverage = 0.9;
+constexpr auto length = seconds{20};
+constexpr auto objective = milliseconds{100};
+constexpr auto calm_rate = 100.0; ///< Gathers a second.
+
+auto shard_name(int i) -> std::string
+{
+    return "s" + std::to_string(i);
+}
+
+/// A target that varies somewhat; in the instances' zone or out of it.
+auto usual_target(std::string const& zone) -> modelled_target
+{
+    auto t = modelled_target{};
+    t.slots = 4;
+    t.work = milliseconds{8};
+    t.work_spread = 0.5;
+    t.way = duration{zone == "a" ? 500 : 8'000};
+    return t;
+}
+
+/// Gathers over shards of three targets each, in three zones.
+auto gathers(std::string name, std::string about) -> scenario
+{
+    auto s = scenario{std::move(name), std::move(about), {}, {}};
+    auto shards = std::vector<std::string>{};
+    for (auto i = 0; i < shard_count; ++i)
+    {
+        shards.push_back(shard_name(i));
+        for (auto const& it : three_of(shards.back()))
+        {
+            s.init.registered.push_back(it);
+            s.init.targets[it.name] = usual_target(it.zone);
+        }
+    }
+    s.init.instances = 8;
+    auto r = shard_route(shards, min_coverage);
+    r.latency_objective = objective;
+    s.init.config = config_of(r);
+    s.plan = {calm_rate, length, objective, 1, true};
+    return s;
+}
+
+using change = std::function<void(modelled_target&)>;
+
+/// Changes the target of each shard that lies in a zone.
+auto with_zone(scenario s, std::string const& zone, int shards,
+    change const& apply) -> scenario
+{
+    for (auto i = 0; i < shards; ++i)
+        apply(s.init.targets.at(shard_name(i) + "-" + zone));
+    return s;
+}
+
+auto with_all(scenario s, change const& apply) -> scenario
+{
+    for (auto& [name, it] : s.init.targets)
+        apply(it);
+    return s;
+}
+
+auto pausing(scenario s) -> scenario
+{
+    return with_all(std::move(s),
+        [](modelled_target& it)
+        {
+            it.pause_each = seconds{3};
+            it.pause_for = milliseconds{120};
+        });
+}
+
+auto small_fleet_limits(scenario s) -> scenario
+{
+    constexpr auto accepts = std::uint32_t{16};
+    s.init.instances = 60;
+    s.init.accepts = accepts;
+    for (auto i = 0; i < shard_count; ++i)
+        s.init.config.services.push_back(
+            {shard_name(i), "/health", accepts, milliseconds{0}, 0});
+    return s;
+}
+
+auto at_rate(scenario s, double per_s) -> scenario
+{
+    s.plan.per_s = per_s;
+    return s;
+}
+
+} // namespace
+
+auto all_scenarios() -> std::vector<scenario>
+{
+    auto const slow = [](modelled_target& it)
+    {
+        it.work *= 8;
+    };
+    auto const hang = [](modelled_target& it)
+    {
+        it.hangs_each = 3;
+    };
+    auto const refuse = [](modelled_target& it)
+    {
+        it.refuses_each = 3;
+    };
+    return {gathers("calm", "nothing is wrong"),
+        pausing(gathers("pauses", "each target pauses 120 ms every 3 s")),
+        with_zone(
+            gathers("slow", "one target of each shard is 8 times as slow"), "a",
+            shard_count, slow),
+        with_zone(gathers("hangs", "a target of each shard hangs each third"),
+            "a", shard_count, hang),
+        with_zone(
+            gathers("refusals", "a target of half the shards refuses each "
+                                "third"),
+            "a", shard_count / 2, refuse),
+        at_rate(pausing(gathers("full", "90% of the targets' slots are busy")),
+            1'300),
+        at_rate(
+            gathers("overload", "1.5 times what the targets can serve"), 2'200),
+        small_fleet_limits(
+            gathers("connections", "60 instances, 48 connections to a shard"))};
+}
+
+} // namespace knapweedstream::dispatch
--- a/tests/dispatch/load.cpp
+++ b/tests/dispatch/load.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/load.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweedstream::dispatch
 {
@@ -11,48 +12,99 @@
 constexpr auto tick_length = milliseconds{1};
 constexpr auto settle_time = seconds{3};
 
+/// Moves what is due out of a list.
+template <class Job>
+auto take_due(std::vector<Job>& from, time_point now) -> std::vector<Job>
+{
+    auto const due = [&](Job const& it)
+    {
+        return it.due <= now;
+    };
+    auto out = std::vector<Job>{};
+    std::copy_if(from.begin(), from.end(), std::back_inserter(out), due);
+    std::erase_if(from, due);
+    return out;
+}
+
+auto scaled(duration d, double by) -> duration
+{
+    return duration{
+        static_cast<duration::rep>(static_cast<double>(d.count()) * by)};
+}
+
 } // namespace
 
-load_rig::load_rig(std::size_t instances, routing_config const& c,
-    std::vector<target_registration> const& registered,
-    std::map<std::string, modelled_target> const& targets, std::size_t accepts)
+load_rig::load_rig(load_init const& init)
 {
-    accepted_.limit = accepts;
+    accepted_.limit = init.accepts;
     auto fleet = std::vector<instance_record>{};
-    for (std::size_t i = 0; i < instances; ++i)
+    for (std::size_t i = 0; i < init.instances; ++i)
         fleet.push_back({"i" + std::to_string(i), "a", "north"});
     for (auto const& it : fleet)
     {
-        rigs_.push_back(
-            std::make_unique<rig>(dispatch_limits{}, it.zone, it.name));
+        rigs_.push_back(std::make_unique<rig>(init.limits, it.zone, it.name));
         rigs_.back()->accepted = &accepted_;
         rigs_.back()->age();
-        rigs_.back()->begin(c, registered, fleet);
+        rigs_.back()->begin(init.config, init.registered, fleet);
     }
-    for (auto const& [name, it] : targets)
-        targets_[name].like = it;
     now_ = rigs_.front()->now;
+    for (auto const& [name, it] : init.targets)
+        targets_[name].like = it;
 }
 
-auto load_rig::play(double per_s, duration length, duration objective)
-    -> load_result
+auto load_rig::play(load_plan const& plan) -> load_result
 {
-    auto asked = asked_at{};
-    auto const start = now_;
-    while (now_ < start + length)
+    begin(plan);
+    while (now_ < start_ + plan.length + settle_time)
     {
-        auto const elapsed = std::chrono::duration<double>(now_ - start);
-        while (static_cast<double>(asked.size()) < per_s * elapsed.count())
-        {
-            auto& r = *rigs_[asked.size() % rigs_.size()];
-            auto const c = r.ask("q" + std::to_string(asked.size()));
-            asked.emplace(std::pair{&r, c}, now_);
-        }
+        ask_due();
         step();
     }
-    for (auto const end = now_ + settle_time; now_ < end;)
-        step();
-    return result_of(asked, objective);
+    return finish();
+}
+
+auto load_rig::begin(load_plan const& plan) -> void
+{
+    plan_ = plan;
+    random_ = {plan.seed, 0};
+    start_ = now_;
+    next_ask_ = now_;
+    auto const n = std::chrono::ceil<seconds>(plan.length).count();
+    result_.seconds.resize(static_cast<std::size_t>(n));
+    for (auto& [name, it] : targets_)
+        it.next_pause = now_ + scaled(it.like.pause_each, random_share());
+}
+
+/// A number from 0 to 1.
+auto load_rig::random_share() -> double
+{
+    constexpr auto steps = std::uint64_t{1} << 32;
+    return (static_cast<double>(draw_below(random_, steps)) + 0.5) / steps;
+}
+
+auto load_rig::ask_due() -> void
+{
+    while (next_ask_ <= now_ && now_ < start_ + plan_.length)
+    {
+        ask({now_, now_, false});
+        auto const wait = plan_.seed == 0 ? 1.0 : -std::log(random_share());
+        next_ask_ += scaled(seconds{1}, wait / plan_.per_s);
+    }
+    while (!returning_callers_.empty() &&
+           returning_callers_.begin()->first <= now_)
+    {
+        auto c = returning_callers_.begin()->second;
+        returning_callers_.erase(returning_callers_.begin());
+        c.last = now_;
+        ask(c);
+    }
+}
+
+auto load_rig::ask(caller const& c) -> void
+{
+    auto& r = *rigs_[asked_ % rigs_.size()];
+    auto const id = "q" + std::to_string(asked_++);
+    callers_.emplace(std::pair{&r, r.ask(id)}, c);
 }
 
 auto load_rig::step() -> void
@@ -62,67 +114,151 @@
     {
         r->advance(tick_length);
         for (auto const& it : r->take_sent())
-            take(*r, it);
+            send(*r, it);
     }
     for (auto& [name, it] : targets_)
-        finish(it);
+    {
+        arrive(it);
+        run(it);
+        respond(it);
+    }
+    for (auto& r : rigs_)
+        hear(*r);
 }
 
-auto load_rig::take(rig& from, sent const& s) -> void
+auto load_rig::send(rig& from, sent const& s) -> void
 {
     auto& t = targets_.at(s.target);
-    auto const each = t.like.refuses_each;
-    auto const refuses = each != 0 && ++t.count % each == 0;
-    if (refuses || t.waiting.size() >= t.like.queue)
-        from.reply(s, reply_overloaded{});
-    else
-        t.waiting.push_back({&from, s, {}});
+    t.arriving.push_back({&from, s, now_ + t.like.way});
 }
 
-auto load_rig::finish(served& t) -> void
+auto load_rig::arrive(served& t) -> void
 {
-    auto done = std::vector<job>{};
-    std::erase_if(t.running,
-        [&](job const& it)
-        {
-            if (it.done > now_)
-                return false;
-            done.push_back(it);
-            return true;
-        });
+    for (auto const& it : take_due(t.arriving, now_))
+    {
+        ++t.count;
+        auto const hangs =
+            t.like.hangs_each != 0 && t.count % t.like.hangs_each == 0;
+        auto const refuses =
+            t.like.refuses_each != 0 && t.count % t.like.refuses_each == 0;
+        if (refuses || t.waiting.size() >= t.like.queue)
+            it.from->reply(it.request, reply_overloaded{});
+        else if (!hangs)
+            t.waiting.push_back(it);
+    }
+}
+
+auto load_rig::is_paused(served& t) -> bool
+{
+    if (t.like.pause_each == duration{0} || now_ < t.next_pause)
+        return false;
+    if (t.paused_until < t.next_pause)
+        t.paused_until = t.next_pause + t.like.pause_for;
+    if (now_ < t.paused_until)
+        return true;
+    t.next_pause += t.like.pause_each;
+    return false;
+}
+
+auto load_rig::work_of(served const& t) -> duration
+{
+    auto const away = t.like.work_spread * (2 * random_share() - 1);
+    return scaled(t.like.work, 1 + away);
+}
+
+auto load_rig::run(served& t) -> void
+{
+    if (is_paused(t))
+    {
+        for (auto& it : t.running)
+            it.due += tick_length;
+        return;
+    }
+    for (auto it : take_due(t.running, now_))
+    {
+        it.due = now_ + t.like.way;
+        t.returning.push_back(it);
+    }
     while (!t.waiting.empty() && t.running.size() < t.like.slots)
     {
-        t.running.push_back(t.waiting.front());
-        t.running.back().done = now_ + t.like.work;
+        auto it = t.waiting.front();
         t.waiting.pop_front();
+        if (!it.from->is_open(it.request.connection))
+            continue;
+        it.due = now_ + work_of(t);
+        t.running.push_back(it);
     }
-    for (auto const& it : done)
+}
+
+auto load_rig::respond(served& t) -> void
+{
+    for (auto const& it : take_due(t.returning, now_))
         it.from->succeed(it.request);
 }
 
-auto load_rig::result_of(asked_at const& asked, duration objective) const
-    -> load_result
+auto load_rig::hear(rig& r) -> void
 {
-    auto out = load_result{};
-    out.asked = asked.size();
-    auto count = [&](rig const* r, answered const& a)
+    for (auto& n = heard_[&r]; n < r.answers.size(); ++n)
     {
-        auto const took = a.at - asked.at({r, a.caller});
-        if (is<answer_failed>(a.answer))
-            return;
-        if (!is<answer_refused>(a.answer))
+        auto const a = r.answers[n];
+        auto const c = callers_.at({&r, a.caller});
+        auto const* refused = std::get_if<answer_refused>(&a.answer);
+        if (refused != nullptr && plan_.comes_back && !c.came_back)
         {
-            ++(took <= objective ? out.in_time : out.late);
-            return;
+            auto next = c;
+            next.came_back = true;
+            returning_callers_.emplace(now_ + refused->retry_after, next);
+            continue;
         }
-        ++out.refused;
-        out.slowest_refusal = std::max(out.slowest_refusal, took);
-    };
+        count(c, a);
+    }
+}
+
+auto load_rig::count(caller const& c, answered const& a) -> void
+{
+    if (is<answer_failed>(a.answer))
+        return;
+    if (is<answer_refused>(a.answer))
+    {
+        ++result_.refused;
+        result_.slowest_refusal =
+            std::max(result_.slowest_refusal, a.at - c.last);
+        return;
+    }
+    auto const took = a.at - c.first;
+    auto const in_time = took <= plan_.objective;
+    ++(in_time ? result_.in_time : result_.late);
+    result_.again += !in_time && a.at - c.last <= plan_.objective ? 1 : 0;
+    auto const* merged = std::get_if<answer_merged>(&a.answer);
+    result_.partial += merged != nullptr && merged->missing > 0 ? 1 : 0;
+    result_.took.push_back(took);
+    auto const second = std::chrono::floor<seconds>(c.first - start_).count();
+    result_.seconds.at(static_cast<std::size_t>(second)).in_time +=
+        in_time ? 1 : 0;
+}
+
+auto load_rig::finish() -> load_result
+{
+    for (auto const& [key, c] : callers_)
+    {
+        if (c.came_back)
+            continue;
+        ++result_.asked;
+        auto const second =
+            std::chrono::floor<seconds>(c.first - start_).count();
+        ++result_.seconds.at(static_cast<std::size_t>(second)).asked;
+    }
+    result_.failed =
+        result_.asked - result_.in_time - result_.late - result_.refused;
+    std::sort(result_.took.begin(), result_.took.end());
     for (auto const& r : rigs_)
-        for (auto const& a : r->answers)
-            count(r.get(), a);
-    out.failed = out.asked - out.in_time - out.late - out.refused;
-    return out;
+    {
+        auto const& n = r->core.stats();
+        result_.first_sends += n.first_sends;
+        result_.extra_sends += n.hedges + n.retries + n.probes;
+    }
+    result_.connections = accepted_.opened;
+    return result_;
 }
 
 } // namespace knapweedstream::dispatch
--- a/tests/dispatch/load.hpp
+++ b/tests/dispatch/load.hpp
@@ -1,7 +1,11 @@
-/// Targets with slots and queues in virtual time, and callers at a steady rate.
+/// A model of targets and callers in virtual time, around real dispatchers.
+///
+/// Targets have slots and queues, pause, hang and refuse; callers ask at a
+/// rate and come back once after a refusal.
 #ifndef KNAPWEEDSTREAM_TESTS_DISPATCH_LOAD_HPP
 #define KNAPWEEDSTREAM_TESTS_DISPATCH_LOAD_HPP
 
+#include "core/random.hpp"
 #include "dispatch/rig.hpp"
 
 #include <deque>
@@ -19,7 +23,33 @@
     std::uint32_t slots = 3;
     std::uint32_t queue = 24; ///< Refused beyond it.
     duration work{milliseconds{15}};
+    double work_spread = 0;         ///< Work varies by this share, either way.
+    duration way{0};                ///< From an instance, and back.
     std::uint32_t refuses_each = 0; ///< Every so manieth request; 0: none.
+    std::uint32_t hangs_each = 0;   ///< Likewise: never answered.
+    duration pause_each{0};         ///< Stands still so often; 0: never,
+    duration pause_for{0};          ///< and for so long.
+};
+
+/// What callers do.
+struct load_plan
+{
+    double per_s = 100;
+    duration length{seconds{5}};
+    duration objective{milliseconds{200}};
+    std::uint64_t seed = 0;  ///< Of random arrivals; 0: evenly spaced.
+    bool comes_back = false; ///< Once, when a refusal said.
+
+    auto operator<=>(load_plan const&) const = default;
+};
+
+/// What became of the requests that were first sent in one second.
+struct second_result
+{
+    std::size_t asked = 0;
+    std::size_t in_time = 0;
+
+    auto operator<=>(second_result const&) const = default;
 };
 
 /// What callers got.
@@ -27,53 +57,94 @@
 {
     std::size_t asked = 0;
     std::size_t in_time = 0; ///< Successes within the objective.
-    std::size_t late = 0;    ///< Successes beyond it.
+    std::size_t late = 0;    ///< Successes beyond it; of these
+    std::size_t again = 0;   ///< so many within it since the caller came back.
     std::size_t refused = 0;
     std::size_t failed = 0;      ///< Failures, and no answer at all.
+    std::size_t partial = 0;     ///< Successes with parts missing.
     duration slowest_refusal{0}; ///< From the request to its refusal.
+    std::vector<duration> took;  ///< By successes, the shortest first.
+    std::vector<second_result> seconds;
+    std::uint64_t first_sends = 0; ///< First requests to targets,
+    std::uint64_t extra_sends = 0; ///< hedges, retries and probes,
+    std::size_t connections = 0;   ///< and connections opened.
+
+    auto operator<=>(load_result const&) const = default;
+};
+
+/// What the instances and targets of a load are.
+struct load_init
+{
+    std::size_t instances = 1;
+    routing_config config;
+    std::vector<target_registration> registered;
+    std::map<std::string, modelled_target> targets; ///< By name.
+    std::size_t accepts = 10'000;                   ///< Connections a target.
+    dispatch_limits limits{};
 };
 
-/// Plays a load against instances that share targets.
+/// Plays a load against instances that share targets and know each other.
 class load_rig
 {
 public:
-    /// Instances that know one configuration, the targets and each other.
-    ///
-    /// @param[in] accepts Connections that each target accepts.
-    load_rig(std::size_t instances, routing_config const& c,
-        std::vector<target_registration> const& registered,
-        std::map<std::string, modelled_target> const& targets,
-        std::size_t accepts = 10'000);
+    explicit load_rig(load_init const& init);
 
-    /// Callers ask at a rate for a time; then all that is open may end.
-    auto play(double per_s, duration length, duration objective) -> load_result;
+    /// Callers ask for a time; then all that is open may end.
+    auto play(load_plan const& plan) -> load_result;
 
 private:
     struct job
     {
         rig* from = nullptr;
         sent request;
-        time_point done; ///< Once it runs.
+        time_point due; ///< When it arrives, ends or is answered.
     };
     struct served
     {
         modelled_target like;
-        std::vector<job> running;
+        time_point paused_until;
+        time_point next_pause;
+        std::vector<job> arriving;
         std::deque<job> waiting;
+        std::vector<job> running;
+        std::vector<job> returning;
         std::uint32_t count = 0;
     };
-    using asked_at = std::map<std::pair<rig const*, caller_id>, time_point>;
+    struct caller
+    {
+        time_point first; ///< When it first asked.
+        time_point last;  ///< When it asked last.
+        bool came_back = false;
+    };
 
+    auto begin(load_plan const& plan) -> void;
+    auto ask_due() -> void;
+    auto ask(caller const& c) -> void;
     auto step() -> void;
-    auto take(rig& from, sent const& s) -> void;
-    auto finish(served& t) -> void;
-    auto result_of(asked_at const& asked, duration objective) const
-        -> load_result;
+    auto send(rig& from, sent const& s) -> void;
+    auto arrive(served& t) -> void;
+    auto run(served& t) -> void;
+    auto respond(served& t) -> void;
+    auto is_paused(served& t) -> bool;
+    auto work_of(served const& t) -> duration;
+    auto hear(rig& r) -> void;
+    auto count(caller const& c, answered const& a) -> void;
+    auto finish() -> load_result;
+    auto random_share() -> double;
 
     accepted_connections accepted_;
     std::vector<std::unique_ptr<rig>> rigs_;
     std::map<std::string, served> targets_;
+    std::map<std::pair<rig const*, caller_id>, caller> callers_;
+    std::map<rig const*, std::size_t> heard_; ///< Answers taken so far.
+    std::multimap<time_point, caller> returning_callers_;
+    load_plan plan_;
+    load_result result_;
+    random_state random_;
     time_point now_;
+    time_point start_;
+    time_point next_ask_;
+    std::size_t asked_ = 0; ///< Also those who came back.
 };
 
 } // namespace knapweedstream::dispatch
--- a/tests/dispatch/rig.hpp
+++ b/tests/dispatch/rig.hpp
@@ -75,6 +75,9 @@
     auto lose(sent const& s, connection_end how = connection_end::reset)
         -> void;
 
+    /// True if a connection stands; only while `accepted` is set.
+    auto is_open(connection_id c) const -> bool { return open_to_.contains(c); }
+
     /// Takes what was sent since the last call.
     auto take_sent() -> std::vector<sent>;
 
--- a/tests/dispatch/test_load.cpp
+++ b/tests/dispatch/test_load.cpp
@@ -21,8 +21,14 @@
 /// One target with 3 slots, which serves 200 requests a second.
 auto one_target() -> load_rig
 {
-    return {instances, config_of(single_route("s")),
-        {registered("s-a", "s", "a")}, {{"s-a", {}}}};
+    return load_rig{{instances, config_of(single_route("s")),
+        {registered("s-a", "s", "a")}, {{"s-a", {}}}}};
+}
+
+/// Callers for five seconds.
+auto at_rate(double per_s) -> load_plan
+{
+    return {per_s, ks::seconds{5}, objective};
 }
 
 } // namespace
@@ -30,7 +36,7 @@
 TEST_CASE("load: a target that is asked too much serves what it can in time")
 {
     auto load = one_target();
-    auto const got = load.play(290, ks::seconds{5}, objective);
+    auto const got = load.play(at_rate(290));
     CHECK(share(got.in_time, got) >= 0.6);
     CHECK(share(got.failed, got) <= 0.02);
     CHECK(got.slowest_refusal <= objective / 4);
@@ -39,7 +45,7 @@
 TEST_CASE("load: without overload nothing is refused")
 {
     auto load = one_target();
-    auto const got = load.play(150, ks::seconds{5}, objective);
+    auto const got = load.play(at_rate(150));
     CHECK(got.refused == 0);
     CHECK(share(got.in_time, got) >= 0.99);
 }
@@ -48,9 +54,9 @@
 {
     auto targets = three_of("s1");
     targets.push_back(registered("s0-a", "s0", "a"));
-    auto load = load_rig{instances, config_of(shard_route({"s0", "s1"}, 1.0)),
-        targets, {{"s0-a", {}}, {"s1-a", {}}, {"s1-b", {}}, {"s1-c", {}}}};
-    auto const got = load.play(290, ks::seconds{5}, objective);
+    auto load = load_rig{{instances, config_of(shard_route({"s0", "s1"}, 1.0)),
+        targets, {{"s0-a", {}}, {"s1-a", {}}, {"s1-b", {}}, {"s1-c", {}}}}};
+    auto const got = load.play(at_rate(290));
     CHECK(share(got.in_time, got) >= 0.6);
     CHECK(share(got.failed, got) <= 0.02);
     CHECK(got.slowest_refusal <= objective / 4);
@@ -72,8 +78,8 @@
         }
     }
     auto load = load_rig{
-        instances, config_of(shard_route(shards, 0.8)), targets, models};
-    auto const got = load.play(150, ks::seconds{5}, objective);
+        {instances, config_of(shard_route(shards, 0.8)), targets, models}};
+    auto const got = load.play(at_rate(150));
     // Each shard's budget pays for half of the refusals; an answer can do
     // without one shard of the six.
     CHECK(share(got.in_time, got) >= 0.95);
@@ -86,9 +92,9 @@
     constexpr auto accepts = std::uint32_t{8}; // Of each of three targets.
     auto c = config_of(single_route("s"));
     c.services = {{"s", "/health", accepts, milliseconds{0}, 0}};
-    auto load = load_rig{many, c, three_of("s"),
-        {{"s-a", {}}, {"s-b", {}}, {"s-c", {}}}, accepts};
-    auto const got = load.play(100, ks::seconds{10}, objective);
+    auto load = load_rig{{many, c, three_of("s"),
+        {{"s-a", {}}, {"s-b", {}}, {"s-c", {}}}, accepts}};
+    auto const got = load.play({100, ks::seconds{10}, objective});
     CHECK(share(got.in_time, got) >= 0.99);
     CHECK(share(got.failed + got.refused, got) <= 0.002);
 }
