Connection shares are worked out for a service at once

The shares of one service took 294 x 30 x 30 hashes and a copy of the list of instances for each target, and were worked out again at each change of the list.

Change: one table of ranks for all targets of a service; far claims are only counted where near ones do not take all. The division is the same.

--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -59,21 +59,22 @@
     return all;
 }
 
+/// Works out what this instance may hold to each target of a service.
+auto share_connections(dispatch_state& s, service_entry const& service) -> void
+{
+    auto const fleet = fleet_of(s);
+    auto const all = shared_targets(s, service, fleet.size());
+    auto const shares = connection_shares(all, fleet, s.init.self);
+    for (std::size_t i = 0; i < all.size(); ++i)
+        s.targets.at(all[i].id).link_limit = shares[i];
+}
+
 auto link_limit(dispatch_state& s, target_entry& t) -> std::uint32_t
 {
-    if (t.link_limit)
-        return *t.link_limit;
     auto const it = s.services.find(t.service);
-    if (it == s.services.end())
-        return 0;
-    auto const fleet = fleet_of(s);
-    auto const all = shared_targets(s, it->second, fleet.size());
-    auto const mine = std::find_if(all.begin(), all.end(),
-        [&](shared_target const& o) { return o.id == t.id; });
-    t.link_limit = mine == all.end()
-                       ? 0
-                       : connection_share(*mine, all, fleet, s.init.self);
-    return *t.link_limit;
+    if (!t.link_limit && it != s.services.end())
+        share_connections(s, it->second);
+    return t.link_limit.value_or(0);
 }
 
 /// Far targets are connected to ahead of need once the fleet is known.
--- a/src/core/dispatch/sharing.cpp
+++ b/src/core/dispatch/sharing.cpp
@@ -19,63 +19,114 @@
     auto operator<=>(claim const&) const = default;
 };
 
-auto rank_of(target_id target, std::string const& instance) -> std::uint64_t
+/// What the division of a service's targets is worked out from.
+struct division
 {
-    return hash_name(instance, target.value);
+    std::span<shared_target const> targets;
+    std::span<instance_record const> instances;
+    std::vector<std::uint64_t> ranks; ///< By target, then by instance.
+};
+
+auto make_division(std::span<shared_target const> targets,
+    std::span<instance_record const> instances) -> division
+{
+    auto d = division{targets, instances, {}};
+    d.ranks.reserve(targets.size() * instances.size());
+    for (auto const& t : targets)
+        for (auto const& it : instances)
+            d.ranks.push_back(hash_name(it.name, t.id.value));
+    return d;
 }
 
-/// Place of a target among the far targets of its service for an instance.
-auto far_place(shared_target const& t, std::span<shared_target const> all,
-    instance_record const& r) -> std::uint32_t
+auto rank_of(division const& d, std::size_t target, std::size_t instance)
+    -> std::uint64_t
 {
-    auto const mine = rank_of(t.id, r.name);
-    auto n = 0u;
-    for (auto const& it : all)
-        if (it.region != r.region && it.id != t.id)
-            n += rank_of(it.id, r.name) < mine ? 1 : 0;
-    return n;
+    return d.ranks[target * d.instances.size() + instance];
 }
 
-auto count_far(std::span<shared_target const> all, instance_record const& r)
-    -> std::uint32_t
+auto is_near(division const& d, std::size_t target, std::size_t instance)
+    -> bool
+{
+    return d.targets[target].region == d.instances[instance].region;
+}
+
+/// The far targets of an instance: how many, and the place of one among them.
+struct far_targets
+{
+    std::uint32_t count = 0;
+    std::uint32_t place = 0;
+};
+
+auto far_targets_of(division const& d, std::size_t target, std::size_t instance)
+    -> far_targets
+{
+    auto const mine = rank_of(d, target, instance);
+    auto out = far_targets{};
+    for (std::size_t t = 0; t < d.targets.size(); ++t)
+    {
+        if (is_near(d, t, instance))
+            continue;
+        ++out.count;
+        out.place += rank_of(d, t, instance) < mine ? 1 : 0;
+    }
+    return out;
+}
+
+auto count_near(division const& d, std::size_t target) -> std::size_t
 {
-    return static_cast<std::uint32_t>(std::count_if(all.begin(), all.end(),
-        [&](shared_target const& it) { return it.region != r.region; }));
+    auto n = std::size_t{0};
+    for (std::size_t i = 0; i < d.instances.size(); ++i)
+        n += is_near(d, target, i) ? 1 : 0;
+    return n;
 }
 
-auto claims_on(shared_target const& t, std::span<shared_target const> all,
-    std::span<instance_record const> instances) -> std::vector<claim>
+auto claims_on(division const& d, std::size_t target) -> std::vector<claim>
 {
+    // Only first connections of near instances, if these take all.
+    auto const scarce = count_near(d, target) >= d.targets[target].connections;
     auto claims = std::vector<claim>{};
-    for (std::size_t i = 0; i < instances.size(); ++i)
+    for (std::size_t i = 0; i < d.instances.size(); ++i)
     {
-        auto const& r = instances[i];
-        auto const near = r.region == t.region;
-        auto const rank = rank_of(t.id, r.name);
-        auto const place = near ? 0 : far_place(t, all, r);
-        auto const far = count_far(all, r);
-        auto const most = near ? max_near_connections : max_far_connections;
+        auto const near = is_near(d, target, i);
+        if (scarce && !near)
+            continue;
+        auto const rank = rank_of(d, target, i);
+        auto const far = near ? far_targets{} : far_targets_of(d, target, i);
+        auto const most = scarce ? 1
+                          : near ? max_near_connections
+                                 : max_far_connections;
         for (auto n = 0u; n < most; ++n)
             claims.push_back(
-                {near ? 2 * n : 2 * (place + n * far) + 1, rank, i});
+                {near ? 2 * n : 2 * (far.place + n * far.count) + 1, rank, i});
     }
     return claims;
 }
 
-} // namespace
-
-auto connection_share(shared_target const& t,
-    std::span<shared_target const> all,
-    std::span<instance_record const> instances, instance_record const& self)
+/// Connections to one target that are granted to an instance.
+auto granted_to(division const& d, std::size_t target, std::string const& name)
     -> std::uint32_t
 {
-    auto claims = claims_on(t, all, instances);
-    auto const granted = std::min<std::size_t>(claims.size(), t.connections);
+    auto claims = claims_on(d, target);
+    auto const granted =
+        std::min<std::size_t>(claims.size(), d.targets[target].connections);
     auto const end = claims.begin() + static_cast<std::ptrdiff_t>(granted);
     std::nth_element(claims.begin(), end, claims.end());
     return static_cast<std::uint32_t>(std::count_if(claims.begin(), end,
         [&](claim const& it)
-        { return instances[it.instance].name == self.name; }));
+        { return d.instances[it.instance].name == name; }));
+}
+
+} // namespace
+
+auto connection_shares(std::span<shared_target const> targets,
+    std::span<instance_record const> instances, instance_record const& self)
+    -> std::vector<std::uint32_t>
+{
+    auto const d = make_division(targets, instances);
+    auto shares = std::vector<std::uint32_t>{};
+    for (std::size_t t = 0; t < targets.size(); ++t)
+        shares.push_back(granted_to(d, t, self.name));
+    return shares;
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/sharing.hpp
+++ b/src/core/dispatch/sharing.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace knapweedstream::dispatch
 {
@@ -31,16 +32,15 @@
 constexpr auto max_near_connections = 6u; ///< Of one instance to a target
 constexpr auto max_far_connections = 3u;  ///< of its region, or of another.
 
-/// Connections that one instance may hold to a target.
+/// Connections that one instance may hold to each target of a service.
 ///
-/// @param[in] t The target.
-/// @param[in] all All targets of its service.
+/// @param[in] targets All targets of the service.
 /// @param[in] instances All instances; the one that asks among them.
 /// @param[in] self The instance that asks.
-auto connection_share(shared_target const& t,
-    std::span<shared_target const> all,
+/// @returns A number for each target, in their order.
+auto connection_shares(std::span<shared_target const> targets,
     std::span<instance_record const> instances, instance_record const& self)
-    -> std::uint32_t;
+    -> std::vector<std::uint32_t>;
 
 } // namespace knapweedstream::dispatch
 
--- a/tests/dispatch/test_decisions.cpp
+++ b/tests/dispatch/test_decisions.cpp
@@ -233,6 +233,13 @@
         });
 }
 
+/// Targets that an instance may hold a connection to.
+auto reached_by(fleet const& f, ks::instance_record const& it) -> long
+{
+    auto const n = connection_shares(f.targets, f.instances, it);
+    return std::count_if(n.begin(), n.end(), [](auto c) { return c > 0; });
+}
+
 } // namespace
 
 TEST_CASE("connections: all instances together keep to a target's limit")
@@ -241,13 +248,15 @@
         []
         {
             auto const f = *gen_fleet();
-            for (auto const& t : f.targets)
+            auto sums = std::vector<std::uint32_t>(f.targets.size());
+            for (auto const& it : f.instances)
             {
-                auto sum = 0u;
-                for (auto const& it : f.instances)
-                    sum += connection_share(t, f.targets, f.instances, it);
-                RC_ASSERT(sum <= t.connections);
+                auto const n = connection_shares(f.targets, f.instances, it);
+                for (std::size_t i = 0; i < n.size(); ++i)
+                    sums[i] += n[i];
             }
+            for (std::size_t i = 0; i < sums.size(); ++i)
+                RC_ASSERT(sums[i] <= f.targets[i].connections);
         }));
 }
 
@@ -263,11 +272,7 @@
                 t.connections = 2 * n;
             for (auto const& it : f.instances)
             {
-                auto reached = 0;
-                for (auto const& t : f.targets)
-                    reached +=
-                        connection_share(t, f.targets, f.instances, it) > 0;
-                RC_ASSERT(reached >= 2);
+                RC_ASSERT(reached_by(f, it) >= 2);
             }
         }));
 }
@@ -285,14 +290,10 @@
     auto twice = 0;
     for (auto const& it : f.instances)
     {
-        auto reached = 0;
-        for (auto const& t : f.targets)
-        {
-            auto const n = connection_share(t, f.targets, f.instances, it);
-            reached += n > 0;
-            CHECK((t.region != it.region || n > 0));
-        }
-        twice += reached >= 2;
+        auto const n = connection_shares(f.targets, f.instances, it);
+        for (std::size_t i = 0; i < n.size(); ++i)
+            CHECK((f.targets[i].region != it.region || n[i] > 0));
+        twice += reached_by(f, it) >= 2;
     }
     CHECK(twice >= 65);
 }
@@ -312,11 +313,5 @@
     for (auto i = 0u; i < targets; ++i)
         f.targets.push_back({ks::target_id{i + 1}, std::to_string(i), used});
     for (auto const& it : f.instances)
-    {
-        auto reached = 0;
-        for (auto const& t : f.targets)
-            reached +=
-                connection_share(t, f.targets, f.instances, it) > 0 ? 1 : 0;
-        CHECK(reached >= 1);
-    }
+        CHECK(reached_by(f, it) >= 1);
 }
