A few targets of a service are connected to ahead of need

Spare connections are opened after a whole batch of registrations.

Before: new test "connections: of many targets few are connected to ahead of need" failed with that condition taken out. After: passes.

--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -141,6 +141,7 @@
         of("turned_away_slack_ms", &l::turned_away_slack),
         of("connection_share", &l::connection_share),
         of("most_connection_share", &l::most_connection_share),
+        of("ahead_near", &l::ahead_near), of("ahead_far", &l::ahead_far),
         of("borrowed_for_ms", &l::borrowed_for),
         of("late_in_a_row", &l::late_in_a_row),
         of("suspension_first_ms", &l::suspension_first),
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -119,8 +119,10 @@
     if (drains)
         tell_target(t, target_view::draining, out);
     if (!is_usable(t, now))
+    {
         close_idle(s, t, out);
-    keep_spare(s, t, now, out);
+        reshare(s, t.service);
+    }
 }
 
 auto mark_routed(dispatch_state& s) -> void
@@ -150,8 +152,7 @@
     mark_routed(s);
     out.push_back(limit_callers{c.limits});
     out.push_back(note{config_in_force{c.version, revision, c.routes.size()}});
-    for (auto& [id, t] : s.targets)
-        keep_spare(s, t, now, out);
+    keep_spares(s, now, out);
 }
 
 auto set_evacuated(dispatch_state& s, std::string const& zone, bool on,
@@ -170,8 +171,9 @@
             t.evacuated = on;
             if (on)
                 close_idle(s, t, out);
-            keep_spare(s, t, now, out);
+            reshare(s, t.service);
         }
+    keep_spares(s, now, out);
 }
 
 auto set_instance(dispatch_state& s, std::string const& name,
@@ -249,20 +251,6 @@
     return names;
 }
 
-} // namespace
-
-auto service_entry_of(dispatch_state& s, std::string const& name)
-    -> service_entry&
-{
-    auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
-    if (fresh)
-    {
-        it->second.name = name;
-        it->second.budget = with_share({}, budget_share_of(s));
-    }
-    return it->second;
-}
-
 auto take_change(dispatch_state& s, store_kind kind, stored_change const& c,
     time_point now, commands& out) -> void
 {
@@ -280,6 +268,20 @@
         s.revisions[kind].erase(o.name);
 }
 
+} // namespace
+
+auto service_entry_of(dispatch_state& s, std::string const& name)
+    -> service_entry&
+{
+    auto const [it, fresh] = s.services.try_emplace(id_of<service_id>(name));
+    if (fresh)
+    {
+        it->second.name = name;
+        it->second.budget = with_share({}, budget_share_of(s));
+    }
+    return it->second;
+}
+
 auto take_list(dispatch_state& s, store_kind kind,
     std::span<stored_object const> objects, time_point now, commands& out)
     -> void
@@ -296,6 +298,18 @@
             s.revisions[kind].erase(name);
             drop_object(s, kind, name, 0, now, out);
         }
+    if (kind == store_kind::targets)
+        keep_spares(s, now, out);
+}
+
+auto take_changes(dispatch_state& s, store_kind kind,
+    std::span<stored_change const> changes, time_point now, commands& out)
+    -> void
+{
+    for (auto const& it : changes)
+        take_change(s, kind, it, now, out);
+    if (kind == store_kind::targets)
+        keep_spares(s, now, out);
 }
 
 auto on_target_due(dispatch_state& s, target_due const& e, time_point now,
--- a/src/core/dispatch/catalog.hpp
+++ b/src/core/dispatch/catalog.hpp
@@ -15,9 +15,10 @@
     std::span<stored_object const> objects, time_point now, commands& out)
     -> void;
 
-/// Takes one change in.
-auto take_change(dispatch_state& s, store_kind kind, stored_change const& c,
-    time_point now, commands& out) -> void;
+/// Takes changes in.
+auto take_changes(dispatch_state& s, store_kind kind,
+    std::span<stored_change const> changes, time_point now, commands& out)
+    -> void;
 
 /// A target may be connected to again, or its registration has lapsed.
 auto on_target_due(dispatch_state& s, target_due const& e, time_point now,
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -59,22 +59,49 @@
     return all;
 }
 
+/// Chooses the targets that are connected to ahead of need: some of those that
+/// this instance has a share of, the nearest first, others for each instance.
+auto choose_ahead(
+    dispatch_state& s, service_entry const& service, time_point now) -> void
+{
+    auto order = std::vector<target_entry*>{};
+    for (auto const id : service.targets)
+        if (auto& t = s.targets.at(id); t.share->limit > 0 && is_usable(t, now))
+            order.push_back(&t);
+    auto const key = [&](target_entry const* t)
+    {
+        return std::pair{t->where, hash_name(s.init.self.name, t->id.value)};
+    };
+    std::sort(order.begin(), order.end(),
+        [&](auto const* a, auto const* b) { return key(a) < key(b); });
+    auto near = s.init.limits.ahead_near;
+    auto far = s.init.limits.ahead_far;
+    for (auto* t : order)
+    {
+        auto& left = t->where == proximity::far ? far : near;
+        t->share->ahead = left > 0;
+        left -= left > 0 ? 1 : 0;
+    }
+}
+
 /// Works out what this instance may hold to each target of a service.
-auto share_connections(dispatch_state& s, service_entry const& service) -> void
+auto share_connections(
+    dispatch_state& s, service_entry const& service, time_point now) -> void
 {
     auto const fleet = fleet_of(s);
     auto const all = shared_targets(s, service, fleet.size());
     auto const shares = connection_shares(all, fleet, s.init.self);
     for (std::size_t i = 0; i < all.size(); ++i)
-        s.targets.at(all[i].id).link_limit = shares[i];
+        s.targets.at(all[i].id).share = link_share{shares[i], false};
+    choose_ahead(s, service, now);
 }
 
-auto link_limit(dispatch_state& s, target_entry& t) -> std::uint32_t
+auto share_of(dispatch_state& s, target_entry& t, time_point now) -> link_share
 {
     auto const it = s.services.find(t.service);
-    if (!t.link_limit && it != s.services.end())
-        share_connections(s, it->second);
-    return t.link_limit.value_or(0);
+    if (!t.share && it != s.services.end())
+        share_connections(s, it->second, now);
+    return t.share.value_or(link_share{});
 }
 
 /// Far targets are connected to ahead of need once the fleet is known.
@@ -104,7 +131,7 @@
         idle_limit == duration{0}
             ? time_point::max()
             : now + std::max(idle_limit - margin, idle_limit / 2);
-    if (t.links <= link_limit(s, t))
+    if (t.links <= share_of(s, t, now).limit)
         return by_target;
     return std::min(by_target, now + s.init.limits.borrowed_for);
 }
@@ -150,12 +177,13 @@
 {
     return now >= t.open_after && t.opening < max_opening &&
            (t.open_failures == 0 || t.opening == 0) &&
-           t.links < link_limit(s, t);
+           t.links < share_of(s, t, now).limit;
 }
 
-auto may_have_links(dispatch_state& s, target_entry& t) -> std::uint32_t
+auto may_have_links(dispatch_state& s, target_entry& t, time_point now)
+    -> std::uint32_t
 {
-    return link_limit(s, t);
+    return share_of(s, t, now).limit;
 }
 
 auto open_link(
@@ -180,10 +208,17 @@
     auto const it = s.services.find(t.service);
     auto const routed = it != s.services.end() && it->second.routed;
     if (routed && is_usable(t, now) && t.idle.empty() && t.opening == 0 &&
-        t.links == 0 && may_spare(s, t) && may_open(s, t, now))
+        t.links == 0 && may_spare(s, t) && share_of(s, t, now).ahead &&
+        may_open(s, t, now))
         open_link(s, t, now, out);
 }
 
+auto keep_spares(dispatch_state& s, time_point now, commands& out) -> void
+{
+    for (auto& [id, t] : s.targets)
+        keep_spare(s, t, now, out);
+}
+
 auto forget_link(dispatch_state& s, link const& l) -> void
 {
     auto const it = s.targets.find(l.to);
@@ -271,13 +306,13 @@
     if (it == s.services.end())
         return;
     for (auto const id : it->second.targets)
-        s.targets.at(id).link_limit.reset();
+        s.targets.at(id).share.reset();
 }
 
 auto reshare_all(dispatch_state& s) -> void
 {
     for (auto& [id, t] : s.targets)
-        t.link_limit.reset();
+        t.share.reset();
 }
 
 auto was_turned_away(dispatch_state const& s, link const& l, connection_end how,
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -32,12 +32,17 @@
     dispatch_state& s, target_entry& t, time_point now, commands& out) -> void;
 
 /// Connections that this instance may have to the target.
-auto may_have_links(dispatch_state& s, target_entry& t) -> std::uint32_t;
+auto may_have_links(dispatch_state& s, target_entry& t, time_point now)
+    -> std::uint32_t;
 
-/// Opens a connection ahead of need if the target has none to spare.
+/// Opens a connection ahead of need if the target is one of those that have
+/// one, and has none to spare.
 auto keep_spare(
     dispatch_state& s, target_entry& t, time_point now, commands& out) -> void;
 
+/// Likewise for all targets.
+auto keep_spares(dispatch_state& s, time_point now, commands& out) -> void;
+
 /// Closes a connection and removes it from the tables.
 auto close_link(dispatch_state& s, connection_id id, commands& out) -> void;
 
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -231,7 +231,7 @@
     auto each = 0.0;  // Time that one takes, us.
     for (auto* it : targets)
     {
-        auto const links = std::max(it->links, may_have_links(s, *it));
+        auto const links = std::max(it->links, may_have_links(s, *it, now));
         width += std::max(1.0, std::min<double>(links, it->room.limit));
         auto const usual =
             typical(estimate_for(s, *r.by, it->where), prior(it->where));
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -107,8 +107,7 @@
     commands& out) -> void
 {
     regained(s, e.kind, now, out);
-    for (auto const& it : e.changes)
-        take_change(s, e.kind, it, now, out);
+    take_changes(s, e.kind, e.changes, now, out);
     step(s, with_changes(s.follows[e.kind], e, s.init.limits, now), out);
     update_ready(s, out);
 }
@@ -172,8 +171,7 @@
         return;
     out.push_back(
         note{watch_silent{e.kind, f.revision, e.revision, e.changes.size()}});
-    for (auto const& it : e.changes)
-        take_change(s, e.kind, it, now, out);
+    take_changes(s, e.kind, e.changes, now, out);
     step(s, with_checked(f, e, s.init.limits), out);
     update_ready(s, out);
 }
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -136,6 +136,15 @@
     time_point looked_at = time_point::max(); ///< Next look, if armed.
 };
 
+/// Connections that this instance may have to a target.
+struct link_share
+{
+    std::uint32_t limit = 0;
+    bool ahead = false; ///< One is opened ahead of need.
+
+    auto operator<=>(link_share const&) const = default;
+};
+
 /// A target with its connections.
 struct target_entry
 {
@@ -153,9 +162,9 @@
     warmup_allowance warmup; ///< While it is cold.
     target_health health;
     adaptive_limit room; ///< Requests that it may have at once from here.
-    std::vector<connection_id> idle;         ///< The one used last is the last.
-    std::optional<std::uint32_t> link_limit; ///< Links that it may have.
-    std::uint32_t links = 0;                 ///< Opening, idle or busy.
+    std::vector<connection_id> idle; ///< The one used last is the last.
+    std::optional<link_share> share; ///< Worked out when needed.
+    std::uint32_t links = 0;         ///< Opening, idle or busy.
     std::uint32_t opening = 0;
     time_point opened_last;          ///< When the newest opening began.
     std::uint32_t open_failures = 0; ///< In a row.
--- a/tests/dispatch/test_queue.cpp
+++ b/tests/dispatch/test_queue.cpp
@@ -170,3 +170,23 @@
     // 85% of 31 connections among 8 instances.
     CHECK(r.take_sent().size() == 3);
 }
+
+TEST_CASE("connections: of many targets few are connected to ahead of need")
+{
+    constexpr auto many = 30;
+    auto r = rig{};
+    r.age();
+    auto targets = std::vector<ks::target_registration>{};
+    for (auto i = 0; i < many; ++i)
+        targets.push_back(
+            registered("s-" + std::to_string(i), "s", i % 3 == 0 ? "a" : "b"));
+    r.begin(config_of(single_route("s")), targets);
+    r.advance(ks::seconds{5});
+    auto const limits = dispatch_limits{};
+    CHECK(r.ordered<open_connection>().size() <=
+          limits.ahead_near + limits.ahead_far);
+    // More are opened when they are needed.
+    for (auto i = 0; i < many; ++i)
+        r.ask("q" + std::to_string(i));
+    CHECK(r.take_sent().size() == many);
+}
