--- a/bench/experiment/scenarios.cpp
+++ b/bench/experiment/scenarios.cpp
@@ -92,6 +92,16 @@
     return s;
 }
 
+/// A shard that each answer needs has two targets that hang, and a slow one.
+auto half_hung(scenario s) -> scenario
+{
+    std::get<to_shards>(s.init.config.routes.front().to).min_coverage = 1;
+    for (auto const* name : {"s0-a", "s0-b"})
+        s.init.targets.at(name).hangs_each = 3;
+    s.init.targets.at("s0-c").work *= 8;
+    return s;
+}
+
 auto at_rate(scenario s, double per_s) -> scenario
 {
     s.plan.per_s = per_s;
@@ -119,6 +129,8 @@
         with_zone(
             gathers("slow", "one target of each shard is 8 times as slow"), "a",
             shard_count, slow),
+        half_hung(gathers("half-hung", "two targets of a needed shard hang on "
+                                       "each third, the third is slow")),
         with_zone(gathers("hangs", "a target of each shard hangs each third"),
             "a", shard_count, hang),
         with_zone(
--- a/tests/dispatch/load.cpp
+++ b/tests/dispatch/load.cpp
@@ -137,13 +137,11 @@
     for (auto const& it : take_due(t.arriving, now_))
     {
         ++t.count;
-        auto const hangs =
-            t.like.hangs_each != 0 && t.count % t.like.hangs_each == 0;
         auto const refuses =
             t.like.refuses_each != 0 && t.count % t.like.refuses_each == 0;
         if (refuses || t.waiting.size() >= t.like.queue)
             it.from->reply(it.request, reply_overloaded{});
-        else if (!hangs)
+        else
             t.waiting.push_back(it);
     }
 }
@@ -160,8 +158,11 @@
     return false;
 }
 
-auto load_rig::work_of(served const& t) -> duration
+auto load_rig::work_of(served& t) -> duration
 {
+    constexpr auto forever = std::chrono::hours{1};
+    if (t.like.hangs_each != 0 && ++t.started % t.like.hangs_each == 0)
+        return forever;
     auto const away = t.like.work_spread * (2 * random_share() - 1);
     return scaled(t.like.work, 1 + away);
 }
@@ -174,6 +175,8 @@
             it.due += tick_length;
         return;
     }
+    std::erase_if(t.running,
+        [](job const& it) { return !it.from->is_open(it.request.connection); });
     for (auto it : take_due(t.running, now_))
     {
         it.due = now_ + t.like.way;
--- a/tests/dispatch/load.hpp
+++ b/tests/dispatch/load.hpp
@@ -26,7 +26,8 @@
     double work_spread = 0;         ///< Work varies by this share, either way.
     duration way{0};                ///< From an instance, and back.
     std::uint32_t refuses_each = 0; ///< Every so manieth request; 0: none.
-    std::uint32_t hangs_each = 0;   ///< Likewise: never answered.
+    std::uint32_t hangs_each = 0;   ///< Likewise: holds its slot until its
+                                    ///< connection is closed.
     duration pause_each{0};         ///< Stands still so often; 0: never,
     duration pause_for{0};          ///< and for so long.
 };
@@ -108,7 +109,8 @@
         std::deque<job> waiting;
         std::vector<job> running;
         std::vector<job> returning;
-        std::uint32_t count = 0;
+        std::uint32_t count = 0;   ///< Requests that arrived,
+        std::uint32_t started = 0; ///< and that began to run.
     };
     struct caller
     {
@@ -126,7 +128,7 @@
     auto run(served& t) -> void;
     auto respond(served& t) -> void;
     auto is_paused(served& t) -> bool;
-    auto work_of(served const& t) -> duration;
+    auto work_of(served& t) -> duration;
     auto hear(rig& r) -> void;
     auto count(caller const& c, answered const& a) -> void;
     auto finish() -> load_result;
