--- a/bench/experiment/scenarios.cpp
+++ b/bench/experiment/scenarios.cpp
@@ -102,6 +102,19 @@
     return s;
 }
 
+/// A shard has no target left; another, which each answer then needs, has one,
+/// four times as slow.
+auto narrow(scenario s) -> scenario
+{
+    std::erase_if(s.init.registered,
+        [](target_registration const& it) {
+            return it.service == "s0" ||
+                   (it.service == "s1" && it.name != "s1-a");
+        });
+    s.init.targets.at("s1-a").work *= 4;
+    return s;
+}
+
 auto at_rate(scenario s, double per_s) -> scenario
 {
     s.plan.per_s = per_s;
@@ -129,6 +142,9 @@
         with_zone(
             gathers("slow", "one target of each shard is 8 times as slow"), "a",
             shard_count, slow),
+        at_rate(narrow(gathers("narrow", "a shard is down, another has one "
+                                         "target, for 5/6 of what is asked")),
+            150),
         half_hung(gathers("half-hung", "two targets of a needed shard hang on "
                                        "each third, the third is slow")),
         with_zone(gathers("hangs", "a target of each shard hangs each third"),
