--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -236,9 +236,9 @@
 auto claim_until(node_state const& s, duration left, time_point now)
     -> time_point
 {
-    constexpr auto most_of_deadline = 4; // The inverse: a quarter.
+    constexpr auto margin_share = 4; ///< A quarter of the time at most.
     auto const margin = duration{s.init.limits.claim_margin};
-    return now + left - std::min(margin, left / most_of_deadline);
+    return now + left - std::min(margin, left / margin_share);
 }
 
 } // namespace
