--- a/tests/failure/test_deadly.cpp
+++ b/tests/failure/test_deadly.cpp
@@ -44,15 +44,7 @@
     w->run_for(milliseconds{600});
     for (auto const id : innocent)
         CHECK_FALSE(w->callers[id].refused);
-    auto again = 0;
-    for (auto n = 0; n < 36; ++n)
-    {
-        auto const id =
-            w->query(n % 3, "voorraad", "innocent-" + std::to_string(n));
-        w->run_for(milliseconds{250});
-        again += is_complete(w->callers[id]) ? 1 : 0;
-    }
-    CHECK(again == 36);
+    CHECK(ask_in_turn(*w, "innocent", 36, milliseconds{250}) == 36);
 }
 
 TEST_CASE("one crash that two owners see in turn is one death")
--- a/tests/failure/test_queries.cpp
+++ b/tests/failure/test_queries.cpp
@@ -77,14 +77,7 @@
     auto w = standard_world(4);
     for (auto& [address, l] : w->leafs)
         l.frozen = l.info.zone == "brugge-zuid";
-    auto whole = 0;
-    for (auto n = 0; n < 30; ++n)
-    {
-        auto const id =
-            w->query(n % 3, "voorraad", "warm-" + std::to_string(n));
-        w->run_for(milliseconds{250});
-        whole += is_complete(w->callers[id]) ? 1 : 0;
-    }
+    auto const whole = ask_in_turn(*w, "warm", 30, milliseconds{250});
     w->run_for(milliseconds{300});
     CHECK(whole == 30);
 }
@@ -179,14 +172,7 @@
     w->run_for(milliseconds{20});
     w->start(0);
     w->run_for(milliseconds{300});
-    auto whole = 0;
-    for (auto n = 0; n < 30; ++n)
-    {
-        auto const id =
-            w->query(n % 3, "voorraad", "warm-" + std::to_string(n));
-        w->run_for(milliseconds{30});
-        whole += is_complete(w->callers[id]) ? 1 : 0;
-    }
+    auto const whole = ask_in_turn(*w, "warm", 30, milliseconds{30});
     CHECK(whole == 30);
 }
 
@@ -198,11 +184,7 @@
     w->publish();
     auto const traffic = [&]
     {
-        for (auto n = 0; n < 40; ++n)
-        {
-            w->query(n % 3, "voorraad", "warm-" + std::to_string(n));
-            w->run_for(milliseconds{25});
-        }
+        ask_in_turn(*w, "warm", 40, milliseconds{25});
     };
     traffic();
     w->run_for(seconds{2});
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -212,6 +212,13 @@
 
     auto send(std::size_t i, peer_send const& p) -> void;
 
+    /// A call reaches the platform, which may be down.
+    auto at_platform(std::size_t i, event const& failed,
+        std::function<void()> const& act) -> void;
+
+    /// True if the platform loses its answer to a write that was done.
+    auto loses_answer(std::size_t i, event const& failed) -> bool;
+
     auto store(std::size_t i, claims_write const& w) -> void;
 
     auto load(std::size_t i, claims_read const& r) -> void;
@@ -249,6 +256,23 @@
     return o.count == 1 && o.answer && o.answer->covered.missing.empty();
 }
 
+/// Asks the three instances in turn, one query each so often.
+///
+/// @returns Queries that were answered whole.
+inline auto ask_in_turn(
+    world& w, std::string const& text, int n, milliseconds each) -> int
+{
+    auto whole = 0;
+    for (auto i = 0; i < n; ++i)
+    {
+        auto const id =
+            w.query(i % 3, "voorraad", text + "-" + std::to_string(i));
+        w.run_for(each);
+        whole += is_complete(w.callers[id]) ? 1 : 0;
+    }
+    return whole;
+}
+
 /// Three instances in two zones and one service, warmed up.
 inline auto standard_world(std::uint64_t seed, std::uint32_t shards = 6)
     -> std::unique_ptr<world>
@@ -261,11 +285,7 @@
     w->add_instance("entry-3", "gent-dok");
     w->publish();
     w->run_for(milliseconds{500});
-    for (auto i = 0; i < 40; ++i)
-    {
-        w->query(i % 3, "voorraad", "warm-" + std::to_string(i));
-        w->run_for(milliseconds{30});
-    }
+    ask_in_turn(*w, "warm", 40, milliseconds{30});
     w->run_for(milliseconds{500});
     return w;
 }
--- a/tests/fakes_ports.cpp
+++ b/tests/fakes_ports.cpp
@@ -169,35 +169,51 @@
         to, us{300 + draw(400)} + peer_delay, peer_received{from, p.messages});
 }
 
-auto world::store(std::size_t i, claims_write const& w) -> void
+auto world::at_platform(std::size_t i, event const& failed,
+    std::function<void()> const& act) -> void
 {
-    auto const key = std::pair{w.bucket.service.value, w.bucket.shard.value};
     at(us{1'000 + draw(2'000)},
-        [this, i, w, key]
+        [this, i, failed, act]
         {
             if (platform.down)
-                return later(i, us{100'000}, claims_failed{w.bucket});
+                return later(i, us{100'000}, failed);
+            act();
+        });
+}
+
+auto world::loses_answer(std::size_t i, event const& failed) -> bool
+{
+    if (platform.lose_answers == 0)
+        return false;
+    --platform.lose_answers;
+    later(i, us{50'000}, failed);
+    return true;
+}
+
+auto world::store(std::size_t i, claims_write const& w) -> void
+{
+    auto const key = std::pair{w.bucket.service.value, w.bucket.shard.value};
+    auto const failed = claims_failed{w.bucket};
+    at_platform(i, failed,
+        [this, i, w, key, failed]
+        {
             auto& o = platform.buckets[key];
             if (o.version != w.if_version)
                 return later(
                     i, us{1'000}, claims_stored{w.bucket, o.version, o.claims});
             o = {o.version + 1, w.claims};
             ++platform.writes;
-            if (platform.lose_answers == 0)
-                return later(i, us{1'000}, claims_written{w.bucket, o.version});
-            --platform.lose_answers;
-            later(i, us{50'000}, claims_failed{w.bucket});
+            if (!loses_answer(i, failed))
+                later(i, us{1'000}, claims_written{w.bucket, o.version});
         });
 }
 
 auto world::load(std::size_t i, claims_read const& r) -> void
 {
     auto const key = std::pair{r.bucket.service.value, r.bucket.shard.value};
-    at(us{1'000 + draw(2'000)},
+    at_platform(i, claims_failed{r.bucket},
         [this, i, r, key]
         {
-            if (platform.down)
-                return later(i, us{100'000}, claims_failed{r.bucket});
             auto const& o = platform.buckets[key];
             later(i, us{1'000}, claims_stored{r.bucket, o.version, o.claims});
         });
@@ -205,21 +221,17 @@
 
 auto world::store_rollout(std::size_t i, rollout_write const& w) -> void
 {
-    at(us{1'000 + draw(2'000)},
-        [this, i, w]
+    auto const failed = rollout_failed{w.service};
+    at_platform(i, failed,
+        [this, i, w, failed]
         {
-            if (platform.down)
-                return later(i, us{100'000}, rollout_failed{w.service});
             auto& o = platform.rollouts[w.service.value];
             if (o.version == w.if_version)
             {
                 o = {o.version + 1, w.value};
                 platform.history.push_back(w.value);
-                if (platform.lose_answers > 0)
-                {
-                    --platform.lose_answers;
-                    return later(i, us{50'000}, rollout_failed{w.service});
-                }
+                if (loses_answer(i, failed))
+                    return;
             }
             later(i, us{1'000}, rollout_stored{w.service, o.version, o.value});
         });
@@ -227,11 +239,9 @@
 
 auto world::load_rollout(std::size_t i, rollout_read const& r) -> void
 {
-    at(us{1'000 + draw(2'000)},
+    at_platform(i, rollout_failed{r.service},
         [this, i, r]
         {
-            if (platform.down)
-                return later(i, us{100'000}, rollout_failed{r.service});
             auto const& o = platform.rollouts[r.service.value];
             later(i, us{1'000}, rollout_stored{r.service, o.version, o.value});
         });
