Doubled waits, scaled durations and searches of targets have one place each

Seen on reading the change again: - three copies of "double the wait up to a limit" (following the store, connecting, suspending) are core/backoff.hpp. The caps of 6 and 8 doublings become 10: with the default limits no wait differs; - two functions and four expressions that multiply a duration are scaled(); - four searches of a service's targets are any_target(); - with_page copied all pages read so far twice for each page, and put the last one together a second time; it moves what it is given; - shares of a service were worked out anew at each use of a target that has left its list; - find_idle was public for take_idle alone.

--- a/include/knapweedstream/time.hpp
+++ b/include/knapweedstream/time.hpp
@@ -22,6 +22,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A duration times a factor; parts of a microsecond are dropped.
+inline auto scaled(duration d, double by) -> duration
+{
+    return duration{
+        static_cast<duration::rep>(static_cast<double>(d.count()) * by)};
+}
+
 } // namespace knapweedstream
 
 #endif
--- a/src/core/dispatch/answers.cpp
+++ b/src/core/dispatch/answers.cpp
@@ -230,8 +230,7 @@
     constexpr auto spread = 0.25; ///< Either way.
     auto const usual = usual_delay(s, why);
     auto const factor = 1 - spread + 2 * spread * fraction(s);
-    return duration{static_cast<duration::rep>(
-        static_cast<double>(usual.count()) * factor)};
+    return scaled(usual, factor);
 }
 
 auto name_of(refusal_reason it) -> char const*
--- a/src/core/dispatch/choice.cpp
+++ b/src/core/dispatch/choice.cpp
@@ -16,12 +16,6 @@
     1u << jitter_bits;              ///< Resolution of the choice by chance.
 constexpr auto jitter_share = 0.15; ///< Of the expected time.
 
-auto scaled(duration d, double by) -> duration
-{
-    return duration{
-        static_cast<duration::rep>(static_cast<double>(d.count()) * by)};
-}
-
 /// Requests beyond the target's slots wait for those before them.
 auto queue_factor(candidate const& c) -> double
 {
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatch/follow.hpp"
 
+#include "core/backoff.hpp"
+
 #include <knapweedstream/overloaded.hpp>
 
 #include <algorithm>
@@ -16,13 +18,6 @@
 constexpr auto long_batch = 200u; ///< Changes after which more may be waiting.
 constexpr auto unhurried_pauses = 3; ///< In place of one.
 constexpr auto exact_poll = 1u;      ///< Number of the list that is not stale.
-constexpr auto most_doublings = 10u;
-
-auto doubled(milliseconds first, std::uint32_t times, milliseconds most)
-    -> milliseconds
-{
-    return std::min(first * (1 << std::min(times, most_doublings)), most);
-}
 
 auto watch(followed f, by_watch const& policy) -> follow_step
 {
@@ -94,35 +89,31 @@
     return list(std::move(next), policy, {});
 }
 
-auto with_page(followed const& f, store_listed const& page,
+auto with_page(followed f, store_listed const& page,
     dispatch_limits const& limits, time_point now) -> follow_step
 {
-    auto const* before = std::get_if<listing>(&f.phase);
-    if (before == nullptr)
-        return {f, {}};
-    auto pages = *before;
-    if (pages.revision == 0)
-        pages.revision = page.revision;
-    pages.objects.insert(
-        pages.objects.end(), page.objects.begin(), page.objects.end());
+    auto* pages = std::get_if<listing>(&f.phase);
+    if (pages == nullptr)
+        return {std::move(f), {}};
+    if (pages->revision == 0)
+        pages->revision = page.revision;
     auto const policy = policy_of(f.kind, limits);
-    auto next = f;
-    next.failures = 0;
+    f.failures = 0;
     if (!page.next.empty())
     {
-        next.phase = std::move(pages);
-        return list(std::move(next), policy, page.next);
+        pages->objects.insert(
+            pages->objects.end(), page.objects.begin(), page.objects.end());
+        return list(std::move(f), policy, page.next);
     }
-    next.revision = pages.revision;
-    ++next.lists;
+    f.revision = pages->revision;
+    auto const before = f.lists++;
     auto const again = [&](by_poll const& it)
     {
-        return pause(
-            std::move(next), now + doubled(it.first, f.lists, it.most));
+        return pause(std::move(f), now + doubled(it.first, before, it.most));
     };
-    return std::visit(overloaded{[&](by_watch const& it)
-                          { return watch(std::move(next), it); },
-                          again},
+    return std::visit(
+        overloaded{
+            [&](by_watch const& it) { return watch(std::move(f), it); }, again},
         policy);
 }
 
@@ -197,8 +188,7 @@
     auto const most =
         f.revision == 0 ? limits.store_retry_most : limits.store_retry_known;
     auto const wait = doubled(limits.store_retry_first, f.failures, most);
-    auto const spread = duration{static_cast<duration::rep>(
-        static_cast<double>(duration{wait}.count()) * (0.75 + jitter / 2))};
+    auto const spread = scaled(wait, 0.75 + jitter / 2);
     auto next = f;
     ++next.failures;
     return pause(std::move(next), now + spread);
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -87,7 +87,7 @@
 /// Takes a page in.
 ///
 /// @returns The next step; the list is whole when its phase is no `listing`.
-auto with_page(followed const& f, store_listed const& page,
+auto with_page(followed f, store_listed const& page,
     dispatch_limits const& limits, time_point now) -> follow_step;
 
 /// Continues after changes.
--- a/src/core/dispatch/health.cpp
+++ b/src/core/dispatch/health.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatch/health.hpp"
 
+#include "core/backoff.hpp"
+
 #include <knapweedstream/overloaded.hpp>
 
 #include <algorithm>
@@ -15,7 +17,6 @@
 constexpr auto failure_weight = 0.15;  ///< Of the newest outcome.
 constexpr auto min_ratio = 0.2;
 constexpr auto max_ratio = 30.0;
-constexpr auto most_doublings = 8u;
 
 auto fade(target_health const& h, dispatch_limits const& limits, time_point now)
     -> double
@@ -34,11 +35,10 @@
     if (before != nullptr && now < before->until)
         return h;
     auto const times = before == nullptr ? 1u : before->times + 1;
-    auto const doubled =
-        limits.suspension_first * (1 << std::min(times - 1, most_doublings));
+    auto const wait =
+        doubled(limits.suspension_first, times - 1, limits.suspension_most);
     auto next = h;
-    next.state =
-        suspended{now + std::min(doubled, limits.suspension_most), times};
+    next.state = suspended{now + wait, times};
     return next;
 }
 
--- a/src/core/dispatch/link_shares.cpp
+++ b/src/core/dispatch/link_shares.cpp
@@ -94,7 +94,7 @@
 auto share_of(dispatch_state& s, target_entry& t, time_point now) -> link_share
 {
     auto const it = s.services.find(t.service);
-    if (!t.share && it != s.services.end())
+    if (!t.share && t.listed && it != s.services.end())
         share_connections(s, it->second, now);
     return t.share.value_or(link_share{});
 }
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/pool.hpp"
 
+#include "core/backoff.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 
@@ -32,8 +33,7 @@
 {
     if (old == duration{0})
         return sample;
-    auto const d = static_cast<double>((sample - old).count());
-    return old + duration{static_cast<duration::rep>(d * opening_weight)};
+    return old + scaled(sample - old, opening_weight);
 }
 
 /// Until when an idle connection may be used. One beyond this instance's share
@@ -69,6 +69,24 @@
     return calm ? target_view::recovered : t.told;
 }
 
+auto find_idle(dispatch_state const& s, target_entry const& t, bool fresh,
+    time_point now) -> connection_id
+{
+    auto found = connection_id{};
+    for (auto it = t.idle.rbegin(); it != t.idle.rend(); ++it)
+    {
+        auto const& l = s.links.at(*it);
+        auto const old = now - l.since > duration{s.init.limits.fresh_for};
+        if (now >= l.usable_until || (fresh && old))
+            continue;
+        if (l.replied || !fresh)
+            return *it;
+        if (found == connection_id{})
+            found = *it;
+    }
+    return found;
+}
+
 } // namespace
 
 auto is_usable(target_entry const& t, time_point now) -> bool
@@ -159,24 +177,6 @@
         close_link(s, id, out);
 }
 
-auto find_idle(dispatch_state const& s, target_entry const& t, bool fresh,
-    time_point now) -> connection_id
-{
-    auto found = connection_id{};
-    for (auto it = t.idle.rbegin(); it != t.idle.rend(); ++it)
-    {
-        auto const& l = s.links.at(*it);
-        auto const old = now - l.since > duration{s.init.limits.fresh_for};
-        if (now >= l.usable_until || (fresh && old))
-            continue;
-        if (l.replied || !fresh)
-            return *it;
-        if (found == connection_id{})
-            found = *it;
-    }
-    return found;
-}
-
 auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now)
     -> connection_id
 {
@@ -238,10 +238,8 @@
 auto back_off(dispatch_state& s, target_entry& t, time_point now) -> void
 {
     auto const& limits = s.init.limits;
-    constexpr auto most_doublings = 6u;
-    auto const wait = std::min(
-        limits.reopen_first * (1 << std::min(t.open_failures, most_doublings)),
-        limits.reopen_most);
+    auto const wait =
+        doubled(limits.reopen_first, t.open_failures, limits.reopen_most);
     ++t.open_failures;
     ++s.stats.connect_failures;
     t.open_after = now + wait;
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -45,15 +45,11 @@
 /// Closes all idle connections of a target.
 auto close_idle(dispatch_state& s, target_entry& t, commands& out) -> void;
 
-/// Finds an idle connection for a request; the one used last first.
+/// Takes an idle connection for a request; the one used last first.
 ///
 /// @param[in] fresh Only one that the target can hardly have closed; first
 ///     those that have carried a reply.
 /// @returns The connection, or 0.
-auto find_idle(dispatch_state const& s, target_entry const& t, bool fresh,
-    time_point now) -> connection_id;
-
-/// Takes the connection that `find_idle` finds.
 auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now)
     -> connection_id;
 
--- a/src/core/dispatch/room.cpp
+++ b/src/core/dispatch/room.cpp
@@ -17,11 +17,8 @@
 
 auto late_after(latency_estimate const& usual, duration objective) -> duration
 {
-    auto const part =
-        late_objective_share * static_cast<double>(objective.count());
-    auto const much = late_usual_factor *
-                      static_cast<double>(typical(usual, duration{0}).count());
-    return duration{static_cast<duration::rep>(std::max(part, much))};
+    return std::max(scaled(objective, late_objective_share),
+        scaled(typical(usual, duration{0}), late_usual_factor));
 }
 
 auto with_sample(adaptive_limit const& room, room_sample const& r,
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -145,14 +145,14 @@
     return found;
 }
 
-auto any_has_room(dispatch_state const& s, service_entry const& service) -> bool
+/// True if a condition holds for a target of a service.
+template <class State, class Condition>
+auto any_target(State& s, service_id service, Condition const& holds) -> bool
 {
-    return std::any_of(service.targets.begin(), service.targets.end(),
-        [&](target_id id)
-        {
-            auto const& t = s.targets.at(id);
-            return has_room(t.room, t.health.in_flight);
-        });
+    auto const it = s.services.find(service);
+    return it != s.services.end() &&
+           std::any_of(it->second.targets.begin(), it->second.targets.end(),
+               [&](target_id id) { return holds(s.targets.at(id)); });
 }
 
 /// True if an opening has begun and has not yet taken unusually long.
@@ -224,7 +224,12 @@
         return duration::max();
     auto const waiting = service->second.waiting.size();
     if (waiting == 0)
-        return any_has_room(s, service->second) ? duration{0} : duration::max();
+    {
+        auto const room = any_target(s, p.service,
+            [](target_entry const& t)
+            { return has_room(t.room, t.health.in_flight); });
+        return room ? duration{0} : duration::max();
+    }
     auto const targets = eligible_targets(s, p, *r.by, true, now);
     if (targets.empty())
         return duration::max();
@@ -247,16 +252,12 @@
 auto has_target(dispatch_state& s, part const& p, open_request const& r,
     time_point now) -> bool
 {
-    auto const it = s.services.find(p.service);
-    if (it == s.services.end())
-        return false;
     auto const side =
         p.side == version_side::prefer_new ? version_side::any : p.side;
-    return std::any_of(it->second.targets.begin(), it->second.targets.end(),
-        [&](target_id id)
+    return any_target(s, p.service,
+        [&](target_entry& t)
         {
-            auto& t = s.targets.at(id);
-            return is_of_side(it->second, side, t) &&
+            return is_of_side(s.services.at(p.service), side, t) &&
                    is_eligible(s, t, p, *r.by, search_steps.back(), now);
         });
 }
@@ -264,27 +265,20 @@
 auto may_come_back(dispatch_state const& s, service_id service, route const& r,
     time_point now) -> bool
 {
-    auto const it = s.services.find(service);
-    return it != s.services.end() &&
-           std::any_of(it->second.targets.begin(), it->second.targets.end(),
-               [&](target_id id)
-               {
-                   auto const& t = s.targets.at(id);
-                   return is_usable(t, now) && is_allowed(t, r) &&
-                          is_returning(s, t, now);
-               });
+    return any_target(s, service,
+        [&](target_entry const& t) {
+            return is_usable(t, now) && is_allowed(t, r) &&
+                   is_returning(s, t, now);
+        });
 }
 
 auto is_connecting(dispatch_state const& s, service_id service, route const& r,
     time_point now) -> bool
 {
-    auto const it = s.services.find(service);
-    if (it == s.services.end())
-        return false;
-    auto const opening = std::any_of(it->second.targets.begin(),
-        it->second.targets.end(),
-        [&](target_id id) { return is_about_to_open(s.targets.at(id), now); });
-    return opening || may_come_back(s, service, r, now);
+    return any_target(s, service,
+               [&](target_entry const& t)
+               { return is_about_to_open(t, now); }) ||
+           may_come_back(s, service, r, now);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/stop.hpp"
 
 #include <array>
+#include <utility>
 
 namespace knapweedstream::dispatch
 {
@@ -15,14 +16,16 @@
     std::array{store_kind::configuration, store_kind::evacuations};
 
 /// Replaces what is known of following a kind, and wakes it when it pauses.
-auto step(dispatch_state& s, follow_step const& next, commands& out) -> void
-{
-    s.follows[next.next.kind] = next.next;
-    if (auto const* it = std::get_if<pausing>(&next.next.phase))
-        arm(s, it->until, follow_due{next.next.kind});
-    for (auto const& c : next.out)
+auto step(dispatch_state& s, follow_step next, commands& out) -> void
+{
+    auto const kind = next.next.kind;
+    auto& f = s.follows[kind];
+    f = std::move(next.next);
+    if (auto const* it = std::get_if<pausing>(&f.phase))
+        arm(s, it->until, follow_due{kind});
+    for (auto& c : next.out)
         if (!std::holds_alternative<wake_at>(c))
-            out.push_back(c);
+            out.push_back(std::move(c));
 }
 
 auto tell_contact(dispatch_state& s, store_kind kind, bool lost,
@@ -99,7 +102,8 @@
         if (e.kind == store_kind::instances)
             keep_record(s, out);
     }
-    step(s, with_page(s.follows[e.kind], e, s.init.limits, now), out);
+    auto page = with_page(std::move(s.follows[e.kind]), e, s.init.limits, now);
+    step(s, std::move(page), out);
     update_ready(s, out);
 }
 
--- a/tests/dispatch/load.cpp
+++ b/tests/dispatch/load.cpp
@@ -26,12 +26,6 @@
     return out;
 }
 
-auto scaled(duration d, double by) -> duration
-{
-    return duration{
-        static_cast<duration::rep>(static_cast<double>(d.count()) * by)};
-}
-
 } // namespace
 
 load_rig::load_rig(load_init const& init)
