EXPOSURE: outcomes of a version are judged over all instances

Callers saw: a bad version of a service was completed and kept getting requests. Cause: each instance judged a new version by its own few requests and an order that nobody objected to was completed on time, so that missing evidence counted as good evidence (class: a bound over the fleet decided on local samples). One ratio over all routes, with 20 points of allowance and the mean latency, also hid faults of one route or of a part of the requests. Change: outcomes are counted by route, as failed or slow; attempts given up without a reply count as slow. Instances exchange them through the store (reports) and judge the sum by its significance; an order is completed only with enough requests to the new version. A service with few requests is tried with part of the stated number on top of the share. Evidence: test 'exposure: a bad version whose faults are spread ...' failed before (four of nine fleets completed it, up to 572 bad answers, 1,243 requests too late) and passes in all nine.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -250,7 +250,7 @@
 auto store_kind_name(store_kind it) -> char const*
 {
     return enum_name(std::array{"configuration", "targets", "evacuations",
-                         "rollouts", "instances"},
+                         "rollouts", "instances", "reports"},
         it);
 }
 
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -106,7 +106,20 @@
 
 auto store_client::run(dispatch::store_delete_record const& c) -> void
 {
-    write("write", store_kind::instances, c.name, codec_.remove(c.name));
+    write("write", store_kind::instances, c.name,
+        codec_.remove(store_kind::instances, c.name));
+}
+
+auto store_client::run(dispatch::store_write_report const& c) -> void
+{
+    write("report", store_kind::reports, c.report.name,
+        codec_.report(c.report, c.exists));
+}
+
+auto store_client::run(dispatch::store_delete_report const& c) -> void
+{
+    write("report", store_kind::reports, c.name,
+        codec_.remove(store_kind::reports, c.name));
 }
 
 auto store_client::write(std::string const& channel_key, store_kind kind,
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -28,8 +28,9 @@
     std::function<http_message(instance_record const&, bool exists)> record;
     std::function<http_message(dispatch::store_write_order_state const&)>
         order_state;
-    /// Call that deletes the record of the named instance.
-    std::function<http_message(std::string const& name)> remove;
+    std::function<http_message(instance_report const&, bool exists)> report;
+    /// Call that deletes the record or the report of the named instance.
+    std::function<http_message(store_kind, std::string const& name)> remove;
     std::function<dispatch::event(store_kind, http_message const&)> read_list;
     std::function<dispatch::event(store_kind, http_message const&)> read_watch;
     /// Decodes the response to a create, an update or a delete of the object
@@ -40,8 +41,8 @@
 };
 
 /// Executes commands for the store over several connections: for each kind, one
-/// for lists and watches and one for checks; one for the record of this
-/// instance; and one for the state of each rollout order. A new call on a
+/// for lists and watches and one for checks; one for the record and
+/// one for the report of this instance; and one for the state of each rollout order. A new call on a
 /// connection replaces the one that is still pending there.
 class store_client
 {
@@ -55,6 +56,8 @@
     auto run(dispatch::store_write_record const& c) -> void;
     auto run(dispatch::store_write_order_state const& c) -> void;
     auto run(dispatch::store_delete_record const& c) -> void;
+    auto run(dispatch::store_write_report const& c) -> void;
+    auto run(dispatch::store_delete_report const& c) -> void;
 
     /// Number of calls made since the start.
     auto calls() const -> std::uint64_t { return calls_; }
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -154,6 +154,8 @@
             [this](dispatch::store_write_order_state const& it)
             { store_.run(it); },
             [this](dispatch::store_delete_record const& it) { store_.run(it); },
+            [this](dispatch::store_write_report const& it) { store_.run(it); },
+            [this](dispatch::store_delete_report const& it) { store_.run(it); },
             [this](dispatch::set_ready const& it)
             {
                 ready_ = it.ready;
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -66,7 +66,8 @@
     abandon_others(s, p, now);
 }
 
-/// Adds the latency of a successful attempt to the estimate of its route.
+/// Adds the latency of a successful attempt to the estimate of its route,
+/// unless the target's version is on trial: that is compared with the others.
 ///
 /// @returns Its ratio to the typical latency; 0 if that is unknown or the
 ///     request has ended.
@@ -80,7 +81,8 @@
                   .at[static_cast<std::size_t>(t.distance)];
     auto const took = now - a.sent_at;
     auto const usual = typical_latency(e, duration{0});
-    e = with_latency(e, took);
+    if (!is_on_trial(s, t))
+        e = with_latency(e, took);
     return usual == duration{0} ? 0
                                 : static_cast<double>(took.count()) /
                                       static_cast<double>(usual.count());
@@ -218,6 +220,15 @@
     return {attempt_end::lost, true, 0};
 }
 
+/// Records an attempt that was given up without a reply as slow if it took that
+/// long; sooner, its end says nothing about the version.
+auto record_unanswered(dispatch_state& s, target_entry const& t,
+    attempt const& a, time_point now) -> void
+{
+    if (is_slow(a, now))
+        record_version_result(s, t, a, false, now);
+}
+
 auto lose_attempt(dispatch_state& s, attempt const a, link const& l,
     connection_closed const& e, time_point now, commands& out) -> void
 {
@@ -229,7 +240,7 @@
     {
         ++s.stats.lost_attempts;
         t.health = with_lost(t.health, s.init.limits, now);
-        record_version_result(s, t, true, now - a.sent_at);
+        record_version_result(s, t, a, true, now);
     }
     else
         t.health = without_request(t.health);
@@ -317,7 +328,7 @@
         t.health = with_overdue(t.health, s.init.limits, now);
     t.health = with_reply(t.health, ratio, !good, overdue, s.init.limits, now);
     if (m.ran)
-        record_version_result(s, t, !good, now - a.sent_at);
+        record_version_result(s, t, a, !good, now);
     t.open_failures = 0;
     s.stats.overload_replies += refused ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
@@ -365,6 +376,7 @@
     t.health = silence(t.health, now) >= now - a.sent_at
                    ? with_timeout(t.health, s.init.limits, now)
                    : without_request(t.health);
+    record_unanswered(s, t, a, now);
     s.attempts.erase(a.id);
     close_link(s, a.connection, out);
     report_condition(s, t, now, out);
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/reports.hpp"
 #include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/route_table.hpp"
 
@@ -214,8 +215,10 @@
                    [&](rollout_order const& it)
                    { apply_order(s, it, o.revision, now, out); },
                    [&](instance_record const& it)
+                   { set_instance(s, o.name, &it); },
+                   [&](instance_report const& it)
                    {
-                       set_instance(s, o.name, &it);
+                       apply_report(s, it);
                    }},
         o.value);
 }
@@ -234,6 +237,8 @@
         return set_instance(s, name, nullptr);
     case store_kind::rollouts:
         return drop_order(s, name);
+    case store_kind::reports:
+        return drop_report(s, name);
     case store_kind::configuration:
         return;
     }
@@ -253,6 +258,9 @@
     if (kind == store_kind::instances)
         for (auto const& [name, it] : s.instances)
             names.push_back(name);
+    if (kind == store_kind::reports)
+        for (auto const& [name, it] : s.reports)
+            names.push_back(name);
     return names;
 }
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/attempts.hpp"
 #include "core/dispatch/catalog.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/reports.hpp"
 #include "core/dispatch/requests.hpp"
 #include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/stop.hpp"
@@ -44,6 +45,7 @@
             [&](follow_due const& e) { on_follow_due(s, e, now, out); },
             [&](shift_due const& e) { on_shift_due(s, e, now, out); },
             [&](check_due const&) { on_check_due(s, now, out); },
+            [&](report_due const&) { on_report_due(s, now, out); },
             [&](stop_due const&)
             {
                 on_stop_due(s, now, out);
@@ -92,7 +94,7 @@
             [&](store_checked const& it) { on_checked(s, it, now, out); },
             [&](store_compacted const& it) { on_compacted(s, it, now, out); },
             [&](store_failed const& it) { on_store_failed(s, it, now, out); },
-            [&](store_written const& it) { on_written(s, it, out); },
+            [&](store_written const& it) { on_written(s, it, now, out); },
             [&](stop_requested const&) { on_stop(s, now, out); },
             [&](tick const&)
             {
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -71,6 +71,8 @@
         return by_poll{limits.poll_first, limits.poll_most};
     case store_kind::rollouts:
         return by_watch{limits.watch_wait, limits.watch_pause, true};
+    case store_kind::reports:
+        return by_watch{limits.watch_wait, limits.report_interval, true};
     case store_kind::configuration:
     case store_kind::evacuations:
         break;
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -89,6 +89,9 @@
     milliseconds watch_wait{18'000};
     /// Delay before the next watch after one that returned changes.
     milliseconds watch_pause{100};
+    /// The same delay for watches of other instances' reports, and the shortest
+    /// time between two reports of this instance.
+    milliseconds report_interval{500};
     /// The same delay for watches of target registrations.
     milliseconds targets_pause{2'000};
     /// Delay between the first two lists of instances; doubles with each list
@@ -122,8 +125,7 @@
     double warmup_factor = 1.5;
     double warmup_slack = 5;
     /// Share of a service's requests, and number of requests on top, that a
-    /// new version may get before it is known to be good. The dispatcher reads
-    /// only the share.
+    /// new version may get before it is known to be good.
     double exposure_share = 0.1;
     std::uint32_t exposure_slack = 50;
 
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -82,7 +82,9 @@
     a.connection = connection;
     a.kind = kind;
     a.sent_at = now;
+    a.route = e.value.matched_route->name;
     auto const usual = estimate_for(s, *e.value.matched_route, t.distance);
+    a.usual = typical_latency(usual, duration{0});
     a.hedge_delay = hedge_delay_for(usual, s.init.limits);
     a.late_after =
         late_after(usual, duration{e.value.matched_route->latency_objective});
--- a/src/core/dispatch/rollout_orders.cpp
+++ b/src/core/dispatch/rollout_orders.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/rollout_orders.hpp"
 
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/reports.hpp"
 
 #include <algorithm>
 
@@ -12,6 +13,8 @@
 
 /// Interval of checks of an order that is not final.
 constexpr auto shift_check_interval = milliseconds{100};
+/// Multiple of the route's typical latency above which an attempt is slow.
+constexpr auto slow_factor = 2.5;
 
 /// Rank of this instance among all for a service, from 0.
 auto rank_for(dispatch_state const& s, service_id service) -> std::size_t
@@ -26,19 +29,32 @@
            v.order.state == order_state::running;
 }
 
-auto counts_text(version_record const& r) -> std::string
+auto counts_text(outcome_counts const& c) -> std::string
 {
-    return std::to_string(static_cast<std::uint64_t>(r.failures)) + "/" +
-           std::to_string(static_cast<std::uint64_t>(r.requests));
+    return std::to_string(c.failed) + "+" + std::to_string(c.slow) + "/" +
+           std::to_string(c.requests);
 }
 
-auto report_phase(version_shift const& v, char const* phase, commands& out)
-    -> void
+/// Outcomes that all instances together have seen.
+auto all_outcomes(dispatch_state const& s, version_shift const& v)
+    -> std::vector<route_outcomes>
 {
-    out.push_back(report_fact{rollout_progressed{v.order.service,
-        v.order.to_version, phase, v.revision,
-        "failed_before=" + counts_text(v.before) +
-            " failed_after=" + counts_text(v.after)}});
+    return with_sum(
+        reported_outcomes(s, v.order.service, v.order.to_version), v.outcomes);
+}
+
+auto report_phase(dispatch_state const& s, version_shift const& v,
+    commands& out) -> void
+{
+    auto const own = total_of(v.outcomes);
+    auto const all = total_of(all_outcomes(s, v));
+    out.push_back(report_fact{
+        rollout_progressed{v.order.service, v.order.to_version,
+            name_of(v.phase), v.revision,
+            "bad_before=" + counts_text(own.before) +
+                " bad_after=" + counts_text(own.after) +
+                " all_before=" + counts_text(all.before) +
+                " all_after=" + counts_text(all.after)}});
 }
 
 /// Requires fresh data from watches of orders while one is not final.
@@ -48,21 +64,24 @@
         [](auto const& it)
         { return it.second.shift && is_open_order(*it.second.shift); });
     s.follows[store_kind::rollouts].require_fresh = open;
+    s.follows[store_kind::reports].require_fresh = open;
 }
 
-auto replace(service_entry& e, version_shift next, commands& out) -> void
+auto replace(dispatch_state const& s, service_entry& e, version_shift next,
+    commands& out) -> void
 {
     auto const moved = !e.shift || e.shift->phase.index() != next.phase.index();
     e.shift = std::move(next);
     if (moved)
-        report_phase(*e.shift, name_of(e.shift->phase), out);
+        report_phase(s, *e.shift, out);
 }
 
 auto write_state(
     dispatch_state& s, service_entry& e, time_point now, commands& out) -> void
 {
     auto const rank = rank_for(s, id_of<service_id>(e.name));
-    auto const state = state_to_report(*e.shift, rank, now);
+    auto const state =
+        state_to_report(*e.shift, all_outcomes(s, *e.shift), rank, now);
     if (!state)
         return;
     auto next = *e.shift;
@@ -78,10 +97,13 @@
     std::uint64_t revision, time_point now, commands& out) -> void
 {
     auto& e = service_entry_of(s, o.service);
-    auto next = e.shift ? with_order(*e.shift, o, revision, now)
-                        : begin_shift(o, revision, now);
-    replace(e, std::move(next), out);
+    auto const reserve = trial_reserve(s.init.bounds,
+        rank_for(s, id_of<service_id>(o.service)), s.instances.size());
+    auto next = e.shift ? with_order(*e.shift, o, revision, reserve, now)
+                        : begin_shift(o, revision, reserve, now);
+    replace(s, e, std::move(next), out);
     update_freshness(s);
+    request_report(s, now);
     if (is_open_order(*e.shift))
         arm(s, now, shift_due{id_of<service_id>(o.service)});
 }
@@ -116,12 +138,32 @@
 }
 
 auto record_version_result(dispatch_state& s, target_entry const& t,
-    bool failed, duration took) -> void
+    attempt const& a, bool failed, time_point now) -> void
+{
+    auto const it = s.services.find(t.service);
+    if (it == s.services.end() || !it->second.shift ||
+        !is_open_order(*it->second.shift))
+        return;
+    auto const outcome = failed           ? version_outcome::failed
+                         : is_slow(a, now) ? version_outcome::slow
+                                           : version_outcome::good;
+    it->second.shift =
+        with_result(*it->second.shift, t.info.version, a.route, outcome);
+    request_report(s, now);
+}
+
+auto is_slow(attempt const& a, time_point now) -> bool
+{
+    return a.usual > duration{0} &&
+           now - a.sent_at > scaled(a.usual, slow_factor);
+}
+
+auto is_on_trial(dispatch_state const& s, target_entry const& t) -> bool
 {
     auto const it = s.services.find(t.service);
-    if (it != s.services.end() && it->second.shift)
-        it->second.shift =
-            with_result(*it->second.shift, t.info.version, failed, took);
+    return it != s.services.end() && it->second.shift &&
+           is_open_order(*it->second.shift) &&
+           t.info.version == it->second.shift->order.to_version;
 }
 
 auto on_shift_due(dispatch_state& s, shift_due const& e, time_point now,
@@ -131,7 +173,8 @@
     if (it == s.services.end() || !it->second.shift ||
         !is_open_order(*it->second.shift))
         return;
-    replace(it->second, advanced(*it->second.shift, now), out);
+    auto const all = all_outcomes(s, *it->second.shift);
+    replace(s, it->second, advanced(*it->second.shift, all, now), out);
     write_state(s, it->second, now, out);
     arm(s, now + shift_check_interval, e);
 }
--- a/src/core/dispatch/rollout_orders.hpp
+++ b/src/core/dispatch/rollout_orders.hpp
@@ -22,10 +22,16 @@
 /// Chooses the versions of a service that the next request may be sent to.
 auto next_side(dispatch_state& s, service_id service) -> version_side;
 
-/// Records the result of a request for the order of the target's service, if
+/// Records the outcome of an attempt for the order of the target's service, if
 /// there is one.
 auto record_version_result(dispatch_state& s, target_entry const& t,
-    bool failed, duration took) -> void;
+    attempt const& a, bool failed, time_point now) -> void;
+
+/// True if an attempt has taken several times the typical latency of its route.
+auto is_slow(attempt const& a, time_point now) -> bool;
+
+/// True if the target has the new version of a rollout that is not decided.
+auto is_on_trial(dispatch_state const& s, target_entry const& t) -> bool;
 
 /// Checks an order that is not final: enters its next phase or writes its state
 /// if that is due.
--- a/src/core/dispatch/stop.cpp
+++ b/src/core/dispatch/stop.cpp
@@ -62,6 +62,8 @@
     s.stop = stop_progress{true, now, false, false};
     update_ready(s, out);
     out.push_back(store_delete_record{s.init.self.name});
+    if (s.own_report.exists)
+        out.push_back(store_delete_report{s.init.self.name});
     arm(s, now + stop_check_interval, stop_due{});
 }
 
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/store_events.hpp"
 
 #include "core/dispatch/catalog.hpp"
+#include "core/dispatch/reports.hpp"
 #include "core/dispatch/stop.hpp"
 
 #include <array>
@@ -192,9 +193,11 @@
 
 /// Replaces this instance's record if it exists although it was not listed.
 /// Other failures show in the next list.
-auto on_written(dispatch_state& s, store_written const& e, commands& out)
-    -> void
+auto on_written(dispatch_state& s, store_written const& e, time_point now,
+    commands& out) -> void
 {
+    if (e.kind == store_kind::reports)
+        return on_report_written(s, e, now);
     if (e.kind != store_kind::instances)
         return; // Rollout orders are watched, so their changes arrive anyway.
     if (!s.stop.requested && e.failure == store_failure::conflict)
--- a/src/core/dispatch/store_events.hpp
+++ b/src/core/dispatch/store_events.hpp
@@ -32,8 +32,8 @@
 auto on_store_failed(dispatch_state& s, store_failed const& e, time_point now,
     commands& out) -> void;
 /// Handles the result of a write.
-auto on_written(dispatch_state& s, store_written const& e, commands& out)
-    -> void;
+auto on_written(dispatch_state& s, store_written const& e, time_point now,
+    commands& out) -> void;
 /// Makes the next list or watch call of a kind when its pause is over.
 auto on_follow_due(dispatch_state& s, follow_due const& e, time_point now,
     commands& out) -> void;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -73,6 +73,8 @@
     time_point sent_at;
     duration hedge_delay{0}; ///< Time without a reply after which to hedge.
     duration late_after{0};  ///< A slower reply is taken as a sign of overload.
+    duration usual{0};       ///< Typical latency when it was sent; 0: unknown.
+    std::string route;       ///< Name of the request's route.
     /// No reply came within `hedge_delay`, and the target's health records it.
     bool overdue = false;
     bool abandoned = false; ///< The reply is no longer wanted.
@@ -273,8 +275,14 @@
     auto operator<=>(stop_due const&) const = default;
 };
 
+/// This instance's report is to be written if it has changed.
+struct report_due
+{
+    auto operator<=>(report_due const&) const = default;
+};
+
 using timer = std::variant<request_due, abandoned_due, link_due, target_due,
-    follow_due, check_due, shift_due, stop_due>;
+    follow_due, check_due, shift_due, report_due, stop_due>;
 
 /// An armed timer; timers of equal time fire in the order of arming.
 struct timer_entry
@@ -300,6 +308,17 @@
     auto operator<=>(stop_progress const&) const = default;
 };
 
+/// The report that this instance has written to the store.
+struct written_report
+{
+    instance_report value;
+    bool exists = false; ///< The store holds a report of this instance.
+    bool due = false;    ///< A timer for the next report is armed.
+    time_point at;       ///< When it was last written.
+
+    auto operator<=>(written_report const&) const = default;
+};
+
 /// The whole state of a dispatcher.
 struct dispatch_state
 {
@@ -332,6 +351,9 @@
         revisions;
     std::set<std::string> evacuated;
     std::map<std::string, instance_record> instances; ///< By name.
+    /// Reports of the other instances, by name.
+    std::map<std::string, instance_report> reports;
+    written_report own_report;
 
     /// Weighted round robin state, by route.
     std::unordered_map<std::string, std::vector<std::int64_t>> split_credits;
--- a/src/core/dispatch/version_shift.cpp
+++ b/src/core/dispatch/version_shift.cpp
@@ -25,15 +25,19 @@
 constexpr auto max_trial_share = 0.5;
 constexpr auto min_trial_instances = std::size_t{4};
 
-/// Thresholds for a bad new version.
-auto const fault_policy = []
+/// Used part of the number of requests that a new version may get on top.
+constexpr auto reserve_fraction = 0.4;
+
+/// Instances that try a new version.
+auto trial_instances(dispatch_bounds const& bounds, std::size_t instances)
+    -> std::size_t
 {
-    auto p = rollout_policy{};
-    p.max_failure_ratio = 0.2;
-    p.max_latency_ratio = 2.5;
-    p.min_samples = 6;
-    return p;
-}();
+    auto const n = std::max<std::size_t>(1, instances);
+    auto const all =
+        trial_fraction * bounds.exposure_share * static_cast<double>(n);
+    auto const enough = static_cast<std::size_t>(all / max_trial_share) + 1;
+    return std::min(n, std::max(min_trial_instances, enough));
+}
 
 /// When all requests move; for a short order at half its duration.
 auto move_time(version_shift const& v) -> time_point
@@ -69,26 +73,41 @@
     return now;
 }
 
+/// Chooses the versions while a new one is tried: the new one for the trial
+/// share, or for more while the reserve lasts.
+auto choose_trial(version_shift const& v, double share) -> side_choice
+{
+    auto const from_reserve = v.reserve >= 1;
+    auto next = v;
+    next.credit += from_reserve ? max_trial_share : share;
+    if (next.credit < 1)
+        return {version_side::old_only, next};
+    next.credit -= 1;
+    next.reserve -= from_reserve ? 1 : 0;
+    return {version_side::prefer_new, next};
+}
+
 } // namespace
 
-auto begin_shift(rollout_order const& o, std::uint64_t revision, time_point now)
-    -> version_shift
+auto begin_shift(rollout_order const& o, std::uint64_t revision, double reserve,
+    time_point now) -> version_shift
 {
     auto v = version_shift{};
     v.order = o;
     v.revision = revision;
     v.since = now;
+    v.reserve = reserve;
     v.phase = phase_of(o.state, shift_trying{});
     return v;
 }
 
 auto with_order(version_shift const& v, rollout_order const& o,
-    std::uint64_t revision, time_point now) -> version_shift
+    std::uint64_t revision, double reserve, time_point now) -> version_shift
 {
     auto const another = o.to_version != v.order.to_version ||
                          (is_final(v.order.state) && !is_final(o.state));
     if (another)
-        return begin_shift(o, revision, now);
+        return begin_shift(o, revision, reserve, now);
     auto next = v;
     next.order = o;
     next.revision = revision;
@@ -102,23 +121,24 @@
     auto const n = std::max<std::size_t>(1, instances);
     auto const all =
         trial_fraction * bounds.exposure_share * static_cast<double>(n);
-    auto const enough = static_cast<std::size_t>(all / max_trial_share) + 1;
-    auto const trial_instances =
-        std::min(n, std::max(min_trial_instances, enough));
-    return rank < trial_instances ? all / static_cast<double>(trial_instances)
-                                  : 0.0;
+    auto const senders = trial_instances(bounds, instances);
+    return rank < senders ? all / static_cast<double>(senders) : 0.0;
+}
+
+auto trial_reserve(dispatch_bounds const& bounds, std::size_t rank,
+    std::size_t instances) -> double
+{
+    auto const senders = trial_instances(bounds, instances);
+    return rank < senders ? reserve_fraction * bounds.exposure_slack /
+                                static_cast<double>(senders)
+                          : 0.0;
 }
 
 auto choose_side(version_shift const& v, double share) -> side_choice
 {
     return std::visit(overloaded{[&](shift_trying const&) -> side_choice
                           {
-                              auto next = v;
-                              next.credit += share;
-                              if (next.credit < 1)
-                                  return {version_side::old_only, next};
-                              next.credit -= 1;
-                              return {version_side::prefer_new, next};
+                              return choose_trial(v, share);
                           },
                           [&](shift_rolled_back const&) -> side_choice {
                               return {version_side::old_only, v};
@@ -131,30 +151,33 @@
 }
 
 auto with_result(version_shift const& v, std::string const& version,
-    bool failed, duration took) -> version_shift
+    std::string const& route, version_outcome outcome) -> version_shift
 {
     auto next = v;
-    auto& r = version == v.order.to_version ? next.after : next.before;
-    r = with_result(r, failed, static_cast<double>(took.count()));
+    next.outcomes = with_outcome(std::move(next.outcomes), route,
+        version == v.order.to_version, outcome);
     return next;
 }
 
-auto advanced(version_shift const& v, time_point now) -> version_shift
+auto advanced(version_shift const& v, std::span<route_outcomes const> all,
+    time_point now) -> version_shift
 {
     auto const open = std::holds_alternative<shift_trying>(v.phase) ||
                       std::holds_alternative<shift_moved>(v.phase);
     if (!open)
         return v;
     auto next = v;
-    auto const fault = compare_versions(v.before, v.after, fault_policy);
+    auto const own = fault_of(v.outcomes);
+    auto const fault = own != rollout_fault::none ? own : fault_of(all);
     if (fault != rollout_fault::none)
-        next.phase = shift_rolled_back{fault};
+        next.phase = shift_rolled_back{fault, now, own != rollout_fault::none};
     else if (now >= move_time(v))
         next.phase = shift_moved{};
     return next;
 }
 
-auto state_to_report(version_shift const& v, std::size_t rank, time_point now)
+auto state_to_report(version_shift const& v,
+    std::span<route_outcomes const> all, std::size_t rank, time_point now)
     -> std::optional<order_state>
 {
     auto const known = v.order.state;
@@ -170,12 +193,16 @@
             },
             [&](shift_moved const&) -> std::optional<order_state>
             {
-                if (now >= complete_time(v) + delay_of(rank))
+                if (now >= complete_time(v) + delay_of(rank) && is_proven(all))
                     return order_state::completed;
                 return {};
             },
-            [&](shift_rolled_back const&) -> std::optional<order_state>
-            { return order_state::rolled_back; },
+            [&](shift_rolled_back const& it) -> std::optional<order_state>
+            {
+                if (it.by_own_outcomes || now >= it.since + delay_of(rank))
+                    return order_state::rolled_back;
+                return {};
+            },
             [&](shift_completed const&) -> std::optional<order_state>
             {
                 return {};
--- a/src/core/dispatch/version_shift.hpp
+++ b/src/core/dispatch/version_shift.hpp
@@ -4,13 +4,15 @@
 /// A few instances try the new version with a small share of their requests.
 /// Near the end of the order's duration every instance moves all requests. The
 /// old targets stop as soon as the order's status is `completed`, so this is
-/// written only after the time when every instance moves. An instance that
-/// finds the new version bad stops using it at once and writes `rolled_back`.
+/// written only after the time when every instance moves, and only once enough
+/// requests have shown that the new version is good. The outcomes of all
+/// instances are judged together; an instance that finds the new version bad
+/// stops using it at once and writes `rolled_back`.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_VERSION_SHIFT_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_VERSION_SHIFT_HPP
 
 #include "core/dispatch/limits.hpp"
-#include "core/rollout.hpp"
+#include "core/dispatch/version_evidence.hpp"
 #include "port/store.hpp"
 
 #include <cstddef>
@@ -45,6 +47,8 @@
 {
     /// Fault that this instance found; `none` if another instance rolled back.
     rollout_fault why = rollout_fault::none;
+    time_point since; ///< When it was found.
+    bool by_own_outcomes = false; ///< This instance's outcomes alone show it.
     auto operator<=>(shift_rolled_back const&) const = default;
 };
 
@@ -58,11 +62,13 @@
     std::uint64_t revision = 0;
     time_point since; ///< When this instance first saw it.
     shift_phase phase;
-    version_record before; ///< Results of the old version.
-    version_record after;  ///< Results of the new version.
+    std::vector<route_outcomes> outcomes; ///< That this instance has seen.
     /// Accumulated trial share; a request goes to the new version when it
     /// reaches 1.
     double credit = 0;
+    /// Requests that this instance may send to the new version as a trial
+    /// beyond the trial share.
+    double reserve = 0;
     time_point reported_at; ///< When a state was last written to the store.
 
     auto operator<=>(version_shift const&) const = default;
@@ -85,13 +91,15 @@
 };
 
 /// Starts to carry out an order that was not seen before.
-auto begin_shift(rollout_order const& o, std::uint64_t revision, time_point now)
-    -> version_shift;
+///
+/// @param[in] reserve Result of `trial_reserve`.
+auto begin_shift(rollout_order const& o, std::uint64_t revision, double reserve,
+    time_point now) -> version_shift;
 
 /// Applies a change of the order in the store. An order to another version, or
 /// one that is open again after its end, starts anew.
 auto with_order(version_shift const& v, rollout_order const& o,
-    std::uint64_t revision, time_point now) -> version_shift;
+    std::uint64_t revision, double reserve, time_point now) -> version_shift;
 
 /// Share of its own requests that an instance sends to the new version as a
 /// trial; 0 for most instances if there are many.
@@ -102,25 +110,38 @@
 auto trial_share(dispatch_bounds const& bounds, std::size_t rank,
     std::size_t instances) -> double;
 
+/// Requests that an instance may send to the new version as a trial beyond its
+/// trial share, so that a service with few requests is tried too.
+///
+/// @param[in] rank,instances As for `trial_share`.
+auto trial_reserve(dispatch_bounds const& bounds, std::size_t rank,
+    std::size_t instances) -> double;
+
 /// Chooses the versions for the next request.
 ///
 /// @param[in] share Result of `trial_share`.
 auto choose_side(version_shift const& v, double share) -> side_choice;
 
-/// Records the result of a request to a version of the service.
+/// Records the outcome of a request to a version of the service.
 auto with_result(version_shift const& v, std::string const& version,
-    bool failed, duration took) -> version_shift;
+    std::string const& route, version_outcome outcome) -> version_shift;
 
 /// Moves all requests to the new version when that is due, or rolls back if the
 /// new version is bad. Has no effect on a completed or rolled back order.
-auto advanced(version_shift const& v, time_point now) -> version_shift;
+///
+/// @param[in] all Outcomes that all instances together have seen.
+auto advanced(version_shift const& v, std::span<route_outcomes const> all,
+    time_point now) -> version_shift;
 
 /// State to write to the store now, if any.
 ///
 /// @param[in] rank As for `trial_share`. The instance of rank 0 writes first;
 ///     others write only if the order's state is still unchanged some time
-///     later. A rollback is written by any instance at once.
-auto state_to_report(version_shift const& v, std::size_t rank, time_point now)
+///     later. An instance whose own outcomes show a fault writes the rollback
+///     at once.
+/// @param[in] all Outcomes that all instances together have seen.
+auto state_to_report(version_shift const& v,
+    std::span<route_outcomes const> all, std::size_t rank, time_point now)
     -> std::optional<order_state>;
 
 /// True if a request of `side` may be sent to a target with `version`.
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -99,6 +99,21 @@
     auto operator<=>(store_delete_record const&) const = default;
 };
 
+/// Writes this instance's report to the store.
+struct store_write_report
+{
+    instance_report report;
+    bool exists = false; ///< Replaces the report; otherwise creates it.
+    auto operator<=>(store_write_report const&) const = default;
+};
+
+/// Deletes this instance's report from the store.
+struct store_delete_report
+{
+    std::string name;
+    auto operator<=>(store_delete_report const&) const = default;
+};
+
 /// Sets the limits on callers' requests and connections.
 struct set_caller_limits
 {
@@ -142,7 +157,8 @@
 /// Any command of the dispatcher.
 using command = std::variant<answer_caller, open_connection, close_connection,
     send_request, store_list, store_watch, store_check, store_write_record,
-    store_write_order_state, store_delete_record, set_caller_limits, set_ready,
+    store_write_order_state, store_delete_record, store_write_report,
+    store_delete_report, set_caller_limits, set_ready,
     drain_callers, exit_now, wake_at, report_fact>;
 
 using commands = std::vector<command>;
--- a/src/port/store.hpp
+++ b/src/port/store.hpp
@@ -3,6 +3,7 @@
 #define KNAPWEEDSTREAM_PORT_STORE_HPP
 
 #include <knapweedstream/registration.hpp>
+#include <knapweedstream/report.hpp>
 #include <knapweedstream/route.hpp>
 
 #include <array>
@@ -23,12 +24,14 @@
     evacuations,   ///< Zones that get no traffic.
     rollouts,      ///< Orders to move a service to another version.
     instances,     ///< Instances of the query tier.
+    reports,       ///< What instances have observed.
 };
 
 /// All kinds, in the order of the enumeration.
 constexpr auto store_kinds =
     std::array{store_kind::configuration, store_kind::targets,
-        store_kind::evacuations, store_kind::rollouts, store_kind::instances};
+        store_kind::evacuations, store_kind::rollouts, store_kind::instances,
+        store_kind::reports};
 
 /// State of a rollout order; `completed` and `rolled_back` are final.
 enum class order_state : std::uint8_t
@@ -59,7 +62,8 @@
 
 /// Decoded content of an object.
 using stored_value = std::variant<unreadable_object, routing_config,
-    target_registration, zone_evacuation, rollout_order, instance_record>;
+    target_registration, zone_evacuation, rollout_order, instance_record,
+    instance_report>;
 
 /// An object of the store with its name and revision.
 struct stored_object
--- a/tests/dispatch/rollout_fleet.cpp
+++ b/tests/dispatch/rollout_fleet.cpp
@@ -78,7 +78,7 @@
 {
     ordered_at_ = now_;
     order_.state = order_state::waiting;
-    publish({{"s", ++revision_, order_}, false}, store_kind::rollouts);
+    publish_order();
 }
 
 auto rollout_fleet::remove_order() -> void
@@ -88,9 +88,8 @@
 
 auto rollout_fleet::order_other(std::string const& version) -> void
 {
-    auto const other =
-        rollout_order{"s", version, order_length, order_state::waiting};
-    publish({{"s", ++revision_, other}, false}, store_kind::rollouts);
+    order_ = {"s", version, order_length, order_state::waiting};
+    publish_order();
 }
 
 auto rollout_fleet::draw() -> double
@@ -160,8 +159,22 @@
     }
 }
 
-/// Applies the writes of an instance to the store, as long as their condition
-/// holds, and tells all instances.
+/// Applies a conditional write to the order, if its condition holds.
+auto rollout_fleet::write_state(store_write_order_state const& c) -> void
+{
+    if (c.revision != order_revision_)
+        return;
+    order_.state = c.state;
+    publish_order();
+}
+
+auto rollout_fleet::publish_order() -> void
+{
+    order_revision_ = ++revision_;
+    publish({{"s", order_revision_, order_}, false}, store_kind::rollouts);
+}
+
+/// Applies the writes of an instance to the store, and tells all instances.
 auto rollout_fleet::carry_writes(std::size_t i) -> void
 {
     auto const& all = instances[i]->all_commands;
@@ -174,12 +187,10 @@
         if (lost)
             continue;
         if (auto const* it = std::get_if<store_write_order_state>(&c))
-        {
-            if (it->revision > revision_)
-                continue;
-            order_.state = it->state;
-            publish({{"s", ++revision_, order_}, false}, store_kind::rollouts);
-        }
+            write_state(*it);
+        if (auto const* it = std::get_if<store_write_report>(&c))
+            publish({{it->report.name, ++revision_, it->report}, false},
+                store_kind::reports);
     }
 }
 
--- a/tests/dispatch/rollout_fleet.hpp
+++ b/tests/dispatch/rollout_fleet.hpp
@@ -82,6 +82,8 @@
     };
 
     auto publish(stored_change const& c, store_kind kind) -> void;
+    auto publish_order() -> void;
+    auto write_state(store_write_order_state const& c) -> void;
     auto submit(std::string const& path) -> void;
     auto take_requests(std::size_t i) -> void;
     auto deliver_replies() -> void;
@@ -91,6 +93,7 @@
     version_model model_;
     rollout_order order_;
     std::uint64_t revision_ = 1'000;
+    std::uint64_t order_revision_ = 0;
     time_point now_;
     time_point ordered_at_ = time_point::max();
     time_point fiftieth_bad_ = time_point::max();
--- a/tests/dispatch/test_interleavings.cpp
+++ b/tests/dispatch/test_interleavings.cpp
@@ -256,7 +256,7 @@
     auto change_store() -> void
     {
         auto const kind =
-            ks::store_kinds[static_cast<std::size_t>(random_below(5))];
+            ks::store_kinds[static_cast<std::size_t>(random_below(6))];
         switch (random_below(6))
         {
         case 0:
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -44,3 +44,35 @@
     CHECK(
         std::get<ks::rollout_order>(o.value).state == ks::order_state::waiting);
 }
+
+TEST_CASE("platform: a report is unchanged after write and read")
+{
+    auto const dialect = ks::platform::make_store_dialect();
+    auto r = ks::instance_report{"n1", {}};
+    r.evidence.push_back(
+        {"s", "v2", {{"r-1", {200, 1, 2}, {30, 9, 4}}, {"r-2", {}, {1, 0, 0}}}});
+    CHECK(dialect.report(r, false).method == "POST");
+    auto const m = dialect.report(r, true);
+    CHECK(m.target == "/objects/knapweedstream-reports/n1");
+    auto const o = ks::platform::decode_object(
+        ks::store_kind::reports, json::parse(m.body));
+    REQUIRE(std::holds_alternative<ks::instance_report>(o.value));
+    CHECK(std::get<ks::instance_report>(o.value) == r);
+}
+
+TEST_CASE("platform: a malformed report is unreadable")
+{
+    for (auto const* text :
+        {R"({"evidence":[{"service":"s","routes":[{"before":[1,2]}]}]})",
+            R"({"evidence":[{"service":"s","routes":[{"route":"r",
+                "before":[1,2,3],"after":[1,-2,3]}]}]})",
+            R"({"evidence":[7]})"})
+    {
+        auto const stored = json::object{
+            {"meta", json::object{{"name", "n1"}, {"revision", 4}}},
+            {"spec", json::parse(text)}};
+        auto const o =
+            ks::platform::decode_object(ks::store_kind::reports, stored);
+        CHECK(std::holds_alternative<ks::unreadable_object>(o.value));
+    }
+}
