EXPOSURE: versions that may be on trial wait for the orders; rolled back ones stay out

Callers saw: requests to a bad version from an instance that had just started, or after its order had been removed or replaced. Cause: an instance without an order for a service uses all its targets, so not knowing an order, or no longer knowing it, meant permission (class: missing knowledge taken as consent). First lists of orders may be stale, and targets of a new version can be known before the order. Change: while a service has targets of several versions, a version that was not there when the orders were last read gets nothing until a list that is not stale was read (4 s at most, as the store may be away); a version that was rolled back gets nothing while targets of another one exist.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -47,6 +47,16 @@
         "zone=" + t.info.zone + " version=" + t.info.version, t.revision}});
 }
 
+/// Updates which versions a service's targets have.
+auto update_versions(
+    dispatch_state& s, service_entry& service, time_point now) -> void
+{
+    auto versions = std::set<std::string>{};
+    for (auto const id : service.targets)
+        versions.insert(s.targets.at(id).info.version);
+    service.versions = with_present(service.versions, versions, now);
+}
+
 auto remove_target(
     dispatch_state& s, target_id id, time_point now, commands& out) -> void
 {
@@ -58,6 +68,7 @@
     report_target(t, target_condition::gone, out);
     auto const service = t.service;
     std::erase(s.services.at(service).targets, id);
+    update_versions(s, s.services.at(service), now);
     invalidate_shares(s, service);
     t.listed = false;
     if (t.links == 0)
@@ -112,6 +123,7 @@
         invalidate_shares(s, t.service);
     }
     t.info = r;
+    update_versions(s, s.services.at(t.service), now);
     t.revision = revision;
     t.distance = proximity_to(s, r.zone);
     t.region = region_of(s, r.zone);
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -37,7 +37,7 @@
 auto may_be_stale(follow_state const& f, follow_policy const& policy) -> bool
 {
     return std::visit(
-        overloaded{[&](by_watch const&) { return !f.history_lost; },
+        overloaded{[&](by_watch const&) { return !f.list_fresh; },
             [&](by_poll const&)
             {
                 return f.lists != fresh_list_index;
@@ -184,11 +184,21 @@
 {
     auto next = f;
     next.revision = 0;
-    next.history_lost = true;
+    next.list_fresh = true;
     next.phase = pausing{now};
     return resume(next, limits, now);
 }
 
+auto relisted(follow_state const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step
+{
+    auto const stale_list =
+        std::holds_alternative<listing>(f.phase) && !f.list_fresh;
+    if (f.failures > 0 || (!stale_list && f.revision == 0))
+        return {f, {}};
+    return without_history(f, limits, now);
+}
+
 auto with_failure(follow_state const& f, dispatch_limits const& limits,
     double jitter, time_point now) -> follow_step
 {
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -73,8 +73,8 @@
     bool require_fresh = false; ///< Watches must not return stale data.
     /// No request needs the data yet; the pauses between watches are longer.
     bool low_priority = false;
-    /// The store has once compacted changes before this instance read them.
-    bool history_lost = false;
+    /// Lists must not return stale data, as no later watch would complete them.
+    bool list_fresh = false;
 
     auto operator<=>(follow_state const&) const = default;
 };
@@ -123,6 +123,11 @@
 auto without_history(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
+/// Lists the kind again at once, from data that is not stale. Has no effect
+/// while a list is being read or calls fail.
+auto relisted(follow_state const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step;
+
 /// Schedules the next call after a failed one, with exponential backoff.
 ///
 /// @param[in] jitter From 0 to 1; spreads the calls of the instances.
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -139,7 +139,7 @@
         auto& t = s.targets.at(id);
         if (!wants_probe(t.health, now) || !is_usable(t, now) ||
             !is_allowed(t, r) || was_tried(p, id) ||
-            !is_version_allowed(s, p, t) || !warmup_allows(s, t, now))
+            !is_version_allowed(s, p, t, now) || !warmup_allows(s, t, now))
             continue;
         auto const connection = take_idle(s, t, false, now);
         if (connection == connection_id{})
--- a/src/core/dispatch/rollout_orders.cpp
+++ b/src/core/dispatch/rollout_orders.cpp
@@ -72,6 +72,10 @@
 {
     auto const moved = !e.shift || e.shift->phase.index() != next.phase.index();
     e.shift = std::move(next);
+    auto const undone =
+        std::holds_alternative<shift_rolled_back>(e.shift->phase);
+    e.versions =
+        with_order_seen(e.versions, e.shift->order.to_version, undone);
     if (moved)
         report_phase(s, *e.shift, out);
 }
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -100,6 +100,13 @@
     return !service.shift || matches_side(*service.shift, side, t.info.version);
 }
 
+auto admits_target(dispatch_state const& s, target_entry const& t,
+    time_point now) -> bool
+{
+    return admits_version(
+        s.services.at(t.service).versions, t.info.version, now);
+}
+
 /// Rank of this instance among those that may send to a cold target: instances
 /// in the target's region come first.
 auto warming_rank(dispatch_state const& s, target_entry const& t) -> std::size_t
@@ -115,6 +122,7 @@
     route const& r, search_step const& step, time_point now) -> bool
 {
     return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
+           admits_target(s, t, now) &&
            (step.tried || !was_tried(p, t.id)) &&
            (step.suspended || may_be_first(t.health, r, now)) &&
            can_connect(s, t, step.over_share, now) && warmup_allows(s, t, now);
@@ -220,10 +228,11 @@
     return best ? targets[*best] : nullptr;
 }
 
-auto is_version_allowed(
-    dispatch_state const& s, part const& p, target_entry const& t) -> bool
+auto is_version_allowed(dispatch_state const& s, part const& p,
+    target_entry const& t, time_point now) -> bool
 {
-    return matches_side(s.services.at(p.service), p.side, t);
+    return admits_target(s, t, now) &&
+           matches_side(s.services.at(p.service), p.side, t);
 }
 
 auto has_untried(dispatch_state& s, part const& p, open_request const& r,
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -28,9 +28,10 @@
 /// during its warm-up.
 auto warmup_allows(dispatch_state& s, target_entry& t, time_point now) -> bool;
 
-/// True if a rollout in progress allows the part to go to the target's version.
-auto is_version_allowed(
-    dispatch_state const& s, part const& p, target_entry const& t) -> bool;
+/// True if the part may go to the target's version, also considering a rollout
+/// in progress.
+auto is_version_allowed(dispatch_state const& s, part const& p,
+    target_entry const& t, time_point now) -> bool;
 
 /// True if an eligible target that was not tried for the part has capacity.
 auto has_untried(dispatch_state& s, part const& p, open_request const& r,
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/stop.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -68,6 +69,33 @@
         out.push_back(store_write_record{self, listed});
 }
 
+/// Lists the orders again if targets of a version have appeared that may be on
+/// trial.
+auto read_orders_if_needed(dispatch_state& s, time_point now, commands& out)
+    -> void
+{
+    auto const needed = std::any_of(s.services.begin(), s.services.end(),
+        [](auto const& it) { return needs_orders(it.second.versions); });
+    if (needed)
+        apply_step(s,
+            relisted(s.follows[store_kind::rollouts], s.init.limits, now), out);
+}
+
+/// Handles a complete list: one of the orders that is not stale explains all
+/// versions that targets have.
+auto after_list(dispatch_state& s, store_kind kind, bool fresh,
+    time_point now, commands& out) -> void
+{
+    if (kind == store_kind::instances)
+        ensure_record(s, out);
+    if (kind == store_kind::targets)
+        read_orders_if_needed(s, now, out);
+    if (kind != store_kind::rollouts || !fresh)
+        return;
+    for (auto& [id, it] : s.services)
+        it.versions = with_orders_read(it.versions);
+}
+
 /// Checks the watch of a kind, if one is waiting.
 ///
 /// @returns True if it was.
@@ -108,8 +136,7 @@
         auto objects = list->objects;
         objects.insert(objects.end(), e.objects.begin(), e.objects.end());
         apply_list(s, e.kind, objects, now, out);
-        if (e.kind == store_kind::instances)
-            ensure_record(s, out);
+        after_list(s, e.kind, before.list_fresh, now, out);
     }
     auto page = with_page(std::move(s.follows[e.kind]), e, s.init.limits, now);
     apply_step(s, std::move(page), out);
@@ -122,6 +149,8 @@
     mark_reachable(s, e.kind, now, out);
     apply_changes(s, e.kind, e.changes, now, out);
     apply_step(s, with_changes(s.follows[e.kind], e, s.init.limits, now), out);
+    if (e.kind == store_kind::targets)
+        read_orders_if_needed(s, now, out);
     update_ready(s, out);
 }
 
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -10,6 +10,7 @@
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
+#include "core/dispatch/version_admission.hpp"
 #include "core/dispatch/version_shift.hpp"
 #include "core/dispatch/warmup.hpp"
 #include "core/random.hpp"
@@ -211,6 +212,7 @@
     extra_budget budget;
     /// Set while there is a rollout order for it.
     std::optional<version_shift> shift;
+    version_admission versions;
     /// Queued parts, by route priority, then in order of queueing.
     std::deque<part_key> waiting;
 };
