BUDGET: requests that end targets are recognised over requests and instances

Callers saw: targets of several services ended again and again; a request under which three had ended was sent to many more. Cause: the routed path remembered nothing of a request beyond its end, so each repeat, at any instance, started from nothing (class: a bound over the fleet and over time kept only for each request). Change: losses are remembered by the request's content; when the target is found to have ended (nothing listens, another start, no registration) the crash is held against the content and reported to the other instances. Content held responsible for two ended targets is refused, unless a target has answered it within 60 s. After a loss that left no connection one is opened to find out.

--- a/include/knapweedstream/report.hpp
+++ b/include/knapweedstream/report.hpp
@@ -1,5 +1,6 @@
 /// What an instance has observed and tells all other instances: outcomes of
-/// requests to both versions of a service during a rollout.
+/// requests to both versions of a service during a rollout, and requests that
+/// crashed targets.
 #ifndef KNAPWEEDSTREAM_REPORT_HPP
 #define KNAPWEEDSTREAM_REPORT_HPP
 
@@ -41,11 +42,22 @@
     auto operator<=>(version_evidence const&) const = default;
 };
 
+/// A target that ended while it ran a request.
+struct target_crash
+{
+    std::uint64_t print = 0; ///< Fingerprint of the request's content.
+    std::string target;
+    std::int64_t started_ms = 0; ///< Start of the target, as registered.
+
+    auto operator<=>(target_crash const&) const = default;
+};
+
 /// What one instance reports to the others.
 struct instance_report
 {
     std::string name; ///< Of the instance.
     std::vector<version_evidence> evidence;
+    std::vector<target_crash> crashes;
 
     auto operator<=>(instance_report const&) const = default;
 };
--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -181,6 +181,13 @@
            " " + it.details;
 }
 
+auto line_of(dispatch::crash_suspected const& it) -> std::string
+{
+    return "Target ended under a request. print=" + std::to_string(it.print) +
+           " target=" + it.target +
+           " started_ms=" + std::to_string(it.started_ms);
+}
+
 auto line_of(dispatch::zone_changed const& it) -> std::string
 {
     return std::string{it.evacuated ? "Zone evacuated. zone="
@@ -236,6 +243,9 @@
             },
             [](dispatch::rollout_progressed const&) -> log_category
             { return {"rollout"}; },
+            [](dispatch::crash_suspected const&) -> log_category {
+                return {"request", log_level::warning};
+            },
             [](dispatch::zone_changed const&) -> log_category
             { return {"config"}; },
             [](dispatch::readiness_changed const&) -> log_category
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/answers.hpp"
 #include "core/dispatch/concurrency_limit.hpp"
+#include "core/dispatch/crashes.hpp"
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
@@ -41,7 +42,7 @@
     auto& p = e.parts[key.index];
     if (!is_open(p) || p.queued || running_count(p) > 0)
         return;
-    if (!may_send_again(s, e, p))
+    if (!may_send_again(s, e, p) || is_deadly(s, *e.value.request, now))
         return fail_part(e, p, now);
     if (!within_budget(s, e, p, kind, now))
     {
@@ -64,6 +65,7 @@
     --e.pending_parts;
     ++e.answered_parts;
     abandon_others(s, p, now);
+    note_answered(s, e, now);
 }
 
 /// Adds the latency of a successful attempt to the estimate of its route,
@@ -246,6 +248,9 @@
         t.health = without_request(t.health);
     if (m.how == attempt_end::turned_away)
         back_off(s, t, now);
+    // A target that ends at once under a request looks as if it turned it away.
+    if (m.how != attempt_end::unsent)
+        note_lost(s, a, t, now);
     report_condition(s, t, now, out);
     finish_attempt(s, a, m, nullptr, now, out);
 }
@@ -352,6 +357,8 @@
     if (it == s.links.end())
         return;
     auto const l = it->second;
+    if (e.how == connection_end::refused)
+        note_ended(s, s.targets.at(l.target), now, out);
     if (l.state == link_state::opening)
         return on_open_failed(s, l, now, out);
     if (l.state == link_state::busy)
@@ -362,6 +369,7 @@
         remove_link(s, l);
     auto& t = s.targets.at(l.target);
     serve_queue(s, t.service, now, out);
+    check_if_ended(s, t, now, out);
     preconnect(s, t, now, out);
 }
 
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/catalog.hpp"
 
+#include "core/dispatch/crashes.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
@@ -48,8 +49,8 @@
 }
 
 /// Updates which versions a service's targets have.
-auto update_versions(
-    dispatch_state& s, service_entry& service, time_point now) -> void
+auto update_versions(dispatch_state& s, service_entry& service, time_point now)
+    -> void
 {
     auto versions = std::set<std::string>{};
     for (auto const id : service.targets)
@@ -65,6 +66,7 @@
         return;
     auto& t = it->second;
     close_idle(s, t, out);
+    note_ended(s, t, now, out);
     report_target(t, target_condition::gone, out);
     auto const service = t.service;
     std::erase(s.services.at(service).targets, id);
@@ -214,24 +216,24 @@
 auto apply_object(dispatch_state& s, store_kind kind, stored_object const& o,
     time_point now, commands& out) -> void
 {
-    std::visit(overloaded{[&](unreadable_object const& it) {
-                              out.push_back(report_fact{
-                                  object_skipped{kind, o.name, it.reason}});
-                          },
-                   [&](routing_config const& it)
-                   { apply_config(s, it, o.revision, now, out); },
-                   [&](target_registration const& it)
-                   { apply_target(s, it, o.revision, now, out); },
-                   [&](zone_evacuation const& it)
-                   { set_evacuated(s, it.zone, true, o.revision, now, out); },
-                   [&](rollout_order const& it)
-                   { apply_order(s, it, o.revision, now, out); },
-                   [&](instance_record const& it)
-                   { set_instance(s, o.name, &it); },
-                   [&](instance_report const& it)
-                   {
-                       apply_report(s, it);
-                   }},
+    std::visit(
+        overloaded{[&](unreadable_object const& it) {
+                       out.push_back(report_fact{
+                           object_skipped{kind, o.name, it.reason}});
+                   },
+            [&](routing_config const& it)
+            { apply_config(s, it, o.revision, now, out); },
+            [&](target_registration const& it)
+            { apply_target(s, it, o.revision, now, out); },
+            [&](zone_evacuation const& it)
+            { set_evacuated(s, it.zone, true, o.revision, now, out); },
+            [&](rollout_order const& it)
+            { apply_order(s, it, o.revision, now, out); },
+            [&](instance_record const& it) { set_instance(s, o.name, &it); },
+            [&](instance_report const& it)
+            {
+                apply_report(s, it, now);
+            }},
         o.value);
 }
 
--- a/src/core/dispatch/reports.cpp
+++ b/src/core/dispatch/reports.cpp
@@ -12,6 +12,8 @@
 
 /// Time until a report whose write failed is written again.
 constexpr auto rewrite_after = milliseconds{1'500};
+/// Age above which crashes that another instance reports are ignored.
+constexpr auto max_crash_age = seconds{60};
 
 auto is_open_order(version_shift const& v) -> bool
 {
@@ -28,12 +30,14 @@
 
 auto current_report(dispatch_state const& s) -> instance_report
 {
-    auto r = instance_report{s.init.self.name, {}};
+    auto r = instance_report{s.init.self.name, {}, {}};
     for (auto const& [id, it] : s.services)
         if (it.shift && is_worth_reporting(*it.shift))
             r.evidence.push_back(
                 {it.name, it.shift->order.to_version, it.shift->outcomes});
     std::sort(r.evidence.begin(), r.evidence.end());
+    for (auto const& it : s.suspicions.crashes)
+        r.crashes.push_back(it.value);
     return r;
 }
 
@@ -47,12 +51,13 @@
 
 } // namespace
 
-auto apply_report(dispatch_state& s, instance_report const& r) -> void
+auto apply_report(dispatch_state& s, instance_report const& r, time_point now)
+    -> void
 {
     if (r.name == s.init.self.name)
         s.own_report.exists = true;
     else
-        s.reports[r.name] = r;
+        s.reports[r.name] = {r, now};
 }
 
 auto drop_report(dispatch_state& s, std::string const& name) -> void
@@ -67,15 +72,27 @@
 {
     auto sum = std::vector<route_outcomes>{};
     for (auto const& [name, report] : s.reports)
-        for (auto const& it : report.evidence)
+        for (auto const& it : report.value.evidence)
             if (it.service == service && it.version == version)
                 sum = with_sum(std::move(sum), it.routes);
     return sum;
 }
 
+auto reported_crashes(dispatch_state const& s, time_point now)
+    -> std::vector<target_crash>
+{
+    auto all = std::vector<target_crash>{};
+    for (auto const& [name, report] : s.reports)
+        if (now - report.at <= duration{max_crash_age})
+            all.insert(all.end(), report.value.crashes.begin(),
+                report.value.crashes.end());
+    return all;
+}
+
 auto request_report(dispatch_state& s, time_point now) -> void
 {
-    arm_report(s, std::max(now, s.own_report.at + s.init.limits.report_interval));
+    arm_report(
+        s, std::max(now, s.own_report.at + s.init.limits.report_interval));
 }
 
 auto on_report_due(dispatch_state& s, time_point now, commands& out) -> void
@@ -83,7 +100,7 @@
     auto& own = s.own_report;
     own.due = false;
     auto report = current_report(s);
-    auto const empty = report.evidence.empty();
+    auto const empty = report.evidence.empty() && report.crashes.empty();
     if (s.stop.requested || report == own.value || (empty && !own.exists))
         return;
     own.value = std::move(report);
@@ -103,8 +120,8 @@
     own.exists = e.failure == store_failure::conflict ||
                  (own.exists && e.failure != store_failure::missing);
     own.value = {};
-    arm_report(s, e.failure == store_failure::conflict ? now
-                                                       : now + rewrite_after);
+    arm_report(
+        s, e.failure == store_failure::conflict ? now : now + rewrite_after);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/reports.hpp
+++ b/src/core/dispatch/reports.hpp
@@ -11,7 +11,8 @@
 {
 
 /// Takes over the report of another instance; ignores this instance's own.
-auto apply_report(dispatch_state& s, instance_report const& r) -> void;
+auto apply_report(dispatch_state& s, instance_report const& r, time_point now)
+    -> void;
 
 /// Forgets the report of an instance.
 auto drop_report(dispatch_state& s, std::string const& name) -> void;
@@ -21,6 +22,10 @@
 auto reported_outcomes(dispatch_state const& s, std::string const& service,
     std::string const& version) -> std::vector<route_outcomes>;
 
+/// Crashes of targets that the other instances have reported lately.
+auto reported_crashes(dispatch_state const& s, time_point now)
+    -> std::vector<target_crash>;
+
 /// Has this instance's report written soon if it has changed.
 auto request_report(dispatch_state& s, time_point now) -> void;
 
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/answers.hpp"
 #include "core/dispatch/attempts.hpp"
+#include "core/dispatch/crashes.hpp"
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/rollout_orders.hpp"
@@ -214,6 +215,8 @@
         return refuse(s, e, nullptr, {refusal_reason::no_route, {}}, out);
     if (e.request->id.empty())
         return refuse(s, e, r, {refusal_reason::bad_request, {}}, out);
+    if (is_deadly(s, *e.request, now))
+        return refuse(s, e, r, {refusal_reason::deadly, {}}, out);
     auto entry = request_entry{};
     entry.value = make_open_request(s, e, *r, now);
     for (auto const& name : needed_services(s, *r))
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -5,6 +5,7 @@
 #define KNAPWEEDSTREAM_CORE_DISPATCH_TABLES_HPP
 
 #include "core/adaptive_limit.hpp"
+#include "core/dispatch/crash_suspicion.hpp"
 #include "core/dispatch/dispatcher.hpp"
 #include "core/dispatch/extra_budget.hpp"
 #include "core/dispatch/follow.hpp"
@@ -310,6 +311,22 @@
     auto operator<=>(stop_progress const&) const = default;
 };
 
+/// The newest report of another instance.
+struct received_report
+{
+    instance_report value;
+    time_point at; ///< When it was read.
+
+    auto operator<=>(received_report const&) const = default;
+};
+
+/// Content that targets have answered lately. It crashes no target.
+struct answered_contents
+{
+    std::unordered_map<fingerprint, time_point> at;
+    std::deque<fingerprint> order; ///< Oldest first; bounded.
+};
+
 /// The report that this instance has written to the store.
 struct written_report
 {
@@ -354,7 +371,9 @@
     std::set<std::string> evacuated;
     std::map<std::string, instance_record> instances; ///< By name.
     /// Reports of the other instances, by name.
-    std::map<std::string, instance_report> reports;
+    std::map<std::string, received_report> reports;
+    crash_suspicions suspicions;
+    answered_contents answered;
     written_report own_report;
 
     /// Weighted round robin state, by route.
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -202,6 +202,15 @@
     auto operator<=>(rollout_progressed const&) const = default;
 };
 
+/// A target ended while it ran a request, which may have caused it.
+struct crash_suspected
+{
+    std::uint64_t print = 0; ///< Fingerprint of the request's content.
+    std::string target;
+    std::int64_t started_ms = 0; ///< Start of the target, as registered.
+    auto operator<=>(crash_suspected const&) const = default;
+};
+
 /// The instance became ready for callers or stopped being so.
 struct readiness_changed
 {
@@ -214,7 +223,7 @@
 using fact = std::variant<extra_sent, attempt_failed, budget_exhausted,
     request_ended, target_condition_changed, config_applied, config_ignored,
     object_skipped, store_availability_changed, watch_stalled, zone_changed,
-    rollout_progressed, readiness_changed>;
+    rollout_progressed, crash_suspected, readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -48,9 +48,10 @@
 TEST_CASE("platform: a report is unchanged after write and read")
 {
     auto const dialect = ks::platform::make_store_dialect();
-    auto r = ks::instance_report{"n1", {}};
-    r.evidence.push_back(
-        {"s", "v2", {{"r-1", {200, 1, 2}, {30, 9, 4}}, {"r-2", {}, {1, 0, 0}}}});
+    auto r = ks::instance_report{"n1", {}, {}};
+    r.crashes = {{~std::uint64_t{0}, "t1", 1'700'000'000'000}};
+    r.evidence.push_back({"s", "v2",
+        {{"r-1", {200, 1, 2}, {30, 9, 4}}, {"r-2", {}, {1, 0, 0}}}});
     CHECK(dialect.report(r, false).method == "POST");
     auto const m = dialect.report(r, true);
     CHECK(m.target == "/objects/knapweedstream-reports/n1");
@@ -66,7 +67,8 @@
         {R"({"evidence":[{"service":"s","routes":[{"before":[1,2]}]}]})",
             R"({"evidence":[{"service":"s","routes":[{"route":"r",
                 "before":[1,2,3],"after":[1,-2,3]}]}]})",
-            R"({"evidence":[7]})"})
+            R"({"evidence":[7]})", R"({"crashes":[{"print":0}]})",
+            R"({"crashes":[{"print":1e40,"target":"t"}]})"})
     {
         auto const stored = json::object{
             {"meta", json::object{{"name", "n1"}, {"revision", 4}}},
