LIMIT: targets get no more than they state, over all instances

Callers saw nothing; targets that had stated a limit got 226 to 326 requests in 4 s where 164 to 202 were tolerated. Change: replies carry what a target says of itself to one value of the target (target_notices); instances divide the limit equally, in a large fleet a few of them, by token buckets of one kind with those of cold targets. Parts wait for the next request that a limited target takes; what cannot be sent soon is refused at once. A limit ends with the first reply without it or another start, and is checked now and then where none is heard.

--- a/include/knapweedstream/exchange.hpp
+++ b/include/knapweedstream/exchange.hpp
@@ -90,6 +90,16 @@
 using target_reply = std::variant<reply_success, reply_failure,
     reply_overloaded, reply_wrong_target, reply_unusable>;
 
+/// What a target says of itself in a reply, whatever the reply is.
+struct target_statement
+{
+    /// Requests per second that it takes from all instances together.
+    std::optional<double> limit_per_s;
+    std::string ignored; ///< Names what could not be read; otherwise empty.
+
+    auto operator<=>(target_statement const&) const = default;
+};
+
 /// Why a request was refused. No target has run it and none will.
 enum class refusal_reason : std::uint8_t
 {
--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -43,9 +43,9 @@
 
 auto name_of(dispatch::target_condition it) -> char const*
 {
-    return enum_name(
-        std::array{"registered", "changed", "draining", "gone", "displaced",
-            "slow", "stalled", "failing", "down", "recovered"},
+    return enum_name(std::array{"registered", "changed", "draining", "gone",
+                         "displaced", "slow", "stalled", "failing", "down",
+                         "recovered", "limited", "unlimited"},
         it);
 }
 
@@ -188,6 +188,12 @@
            " started_ms=" + std::to_string(it.started_ms);
 }
 
+auto line_of(dispatch::statement_ignored const& it) -> std::string
+{
+    return "Statement of a target ignored. target=" + it.target +
+           " service=" + it.service + " what=" + it.what;
+}
+
 auto line_of(dispatch::zone_changed const& it) -> std::string
 {
     return std::string{it.evacuated ? "Zone evacuated. zone="
@@ -246,6 +252,9 @@
             [](dispatch::crash_suspected const&) -> log_category {
                 return {"request", log_level::warning};
             },
+            [](dispatch::statement_ignored const&) -> log_category {
+                return {"target", log_level::warning};
+            },
             [](dispatch::zone_changed const&) -> log_category
             { return {"config"}; },
             [](dispatch::readiness_changed const&) -> log_category
--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -37,6 +37,7 @@
         entry{"target_overload_replies_total", &d::overload_replies},
         entry{"target_lost_attempts_total", &d::lost_attempts},
         entry{"target_unusable_replies_total", &d::unusable_replies},
+        entry{"target_statements_ignored_total", &d::ignored_statements},
         entry{"target_connects_total", &d::connects},
         entry{"target_connect_failures_total", &d::connect_failures},
         entry{"store_failures_total", &d::store_failures},
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -42,8 +42,9 @@
 
 /// Executes commands for the store over several connections: for each kind, one
 /// for lists and watches and one for checks; one for the record and
-/// one for the report of this instance; and one for the state of each rollout order. A new call on a
-/// connection replaces the one that is still pending there.
+/// one for the report of this instance; and one for the state of each rollout
+/// order. A new call on a connection replaces the one that is still pending
+/// there.
 class store_client
 {
 public:
--- a/src/adapter/target_links.cpp
+++ b/src/adapter/target_links.cpp
@@ -84,7 +84,7 @@
     auto decoded = codec_.decode(std::move(m), request->id);
     sink_(dispatch::target_replied{id, it->second.attempt,
         std::move(decoded.reply), reusable && decoded.reusable,
-        decoded.idle_limit});
+        decoded.idle_limit, std::move(decoded.said)});
 }
 
 auto target_links::on_ended(connection_id id, link_end how) -> void
--- a/src/adapter/target_links.hpp
+++ b/src/adapter/target_links.hpp
@@ -28,6 +28,7 @@
         /// Idle time after which the target closes the connection; 0: not
         /// stated.
         duration idle_limit{0};
+        target_statement said; ///< What the target says of itself.
     };
 
     /// Encodes the start of a request, which is the same for all targets.
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -131,6 +131,16 @@
             target_condition::displaced, "reply=wrong_target", t.revision}});
 }
 
+auto report_notice(target_entry const& t, commands& out) -> void
+{
+    auto const limit = t.notices.limit_per_s;
+    out.push_back(report_fact{target_condition_changed{t.info.name,
+        t.info.service, t.info.address,
+        limit ? target_condition::limited : target_condition::unlimited,
+        limit ? "limit_per_s=" + std::to_string(*limit) : "limit_per_s=none",
+        t.revision}});
+}
+
 auto report_failure(dispatch_state& s, attempt const& a,
     attempt_outcome const& m, time_point now, commands& out) -> void
 {
@@ -185,6 +195,22 @@
     answer_if_due(s, a.part.request, now, out);
 }
 
+/// Takes over what a target says of itself.
+auto hear(dispatch_state& s, target_entry& t, target_statement const& said,
+    time_point now, commands& out) -> void
+{
+    auto const limited = t.notices.limit_per_s;
+    t.notices = with_statement(t.notices, said, now);
+    if (limited.has_value() != said.limit_per_s.has_value())
+        report_notice(t, out);
+    if (!said.ignored.empty())
+    {
+        ++s.stats.ignored_statements;
+        out.push_back(report_fact{
+            statement_ignored{t.info.name, t.info.service, said.ignored}});
+    }
+}
+
 /// True if a connection that has carried no reply was reset sooner than a reply
 /// could come. This shows that the target had more connections than it accepts
 /// and did not read the request.
@@ -327,6 +353,7 @@
     t.concurrency = with_sample(t.concurrency,
         {now - a.sent_at, a.late_after, refused, good, t.health.in_flight},
         now);
+    hear(s, t, e.said, now, out);
     auto const ratio = good ? observe_latency(s, a, t, now) : 0;
     auto const overdue = now - a.sent_at > a.hedge_delay;
     if (overdue && !a.overdue)
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -110,10 +110,14 @@
 {
     auto const id = id_of<target_id>(r.name);
     auto const known = s.targets.find(id);
-    if (known != s.targets.end() && is_restart(known->second.info, r))
+    auto const restarted =
+        known != s.targets.end() && is_restart(known->second.info, r);
+    if (restarted)
         remove_target(s, id, now, out);
     auto const [it, fresh] = s.targets.try_emplace(id);
     auto& t = it->second;
+    if (restarted)
+        t.notices = {};
     auto const drains = r.draining && !t.info.draining;
     if (fresh || !t.listed)
     {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -46,6 +46,8 @@
     std::uint64_t lost_attempts = 0;
     /// Replies that were invalid or to another request.
     std::uint64_t unusable_replies = 0;
+    /// Statements of targets about themselves that could not be read.
+    std::uint64_t ignored_statements = 0;
     std::uint64_t connects = 0;
     std::uint64_t connect_failures = 0;
     std::uint64_t store_failures = 0;
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -36,12 +36,11 @@
 /// the store has compacted the changes in between.
 auto may_be_stale(follow_state const& f, follow_policy const& policy) -> bool
 {
-    return std::visit(
-        overloaded{[&](by_watch const&) { return !f.list_fresh; },
-            [&](by_poll const&)
-            {
-                return f.lists != fresh_list_index;
-            }},
+    return std::visit(overloaded{[&](by_watch const&) { return !f.list_fresh; },
+                          [&](by_poll const&)
+                          {
+                              return f.lists != fresh_list_index;
+                          }},
         policy);
 }
 
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -94,6 +94,7 @@
     t.health = with_sent(t.health, now);
     if (now < t.cold_until)
         t.warmup = with_sent(t.warmup);
+    t.notices = with_sent(t.notices);
     record_send(s, e, p, t, a, now, out);
     p = with_attempt(p, a);
     s.attempts.emplace(a.id, a);
@@ -122,6 +123,20 @@
         std::find_if(waiting.begin(), waiting.end(), less_urgent), key);
 }
 
+/// True if a part that no target can take now may wait: for a connection that
+/// is being restored, or for a target's limit, in which case a timer is armed.
+auto may_wait(dispatch_state& s, part const& p, route const& r, time_point now)
+    -> bool
+{
+    if (has_reconnecting_target(s, p.service, r, now))
+        return true;
+    auto const next = next_allowance(s, p, r, now);
+    if (!next)
+        return false;
+    arm(s, next->at, target_due{next->target});
+    return true;
+}
+
 /// Also sends a part, which was just sent to another target, to a suspended
 /// target whose suspension has run out, to find out whether it has recovered.
 auto probe(dispatch_state& s, part_key const& key, time_point now,
@@ -139,7 +154,8 @@
         auto& t = s.targets.at(id);
         if (!wants_probe(t.health, now) || !is_usable(t, now) ||
             !is_allowed(t, r) || was_tried(p, id) ||
-            !is_version_allowed(s, p, t, now) || !warmup_allows(s, t, now))
+            !is_version_allowed(s, p, t, now) || !warmup_allows(s, t, now) ||
+            !limit_allows(s, t, now))
             continue;
         auto const connection = take_idle(s, t, false, now);
         if (connection == connection_id{})
@@ -171,8 +187,7 @@
     auto* t = choose_target(s, p, e.value, none_running, now);
     if (t == nullptr)
     {
-        if (!none_running ||
-            !has_reconnecting_target(s, p.service, *e.value.matched_route, now))
+        if (!none_running || !may_wait(s, p, *e.value.matched_route, now))
             return place_result::unplaced;
         enqueue(s, key, p, kind, e.value.matched_route->priority);
         return place_result::queued;
--- a/src/core/dispatch/rollout_orders.cpp
+++ b/src/core/dispatch/rollout_orders.cpp
@@ -43,18 +43,16 @@
         reported_outcomes(s, v.order.service, v.order.to_version), v.outcomes);
 }
 
-auto report_phase(dispatch_state const& s, version_shift const& v,
-    commands& out) -> void
+auto report_phase(
+    dispatch_state const& s, version_shift const& v, commands& out) -> void
 {
     auto const own = total_of(v.outcomes);
     auto const all = total_of(all_outcomes(s, v));
-    out.push_back(report_fact{
-        rollout_progressed{v.order.service, v.order.to_version,
-            name_of(v.phase), v.revision,
-            "bad_before=" + counts_text(own.before) +
-                " bad_after=" + counts_text(own.after) +
-                " all_before=" + counts_text(all.before) +
-                " all_after=" + counts_text(all.after)}});
+    out.push_back(report_fact{rollout_progressed{v.order.service,
+        v.order.to_version, name_of(v.phase), v.revision,
+        "bad_before=" + counts_text(own.before) + " bad_after=" +
+            counts_text(own.after) + " all_before=" + counts_text(all.before) +
+            " all_after=" + counts_text(all.after)}});
 }
 
 /// Requires fresh data from watches of orders while one is not final.
@@ -74,8 +72,7 @@
     e.shift = std::move(next);
     auto const undone =
         std::holds_alternative<shift_rolled_back>(e.shift->phase);
-    e.versions =
-        with_order_seen(e.versions, e.shift->order.to_version, undone);
+    e.versions = with_order_seen(e.versions, e.shift->order.to_version, undone);
     if (moved)
         report_phase(s, *e.shift, out);
 }
@@ -148,7 +145,7 @@
     if (it == s.services.end() || !it->second.shift ||
         !is_open_order(*it->second.shift))
         return;
-    auto const outcome = failed           ? version_outcome::failed
+    auto const outcome = failed            ? version_outcome::failed
                          : is_slow(a, now) ? version_outcome::slow
                                            : version_outcome::good;
     it->second.shift =
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace knapweedstream::dispatch
 {
@@ -66,11 +67,14 @@
     bool tried = false; ///< Also targets that were already tried for the part.
     /// Also targets that need a connection beyond this instance's share.
     bool over_share = false;
+    bool over_limit = false; ///< Also targets that are at their stated limit.
 };
 
 constexpr auto search_steps = std::array{search_step{false, false, false},
     search_step{false, false, true}, search_step{true, false, true},
     search_step{true, true, true}};
+/// Admits the targets that could take the part sooner or later.
+constexpr auto any_time = search_step{true, true, true, true};
 
 /// True if the target has a connection, or one may be opened for a request.
 ///
@@ -100,16 +104,17 @@
     return !service.shift || matches_side(*service.shift, side, t.info.version);
 }
 
-auto admits_target(dispatch_state const& s, target_entry const& t,
-    time_point now) -> bool
+auto admits_target(
+    dispatch_state const& s, target_entry const& t, time_point now) -> bool
 {
     return admits_version(
         s.services.at(t.service).versions, t.info.version, now);
 }
 
-/// Rank of this instance among those that may send to a cold target: instances
-/// in the target's region come first.
-auto warming_rank(dispatch_state const& s, target_entry const& t) -> std::size_t
+/// Rank of this instance among those that may send to a target that takes
+/// little: instances in the target's region come first.
+auto sender_rank_of(dispatch_state const& s, target_entry const& t)
+    -> std::size_t
 {
     return rank_of_self(s,
         [&](instance_record const& it) {
@@ -118,14 +123,30 @@
         });
 }
 
+auto self_at(dispatch_state const& s, target_entry const& t) -> sender_rank
+{
+    return {sender_rank_of(s, t), std::max<std::size_t>(1, s.instances.size())};
+}
+
+/// Requests per second that this instance may send to a target; the greatest
+/// possible value if it has stated no limit.
+auto share_of_limit(dispatch_state const& s, target_entry const& t) -> double
+{
+    auto const& limit = t.notices.limit_per_s;
+    return limit ? share_of_limit(*limit, self_at(s, t))
+                 : std::numeric_limits<double>::max();
+}
+
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
     route const& r, search_step const& step, time_point now) -> bool
 {
     return is_usable(t, now) && is_reachable(t, now) && is_allowed(t, r) &&
-           admits_target(s, t, now) &&
-           (step.tried || !was_tried(p, t.id)) &&
+           admits_target(s, t, now) && (step.tried || !was_tried(p, t.id)) &&
            (step.suspended || may_be_first(t.health, r, now)) &&
-           can_connect(s, t, step.over_share, now) && warmup_allows(s, t, now);
+           can_connect(s, t, step.over_share, now) &&
+           warmup_allows(s, t, now) &&
+           (step.over_limit ? share_of_limit(s, t) > 0
+                            : limit_allows(s, t, now));
 }
 
 /// Eligible targets with capacity of one side of a rollout, from the first
@@ -188,6 +209,27 @@
     return t.opening > 0 && now - t.last_open_started < usual;
 }
 
+/// Expected wait of a new part if all targets that could take it have stated a
+/// limit, and this instance's shares are used up now; otherwise empty.
+auto wait_at_limit(dispatch_state& s, part const& p, route const& r,
+    std::size_t waiting, time_point now) -> std::optional<duration>
+{
+    auto rate = 0.0;
+    for (auto const id : s.services.at(p.service).targets)
+    {
+        auto& t = s.targets.at(id);
+        if (!is_eligible(s, t, p, r, any_time, now))
+            continue;
+        if (limit_allows(s, t, now))
+            return std::nullopt;
+        rate += share_of_limit(s, t);
+    }
+    if (rate <= 0)
+        return std::nullopt;
+    return std::chrono::ceil<duration>(std::chrono::duration<double>(
+        (1.0 + static_cast<double>(waiting)) / rate));
+}
+
 } // namespace
 
 auto warmup_allows(dispatch_state& s, target_entry& t, time_point now) -> bool
@@ -196,10 +238,40 @@
     if (now >= t.cold_until || rate <= 0)
         return true;
     t.warmup =
-        with_refill(t.warmup, s.init.bounds, rate, warming_rank(s, t), now);
+        with_refill(t.warmup, s.init.bounds, rate, sender_rank_of(s, t), now);
     return may_send(t.warmup);
 }
 
+auto limit_allows(dispatch_state& s, target_entry& t, time_point now) -> bool
+{
+    if (!t.notices.limit_per_s)
+        return true;
+    t.notices = refilled(t.notices, self_at(s, t), now);
+    return may_send(t.notices);
+}
+
+auto next_allowance(dispatch_state& s, part const& p, route const& r,
+    time_point now) -> std::optional<limit_wait>
+{
+    auto next = std::optional<limit_wait>{};
+    auto const it = s.services.find(p.service);
+    if (it == s.services.end())
+        return next;
+    auto const side =
+        p.side == version_side::prefer_new ? version_side::any : p.side;
+    for (auto const id : it->second.targets)
+    {
+        auto& t = s.targets.at(id);
+        if (!t.notices.limit_per_s || !matches_side(it->second, side, t) ||
+            !is_eligible(s, t, p, r, any_time, now))
+            continue;
+        auto const wait = wait_for_allowance(t.notices, self_at(s, t));
+        if (wait > duration{0} && (!next || now + wait < next->at))
+            next = limit_wait{id, now + wait};
+    }
+    return next;
+}
+
 auto is_allowed(target_entry const& t, route const& r) -> bool
 {
     return r.regions.empty() || std::find(r.regions.begin(), r.regions.end(),
@@ -248,6 +320,9 @@
     if (service == s.services.end())
         return duration::max();
     auto const waiting = service->second.waiting.size();
+    auto const limited = wait_at_limit(s, p, *r.matched_route, waiting, now);
+    if (limited)
+        return *limited;
     if (waiting == 0)
     {
         auto const has_any = any_target(s, p.service,
@@ -285,8 +360,7 @@
         [&](target_entry& t)
         {
             return matches_side(s.services.at(p.service), side, t) &&
-                   is_eligible(
-                       s, t, p, *r.matched_route, search_steps.back(), now);
+                   is_eligible(s, t, p, *r.matched_route, any_time, now);
         });
 }
 
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -5,6 +5,8 @@
 
 #include "core/dispatch/tables.hpp"
 
+#include <optional>
+
 namespace knapweedstream::dispatch
 {
 
@@ -28,6 +30,22 @@
 /// during its warm-up.
 auto warmup_allows(dispatch_state& s, target_entry& t, time_point now) -> bool;
 
+/// True if the target has stated no limit, or this instance may send it one
+/// more request now.
+auto limit_allows(dispatch_state& s, target_entry& t, time_point now) -> bool;
+
+/// When a target that is at its stated limit may be sent the next request.
+struct limit_wait
+{
+    target_id target;
+    time_point at;
+};
+
+/// The first target that a part may be sent to once its stated limit allows it;
+/// empty if no target is held back by its limit alone.
+auto next_allowance(dispatch_state& s, part const& p, route const& r,
+    time_point now) -> std::optional<limit_wait>;
+
 /// True if the part may go to the target's version, also considering a rollout
 /// in progress.
 auto is_version_allowed(dispatch_state const& s, part const& p,
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -83,8 +83,8 @@
 
 /// Handles a complete list: one of the orders that is not stale explains all
 /// versions that targets have.
-auto after_list(dispatch_state& s, store_kind kind, bool fresh,
-    time_point now, commands& out) -> void
+auto after_list(dispatch_state& s, store_kind kind, bool fresh, time_point now,
+    commands& out) -> void
 {
     if (kind == store_kind::instances)
         ensure_record(s, out);
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -11,6 +11,7 @@
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
+#include "core/dispatch/target_notices.hpp"
 #include "core/dispatch/version_admission.hpp"
 #include "core/dispatch/version_shift.hpp"
 #include "core/dispatch/warmup.hpp"
@@ -182,8 +183,9 @@
     /// When it is removed, if its registration vanished during or shortly after
     /// a store outage; otherwise `max()`.
     time_point lapses_at = time_point::max();
-    time_point cold_until;   ///< End of its warm-up.
-    warmup_allowance warmup; ///< Used until `cold_until`.
+    time_point cold_until;  ///< End of its warm-up.
+    token_bucket warmup;    ///< Used until `cold_until`.
+    target_notices notices; ///< Of its present start.
     target_health health;
     /// Requests that this instance may have in flight at it.
     adaptive_limit concurrency;
--- a/src/core/dispatch/version_admission.cpp
+++ b/src/core/dispatch/version_admission.cpp
@@ -49,8 +49,8 @@
 auto needs_orders(version_admission const& v) -> bool
 {
     return v.present.size() > 1 &&
-           std::any_of(v.present.begin(), v.present.end(), [&](auto const& it)
-               { return !v.checked.contains(it.first); });
+           std::any_of(v.present.begin(), v.present.end(),
+               [&](auto const& it) { return !v.checked.contains(it.first); });
 }
 
 auto admits_version(version_admission const& v, std::string const& version,
--- a/src/core/dispatch/version_evidence.cpp
+++ b/src/core/dispatch/version_evidence.cpp
@@ -118,7 +118,8 @@
 {
     auto const all = total_of(routes);
     auto const n = all.before.requests + all.after.requests;
-    return all.after.requests >= std::min<double>(min_proof, min_proof_share * n);
+    return all.after.requests >=
+           std::min<double>(min_proof, min_proof_share * n);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/version_shift.cpp
+++ b/src/core/dispatch/version_shift.cpp
@@ -137,9 +137,7 @@
 auto choose_side(version_shift const& v, double share) -> side_choice
 {
     return std::visit(overloaded{[&](shift_trying const&) -> side_choice
-                          {
-                              return choose_trial(v, share);
-                          },
+                          { return choose_trial(v, share); },
                           [&](shift_rolled_back const&) -> side_choice {
                               return {version_side::old_only, v};
                           },
--- a/src/core/dispatch/version_shift.hpp
+++ b/src/core/dispatch/version_shift.hpp
@@ -47,7 +47,7 @@
 {
     /// Fault that this instance found; `none` if another instance rolled back.
     rollout_fault why = rollout_fault::none;
-    time_point since; ///< When it was found.
+    time_point since;             ///< When it was found.
     bool by_own_outcomes = false; ///< This instance's outcomes alone show it.
     auto operator<=>(shift_rolled_back const&) const = default;
 };
--- a/src/core/dispatch/warmup.hpp
+++ b/src/core/dispatch/warmup.hpp
@@ -10,22 +10,13 @@
 #define KNAPWEEDSTREAM_CORE_DISPATCH_WARMUP_HPP
 
 #include "core/dispatch/limits.hpp"
+#include "core/dispatch/token_bucket.hpp"
 
-#include <compare>
 #include <cstddef>
 
 namespace knapweedstream::dispatch
 {
 
-/// Token bucket of this instance for a cold target.
-struct warmup_allowance
-{
-    double requests = 0; ///< Tokens: requests that may be sent now.
-    time_point at;       ///< Time of the last refill, if there was one.
-
-    auto operator<=>(warmup_allowance const&) const = default;
-};
-
 /// Number of instances that send to a cold target.
 ///
 /// @param[in] rate Requests per second that the target can serve; above 0.
@@ -38,14 +29,8 @@
 /// @param[in] rate Requests per second that the target can serve; above 0.
 /// @param[in] rank Position of this instance, from 0, in an order of all
 ///     instances that differs from target to target.
-auto with_refill(warmup_allowance const& a, dispatch_bounds const& bounds,
-    double rate, std::size_t rank, time_point now) -> warmup_allowance;
-
-/// Takes one request out of the bucket.
-auto with_sent(warmup_allowance const& a) -> warmup_allowance;
-
-/// True if the bucket holds a request.
-auto may_send(warmup_allowance const& a) -> bool;
+auto with_refill(token_bucket const& a, dispatch_bounds const& bounds,
+    double rate, std::size_t rank, time_point now) -> token_bucket;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -158,8 +158,8 @@
 using command = std::variant<answer_caller, open_connection, close_connection,
     send_request, store_list, store_watch, store_check, store_write_record,
     store_write_order_state, store_delete_record, store_write_report,
-    store_delete_report, set_caller_limits, set_ready,
-    drain_callers, exit_now, wake_at, report_fact>;
+    store_delete_report, set_caller_limits, set_ready, drain_callers, exit_now,
+    wake_at, report_fact>;
 
 using commands = std::vector<command>;
 
--- a/src/port/dispatch_event.hpp
+++ b/src/port/dispatch_event.hpp
@@ -62,6 +62,7 @@
     target_reply reply;
     bool reusable = true;   ///< The connection can be reused.
     duration idle_limit{0}; ///< Target's idle timeout; 0: not stated.
+    target_statement said;  ///< Empty if another target has replied.
     auto operator<=>(target_replied const&) const = default;
 };
 
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -122,6 +122,8 @@
     failing,   ///< Fails or refuses many requests.
     down,      ///< No connection can be established.
     recovered,
+    limited,   ///< It states how many requests per second it takes.
+    unlimited, ///< It no longer does.
 };
 
 /// The condition of a target has changed.
@@ -211,6 +213,15 @@
     auto operator<=>(crash_suspected const&) const = default;
 };
 
+/// A target said something of itself that could not be read.
+struct statement_ignored
+{
+    std::string target;
+    std::string service;
+    std::string what; ///< What was said.
+    auto operator<=>(statement_ignored const&) const = default;
+};
+
 /// The instance became ready for callers or stopped being so.
 struct readiness_changed
 {
@@ -223,7 +234,7 @@
 using fact = std::variant<extra_sent, attempt_failed, budget_exhausted,
     request_ended, target_condition_changed, config_applied, config_ignored,
     object_skipped, store_availability_changed, watch_stalled, zone_changed,
-    rollout_progressed, crash_suspected, readiness_changed>;
+    rollout_progressed, crash_suspected, statement_ignored, readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/port/store.hpp
+++ b/src/port/store.hpp
@@ -28,10 +28,9 @@
 };
 
 /// All kinds, in the order of the enumeration.
-constexpr auto store_kinds =
-    std::array{store_kind::configuration, store_kind::targets,
-        store_kind::evacuations, store_kind::rollouts, store_kind::instances,
-        store_kind::reports};
+constexpr auto store_kinds = std::array{store_kind::configuration,
+    store_kind::targets, store_kind::evacuations, store_kind::rollouts,
+    store_kind::instances, store_kind::reports};
 
 /// State of a rollout order; `completed` and `rolled_back` are final.
 enum class order_state : std::uint8_t
@@ -61,9 +60,9 @@
 };
 
 /// Decoded content of an object.
-using stored_value = std::variant<unreadable_object, routing_config,
-    target_registration, zone_evacuation, rollout_order, instance_record,
-    instance_report>;
+using stored_value =
+    std::variant<unreadable_object, routing_config, target_registration,
+        zone_evacuation, rollout_order, instance_record, instance_report>;
 
 /// An object of the store with its name and revision.
 struct stored_object
--- a/tests/dispatch/harness.cpp
+++ b/tests/dispatch/harness.cpp
@@ -100,7 +100,15 @@
 {
     std::erase_if(unanswered,
         [&](sent_request const& it) { return it.attempt == s.attempt; });
-    feed(target_replied{s.connection, s.attempt, r, reusable, duration{0}});
+    feed(target_replied{s.connection, s.attempt, r, reusable, duration{0}, {}});
+}
+
+auto harness::reply_saying(sent_request const& s, target_reply const& r,
+    target_statement const& said) -> void
+{
+    std::erase_if(unanswered,
+        [&](sent_request const& it) { return it.attempt == s.attempt; });
+    feed(target_replied{s.connection, s.attempt, r, true, duration{0}, said});
 }
 
 auto harness::succeed(sent_request const& s, std::string body) -> void
--- a/tests/dispatch/harness.hpp
+++ b/tests/dispatch/harness.hpp
@@ -74,6 +74,9 @@
 
     auto reply(sent_request const& s, target_reply const& r,
         bool reusable = true) -> void;
+    /// Replies and states something of the target itself.
+    auto reply_saying(sent_request const& s, target_reply const& r,
+        target_statement const& said) -> void;
     auto succeed(sent_request const& s, std::string body = "") -> void;
     auto break_connection(sent_request const& s,
         connection_end how = connection_end::reset) -> void;
--- a/tests/dispatch/rollout_fleet.cpp
+++ b/tests/dispatch/rollout_fleet.cpp
@@ -48,8 +48,8 @@
 
 } // namespace
 
-rollout_fleet::rollout_fleet(std::size_t n, version_model const& model,
-    std::vector<route> const& routes)
+rollout_fleet::rollout_fleet(
+    std::size_t n, version_model const& model, std::vector<route> const& routes)
     : model_(model), order_{"s", "v2", order_length, order_state::waiting},
       commands_read_(n, 0)
 {
@@ -59,8 +59,7 @@
     auto const fleet = fleet_of(n);
     for (auto const& it : fleet)
     {
-        auto h = std::make_unique<harness>(
-            dispatch_limits{}, it.zone, it.name);
+        auto h = std::make_unique<harness>(dispatch_limits{}, it.zone, it.name);
         h->finish_startup();
         h->feed_lists(config, registrations(), fleet);
         instances.push_back(std::move(h));
@@ -116,22 +115,22 @@
         auto const& from = requests_.at(it.request);
         auto const is_new = it.target.ends_with("v2");
         (is_new ? new_sent : old_sent) += 1;
-        auto const open = now_ >= ordered_at_ && now_ < ordered_at_ + order_length;
+        auto const open =
+            now_ >= ordered_at_ && now_ < ordered_at_ + order_length;
         until_deadline_ += open ? 1 : 0;
         exposed_ += open && is_new ? 1 : 0;
-        sent_too_late +=
-            is_new && fiftieth_bad_ != time_point::max() &&
-                    from.at > fiftieth_bad_ + rollback_bound
-                ? 1
-                : 0;
-        auto const faulty = is_new && now_ >= ordered_at_ + model_.sound_for &&
-                            (model_.only_path.empty() ||
-                                model_.only_path == from.path);
+        sent_too_late += is_new && fiftieth_bad_ != time_point::max() &&
+                                 from.at > fiftieth_bad_ + rollback_bound
+                             ? 1
+                             : 0;
+        auto const faulty =
+            is_new && now_ >= ordered_at_ + model_.sound_for &&
+            (model_.only_path.empty() || model_.only_path == from.path);
         auto const failed = faulty && draw() < model_.failing;
         auto const slow = faulty && draw() < model_.slow;
-        pending_.push_back({i, it,
-            now_ + (slow ? model_.slow_time : model_.usual_time), failed,
-            failed || slow});
+        pending_.push_back(
+            {i, it, now_ + (slow ? model_.slow_time : model_.usual_time),
+                failed, failed || slow});
     }
 }
 
@@ -196,8 +195,8 @@
 
 auto rollout_fleet::run(rollout_load const& load, duration length) -> void
 {
-    auto const gap = duration{
-        static_cast<duration::rep>(1'000'000 / load.rate_per_s)};
+    auto const gap =
+        duration{static_cast<duration::rep>(1'000'000 / load.rate_per_s)};
     auto next = now_;
     for (auto const end = now_ + length; now_ < end; now_ += step)
     {
--- a/tests/dispatch/rollout_fleet.hpp
+++ b/tests/dispatch/rollout_fleet.hpp
@@ -97,7 +97,7 @@
     time_point now_;
     time_point ordered_at_ = time_point::max();
     time_point fiftieth_bad_ = time_point::max();
-    std::size_t exposed_ = 0;      ///< Sent to v2 before the deadline.
+    std::size_t exposed_ = 0;        ///< Sent to v2 before the deadline.
     std::size_t until_deadline_ = 0; ///< Sent to any version before it.
     std::size_t submitted_ = 0;
     std::map<std::string, submitted> requests_; ///< By ID.
--- a/tests/dispatch/test_exposure.cpp
+++ b/tests/dispatch/test_exposure.cpp
@@ -105,8 +105,9 @@
     }
 }
 
-TEST_CASE("exposure: a version that was rolled back is not used again while its "
-          "targets run")
+TEST_CASE(
+    "exposure: a version that was rolled back is not used again while its "
+    "targets run")
 {
     for (auto const replaced : {false, true})
     {
@@ -151,8 +152,8 @@
         r.submit("p" + std::to_string(i));
     auto const sent = r.take_sent();
     CHECK(sent.size() == 10);
-    CHECK(std::count_if(sent.begin(), sent.end(), [](sent_request const& it)
-              { return it.target == "t2"; }) <= 5);
+    CHECK(std::count_if(sent.begin(), sent.end(),
+              [](sent_request const& it) { return it.target == "t2"; }) <= 5);
 }
 
 TEST_CASE("exposure: targets of a new version are used when no order exists")
@@ -160,8 +161,10 @@
     auto r = harness{};
     auto next = make_registration("t2", "s", "a");
     next.version = "v2";
-    r.feed_lists(config_of(single_route("s")), {make_registration("t1", "s", "a")});
-    r.feed(store_changed{ks::store_kind::targets, {{{"t2", 50, next}, false}}, 50});
+    r.feed_lists(
+        config_of(single_route("s")), {make_registration("t1", "s", "a")});
+    r.feed(store_changed{
+        ks::store_kind::targets, {{{"t2", 50, next}, false}}, 50});
     CHECK(r.commands_of<store_list>().back() ==
           store_list{ks::store_kind::rollouts, "", false});
     r.feed(store_listed{ks::store_kind::rollouts, {}, "", 51});
--- a/tests/dispatch/test_warmup.cpp
+++ b/tests/dispatch/test_warmup.cpp
@@ -20,7 +20,7 @@
             auto const bounds = dispatch_bounds{};
             auto const rate = static_cast<double>(*rc::gen::inRange(1, 60));
             auto const n = *rc::gen::inRange(std::size_t{6}, std::size_t{441});
-            auto all = std::vector<warmup_allowance>(n);
+            auto all = std::vector<token_bucket>(n);
             auto sent = std::vector<std::size_t>{}; // By step of 10 ms.
             auto now = ks::time_point{ks::seconds{100}};
             for (auto i = 0; i < 400; ++i)
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -1,6 +1,7 @@
 #include "adapter/json_fields.hpp"
 #include "platform/decode.hpp"
 #include "platform/store.hpp"
+#include "platform/targets.hpp"
 
 #include <doctest/doctest.h>
 
@@ -78,3 +79,25 @@
         CHECK(std::holds_alternative<ks::unreadable_object>(o.value));
     }
 }
+
+TEST_CASE("platform: a target's stated limit is read, a bad one is named")
+{
+    auto const decode = ks::platform::make_target_dialect().decode;
+    auto const reply_with = [&](std::string const& limit, std::uint32_t status)
+    {
+        auto m = ks::http_message{};
+        m.status = status;
+        m.fields = {{"X-Server-Stamp", "s"}, {"Server-Limit", limit}};
+        return decode(std::move(m), "q").said;
+    };
+    CHECK(reply_with("29.8", 200).limit_per_s == 29.8);
+    CHECK(reply_with("30", 503).limit_per_s == 30);
+    CHECK(reply_with("0", 200).limit_per_s == 0);
+    for (auto const* bad : {"", "-1", "nan", "inf", "1e999", "5x", "0x10"})
+    {
+        CHECK(!reply_with(bad, 200).limit_per_s);
+        CHECK(!reply_with(bad, 200).ignored.empty());
+    }
+    // Another target's reply says nothing about the one that was asked.
+    CHECK(reply_with("29.8", 421) == ks::target_statement{});
+}
