An odd entry among the registrations no longer hides the others

Operators of a similar system saw machines that ended or stopped following the list of targets after another writer had left one odd entry. Cause here: the JSON library rejects a list as a whole if one value in it is nested more than 32 levels deep, has an exponent beyond its range or holds bytes that are no UTF-8, so a single entry stopped an instance from following (class: one unreadable part fails the whole).

--- a/src/adapter/json_fields.hpp
+++ b/src/adapter/json_fields.hpp
@@ -3,23 +3,38 @@
 #ifndef KNAPWEEDSTREAM_ADAPTER_JSON_FIELDS_HPP
 #define KNAPWEEDSTREAM_ADAPTER_JSON_FIELDS_HPP
 
+#include "adapter/json_limits.hpp"
+
 #include <knapweedstream/time.hpp>
 
 #include <boost/json.hpp>
 
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 
 namespace knapweedstream
 {
 
 namespace json = boost::json;
 
-/// Parses a JSON object; empty if the text is not one.
+/// Parses a JSON object; empty if the text is not one. Values that are nested
+/// too deeply or too large become null, strings may hold any bytes.
 inline auto parse_object_text(std::string_view text) -> json::object
 {
-    auto ec = json::error_code{};
-    auto v = json::parse(json::string_view{text.data(), text.size()}, ec);
+    auto options = json::parse_options{};
+    options.allow_invalid_utf8 = true;
+    auto const parse = [&](std::string_view from)
+    {
+        auto ec = json::error_code{};
+        auto v = json::parse(
+            json::string_view{from.data(), from.size()}, ec, {}, options);
+        return std::pair{std::move(v), ec};
+    };
+    auto [v, ec] = parse(text);
+    if (ec)
+        std::tie(v, ec) = parse(without_excess(text));
     return !ec && v.is_object() ? std::move(v.get_object()) : json::object{};
 }
 
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -8,6 +8,90 @@
 namespace ks = knapweedstream;
 namespace json = boost::json;
 
+namespace
+{
+
+/// A list of registrations: `odd` as the spec of one entry between two good
+/// ones, or in place of a member of it.
+auto list_with(std::string const& odd_spec) -> std::string
+{
+    auto const entry = [](std::string const& name, std::string const& spec)
+    { return R"({"meta":{"name":")" + name + R"("},"spec":)" + spec + "}"; };
+    auto const good = std::string{
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+        R"("slots":2,"state":"ready","warmup_left_ms":0,"sequence":4})"};
+    return R"({"items":[)" + entry("t1", good) + "," + entry("odd", odd_spec) +
+           "," + entry("t3", good) + R"(],"more":false,"at":7})";
+}
+
+/// Spec of a registration with one member replaced.
+auto spec_with(std::string const& member, std::string const& value)
+    -> std::string
+{
+    auto out = std::string{"{"};
+    for (auto const& [key, usual] :
+        std::vector<std::pair<std::string, std::string>>{
+            {"service", R"("s")"}, {"address", R"("10.0.0.9:80")"},
+            {"zone", R"("a")"}, {"version", R"("v1")"}, {"slots", "2"},
+            {"state", R"("ready")"}, {"warmup_left_ms", "0"},
+            {"sequence", "4"}})
+        out += (out.size() > 1 ? "," : "") + ("\"" + key + "\":") +
+               (key == member ? value : usual);
+    return out + "}";
+}
+
+auto nested(std::size_t depth) -> std::string
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// The objects that the store's list decodes to; none if it failed as a whole.
+auto read_list(std::string const& body) -> std::vector<ks::stored_object>
+{
+    auto m = ks::http_message{};
+    m.status = 200;
+    m.body = body;
+    auto const e = ks::platform::make_store_dialect().read_list(
+        ks::store_kind::targets, m);
+    auto const* it = std::get_if<ks::dispatch::store_listed>(&e);
+    return it == nullptr ? std::vector<ks::stored_object>{} : it->objects;
+}
+
+} // namespace
+
+TEST_CASE("platform: one odd entry does not hide the other targets")
+{
+    auto const all = std::vector<std::string>{nested(28), nested(1'000),
+        nested(400'000), "7", "null", spec_with("slots", nested(100)),
+        spec_with("slots", "1e99999999999"), spec_with("slots", "1e400"),
+        spec_with("slots", "4294967296"), spec_with("slots", "-1"),
+        spec_with("slots", "123456789012345678901234567890"),
+        spec_with("sequence", "1e400"), spec_with("warmup_left_ms", "1e400"),
+        spec_with("warmup_left_ms", "1e300"),
+        spec_with("warmup_left_ms", "9223372036854775807"),
+        spec_with("address", R"("10.0.0.9:65536")"),
+        spec_with("address", R"("10.0.0.9:99999999999999999999")"),
+        spec_with("address", R"("10.0.0.9:0")"),
+        spec_with("address", R"("10.0.0.9:-1")"),
+        spec_with("address", R"("10.0.0.999:80")"),
+        spec_with("address", R"("...:80")"),
+        spec_with("address", R"("10.0.0.9:80:80")"),
+        spec_with("state", "\"\xff\xfe\"")};
+    for (auto const& odd : all)
+    {
+        CAPTURE(odd.substr(0, 80));
+        auto const list = read_list(list_with(odd));
+        REQUIRE(list.size() == 3);
+        for (auto const i : {0u, 2u})
+            CHECK(std::holds_alternative<ks::target_registration>(
+                list[i].value));
+        CHECK(std::holds_alternative<ks::unreadable_object>(list[1].value));
+    }
+    auto const usable = read_list(list_with(spec_with("slots", "2")));
+    REQUIRE(usable.size() == 3);
+    CHECK(std::holds_alternative<ks::target_registration>(usable[1].value));
+}
+
 TEST_CASE("platform: a rollout order's state is unchanged after write and read")
 {
     auto const dialect = ks::platform::make_store_dialect();
