Bytes without end from a target are cut off, and many at once bounded

Change: 16 interim responses at most; partial replies of all connections share 32 MiB, and one above 1 MiB is refused when they exceed it.

--- a/src/adapter/http_link.cpp
+++ b/src/adapter/http_link.cpp
@@ -45,6 +45,8 @@
         return finish(link_end::garbled);
     if (reader_.is_complete())
         deliver(n == bytes.size());
+    else if (callbacks_.grew)
+        callbacks_.grew();
 }
 
 auto http_link::deliver(bool reusable) -> void
--- a/src/adapter/http_link.hpp
+++ b/src/adapter/http_link.hpp
@@ -33,6 +33,8 @@
         /// A complete response; `reusable` if the connection can carry another
         /// request.
         std::function<void(http_message&&, bool reusable)> replied;
+        /// Part of a response was received, but not all of it; optional.
+        std::function<void()> grew;
         /// The connection ended; the last callback. Not called after a local
         /// `close`.
         std::function<void(link_end)> ended;
@@ -48,6 +50,15 @@
     auto send(std::string_view text, bool head_request = false) -> void;
 
     auto close() -> void { stream_.close(); }
+    /// Ends the connection, since the response must not grow any further.
+    auto refuse_response() -> void { finish(link_end::garbled); }
+
+    /// Bytes kept of a response that is not complete.
+    auto partial_bytes() const -> std::size_t
+    {
+        return reader_.partial_bytes();
+    }
+
     auto is_open() const -> bool { return stream_.is_open(); }
     auto is_busy() const -> bool { return busy_; }
 
--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -10,7 +10,9 @@
 {
 
 constexpr auto stop_parsing = 1; ///< From a callback: stop with an error.
-constexpr auto skip_body = 1;    ///< From `on_head`: there is no body.
+/// Interim responses (status 1xx) accepted before a response.
+constexpr auto max_interim = std::size_t{16};
+constexpr auto skip_body = 1; ///< From `on_head`: there is no body.
 constexpr auto line_overhead_bytes = std::size_t{4}; ///< `: ` and CRLF.
 
 auto self_of(http_parser* p) -> http_reader*
@@ -185,8 +187,11 @@
     if (self->kind_ == message_kind::response && is_interim(*p))
     {
         self->take();
-        return 0;
+        return ++self->interim_ > max_interim
+                   ? self->fail(read_error::malformed)
+                   : 0;
     }
+    self->interim_ = 0;
     self->message_.keep_alive = http_should_keep_alive(p) != 0;
     self->complete_ = true;
     http_parser_pause(p, 1);
--- a/src/adapter/http_reader.hpp
+++ b/src/adapter/http_reader.hpp
@@ -74,6 +74,12 @@
     /// The message parsed so far; use only while `has_head`.
     auto head() const -> http_message const& { return message_; }
 
+    /// Bytes of the partial message that are kept.
+    auto partial_bytes() const -> std::size_t
+    {
+        return complete_ ? 0 : header_bytes_ + message_.body.size();
+    }
+
     /// Sets whether the next response answers a HEAD request and so has no
     /// body.
     auto expect_no_body(bool it) -> void { no_body_ = it; }
@@ -98,6 +104,7 @@
     http_parser parser_{};
     http_message message_;
     std::size_t header_bytes_ = 0;
+    std::size_t interim_ = 0; ///< Interim responses since the last response.
     bool in_value_ = false;
     bool begun_ = false;
     bool head_done_ = false;
--- a/src/adapter/target_links.hpp
+++ b/src/adapter/target_links.hpp
@@ -55,6 +55,9 @@
     /// Frees closed connections; must not be called from the callback of one.
     auto free_closed() -> void { closed_.clear(); }
 
+    /// Bytes kept of all replies that are not complete.
+    auto partial_bytes() const -> std::size_t;
+
 private:
     struct entry
     {
@@ -65,6 +68,8 @@
 
     auto on_replied(connection_id id, http_message&& m, bool reusable) -> void;
     auto on_ended(connection_id id, link_end how) -> void;
+    /// Refuses a large reply if all partial ones together take too much memory.
+    auto limit_partial(connection_id id) -> void;
     auto release(connection_id id) -> void;
 
     event_base* base_;
--- /dev/null
+++ b/tests/unit/test_reply_streams.cpp
@@ -0,0 +1,328 @@
+#include "adapter/leaf_client.hpp"
+#include "adapter/target_links.hpp"
+#include "adapter/tcp_stream.hpp"
+#include "platform/targets.hpp"
+
+#include <doctest/doctest.h>
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ks = knapweedstream;
+using ks::milliseconds;
+using ks::seconds;
+
+namespace
+{
+
+constexpr auto address = "127.0.0.1:27990";
+
+/// How a target replies: with some text, then with a text without end, or it
+/// closes the connection.
+struct reply_script
+{
+    std::string text;
+    std::string repeated; ///< Empty: the connection is closed after `text`.
+    std::string hello{};  ///< Reply to the first request, if there is one.
+};
+
+/// A target that answers each request by a script.
+class scripted_target
+{
+public:
+    scripted_target(event_base* base, reply_script script)
+        : base_(base), script_(std::move(script)),
+          listener_(base, [this](int fd) { accept(fd); })
+    {
+        ks::leaf::try_handle_all([&]
+            { return listener_.start(address, "test"); },
+            [] { FAIL("cannot listen"); });
+    }
+
+    std::size_t written = 0;
+    std::size_t ended = 0; ///< Connections that the caller closed.
+
+private:
+    auto accept(int fd) -> void
+    {
+        auto const i = streams_.size();
+        streams_.push_back(std::make_unique<ks::tcp_stream>(base_, fd,
+            ks::tcp_stream::callbacks{{},
+                [this, i](std::string_view) { answer(i); },
+                [this, i] { more(i); },
+                [this](ks::stream_end)
+                {
+                    ++ended;
+                }}));
+    }
+
+    auto answer(std::size_t i) -> void
+    {
+        if (!script_.hello.empty())
+            return write(i, std::exchange(script_.hello, {}));
+        begun_ = true;
+        write(i, script_.text);
+        if (script_.repeated.empty())
+            return streams_[i]->shut_down();
+        more(i);
+    }
+
+    /// Writes the repeated text until the socket takes no more for now.
+    auto more(std::size_t i) -> void
+    {
+        constexpr auto piece = std::size_t{64} << 10;
+        if (!begun_ || script_.repeated.empty())
+            return;
+        auto text = std::string{};
+        while (text.size() < piece)
+            text += script_.repeated;
+        while (streams_[i]->is_open() && streams_[i]->unwritten() == 0)
+            write(i, text);
+    }
+
+    auto write(std::size_t i, std::string const& text) -> void
+    {
+        written += text.size();
+        streams_[i]->write(text);
+    }
+
+    event_base* base_;
+    reply_script script_;
+    bool begun_ = false; ///< The reply after the first one has begun.
+    ks::tcp_listener listener_;
+    std::vector<std::unique_ptr<ks::tcp_stream>> streams_;
+};
+
+struct loop
+{
+    std::unique_ptr<event_base, void (*)(event_base*)> base{
+        event_base_new(), event_base_free};
+
+    /// Runs until a condition holds; returns false after 3 s.
+    auto run_until(std::function<bool()> const& holds) -> bool
+    {
+        auto const step = timeval{0, 2'000};
+        for (auto i = 0; i < 1'500 && !holds(); ++i)
+        {
+            event_base_loopexit(base.get(), &step);
+            event_base_dispatch(base.get());
+        }
+        return holds();
+    }
+};
+
+auto search_request() -> ks::routed_request_ptr
+{
+    auto r = ks::routed_request{};
+    r.id = "q1";
+    r.method = "GET";
+    r.target = "/x";
+    r.host = "h";
+    return std::make_shared<ks::routed_request const>(r);
+}
+
+/// What callers of a routed request learn of the reply.
+struct routed_result
+{
+    bool ended = false; ///< A reply or the end of the connection was reported.
+    bool success = false;
+    std::string body;
+    std::size_t written = 0; ///< Bytes that the target has sent.
+    bool closed = false;     ///< The target saw the connection's end.
+};
+
+auto ask_routed(reply_script const& script) -> routed_result
+{
+    auto l = loop{};
+    auto target = scripted_target{l.base.get(), script};
+    auto result = routed_result{};
+    auto const id = ks::connection_id{1};
+    ks::target_links* links = nullptr;
+    auto client = ks::target_links{l.base.get(),
+        ks::platform::make_target_dialect(),
+        [&](ks::dispatch::event const& e)
+        {
+            if (std::holds_alternative<ks::dispatch::connection_opened>(e))
+                links->run(ks::dispatch::send_request{
+                    id, ks::attempt_id{1}, "t", search_request(), seconds{1}});
+            if (std::holds_alternative<ks::dispatch::connection_closed>(e))
+                result.ended = true;
+            if (auto const* it = std::get_if<ks::dispatch::target_replied>(&e))
+            {
+                result.ended = true;
+                auto const* good = std::get_if<ks::reply_success>(&it->reply);
+                result.success = good != nullptr;
+                result.body = good == nullptr ? "" : good->message.body;
+            }
+        }};
+    links = &client;
+    client.run(ks::dispatch::open_connection{id, address});
+    CHECK(l.run_until([&] { return result.ended; }));
+    client.run(ks::dispatch::close_connection{id});
+    client.free_closed();
+    result.closed = l.run_until([&] { return target.ended > 0; });
+    result.written = target.written;
+    return result;
+}
+
+/// Outcome of a search or booking at a target; failed if its connection ended.
+auto ask_leaf(reply_script script, bool booking) -> ks::leaf_outcome
+{
+    script.hello = "HTTP/1.1 200 OK\r\nX-Boot-Id: 7\r\nX-Serves: 1\r\n"
+                   "Content-Length: 0\r\n\r\n";
+    auto l = loop{};
+    auto target = scripted_target{l.base.get(), script};
+    auto outcome = std::optional<ks::leaf_outcome>{};
+    auto const id = ks::connection_id{1};
+    ks::leaf_client* leafs = nullptr;
+    auto client = ks::leaf_client{l.base.get(), [&](ks::event const& e)
+        {
+            if (std::holds_alternative<ks::leaf_opened>(e) && booking)
+                leafs->run(ks::leaf_book{
+                    id, ks::attempt_id{1}, {}, seconds{1}, "k", "b"});
+            else if (std::holds_alternative<ks::leaf_opened>(e))
+                leafs->run(ks::leaf_search{
+                    id, ks::attempt_id{1}, {}, {}, seconds{1}, "q"});
+            if (auto const* it = std::get_if<ks::leaf_answered>(&e))
+                outcome = it->outcome;
+            if (std::holds_alternative<ks::leaf_closed>(e) && !outcome)
+                outcome = ks::leaf_failed{0};
+        }};
+    leafs = &client;
+    client.run(ks::leaf_open{id, address});
+    CHECK(l.run_until([&] { return outcome.has_value(); }));
+    client.run(ks::leaf_close{id});
+    client.free_closed();
+    return outcome.value_or(ks::leaf_failed{0});
+}
+
+constexpr auto framed_head =
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: q1\r\n"
+    "Content-Length: 4\r\n\r\n";
+constexpr auto chunked_head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: "
+                              "s\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr auto unframed_head =
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: q1\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("replies: one that ends in its head or before its length reaches no "
+          "caller as a success")
+{
+    for (auto const* whole : {framed_head, chunked_head, unframed_head})
+    {
+        auto const head = std::string{whole};
+        for (std::size_t n = 1; n < head.size(); n += 3)
+        {
+            CAPTURE(head.substr(0, n));
+            auto const r = ask_routed({head.substr(0, n), ""});
+            CHECK(r.ended);
+            CHECK(!r.success);
+        }
+    }
+    CHECK(!ask_routed({std::string{framed_head} + "abc", ""}).success);
+    CHECK(
+        !ask_routed({std::string{chunked_head} + "4\r\nabcd\r\n", ""}).success);
+    CHECK(ask_routed({std::string{framed_head} + "abcd", ""}).body == "abcd");
+    CHECK(ask_routed({std::string{unframed_head} + "abcd", ""}).body == "abcd");
+}
+
+TEST_CASE("replies: bytes without end are cut off, in a head and in a body")
+{
+    constexpr auto most = std::size_t{24} << 20;
+    auto const line = std::string{"X-A: "} + std::string(100, 'a');
+    for (auto const& it :
+        std::vector<reply_script>{{"", std::string(1'000, 'x')},
+            {"HTTP/1.1 200 ", std::string(1'000, 'x')},
+            {"HTTP/1.1 200 OK\r\n", line + "\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-A: ", std::string(1'000, 'a')},
+            {framed_head, std::string(1'000, 'b')},
+            {unframed_head, std::string(1'000, 'b')},
+            {chunked_head, "3e8\r\n" + std::string(1'000, 'b') + "\r\n"},
+            {chunked_head, std::string(1'000, '0')},
+            {std::string{chunked_head} + "0\r\n", line + "\r\n"},
+            {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n",
+                std::string(1'000, 'b')}})
+    {
+        CAPTURE(it.text);
+        CAPTURE(it.repeated.substr(0, 12));
+        auto const r = ask_routed(it);
+        CHECK(r.ended);
+        CHECK(r.closed);
+        CHECK(r.written < most);
+        CHECK((!r.success || it.text == framed_head));
+    }
+}
+
+TEST_CASE("replies: many bodies without end at once stay within the memory for "
+          "them")
+{
+    constexpr auto most = std::size_t{34} << 20;
+    constexpr auto links_count = 8u;
+    auto l = loop{};
+    auto target =
+        scripted_target{l.base.get(), {unframed_head, std::string(1'000, 'b')}};
+    auto ended = 0u;
+    auto peak = std::size_t{0};
+    ks::target_links* links = nullptr;
+    auto client =
+        ks::target_links{l.base.get(), ks::platform::make_target_dialect(),
+            [&](ks::dispatch::event const& e)
+            {
+                if (auto const* it =
+                        std::get_if<ks::dispatch::connection_opened>(&e))
+                    links->run(ks::dispatch::send_request{it->connection,
+                        ks::attempt_id{1}, "t", search_request(), seconds{1}});
+                if (std::holds_alternative<ks::dispatch::connection_closed>(e))
+                    ++ended;
+            }};
+    links = &client;
+    for (auto i = 1u; i <= links_count; ++i)
+        client.run(
+            ks::dispatch::open_connection{ks::connection_id{i}, address});
+    CHECK(l.run_until(
+        [&]
+        {
+            peak = std::max(peak, client.partial_bytes());
+            return ended == links_count;
+        }));
+    CHECK(peak < most);
+    CHECK(peak > std::size_t{16} << 20);
+    client.free_closed();
+}
+
+TEST_CASE("replies: one to a query or booking that is cut or has no end is a "
+          "failure")
+{
+    auto const head = std::string{
+        "HTTP/1.1 200 OK\r\nX-Boot-Id: 7\r\nX-Shard: 0\r\nX-Epoch: 1\r\n"
+        "X-Snapshot: 1\r\nX-Reference: r\r\nContent-Length: 12\r\n\r\n"};
+    for (auto const booking : {false, true})
+    {
+        CAPTURE(booking);
+        for (std::size_t n = 1; n < head.size() + 12; n += 5)
+        {
+            auto const text = (head + R"({"rows":[]} )").substr(0, n);
+            CAPTURE(text);
+            CHECK(std::holds_alternative<ks::leaf_failed>(
+                ask_leaf({text, ""}, booking)));
+        }
+        for (auto const& it :
+            std::vector<reply_script>{{"", std::string(1'000, 'x')},
+                {"HTTP/1.1 200 OK\r\nX-A: ", std::string(1'000, 'a')},
+                {"HTTP/1.1 200 OK\r\n", "X-A: 1\r\n"},
+                {"HTTP/1.1 200 OK\r\n\r\n", std::string(1'000, 'b')}})
+        {
+            CAPTURE(it.text);
+            CHECK(
+                std::holds_alternative<ks::leaf_failed>(ask_leaf(it, booking)));
+        }
+    }
+}
