--- a/src/adapter/http_link.hpp
+++ b/src/adapter/http_link.hpp
@@ -33,11 +33,11 @@
         /// A complete response; `reusable` if the connection can carry another
         /// request.
         std::function<void(http_message&&, bool reusable)> replied;
-        /// Part of a response was received, but not all of it; optional.
-        std::function<void()> grew;
         /// The connection ended; the last callback. Not called after a local
         /// `close`.
         std::function<void(link_end)> ended;
+        /// Part of a response was received, but not all of it; optional.
+        std::function<void()> grew = {};
     };
 
     http_link(event_base* base, std::string const& address,
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -165,7 +165,6 @@
         http_link::callbacks{{},
             [this, name](http_message const& m, bool reusable)
             { on_replied(name, m, reusable); },
-            {},
             [this, name](link_end how)
             {
                 fail_call(name, how == link_end::garbled
--- a/src/adapter/target_links.cpp
+++ b/src/adapter/target_links.cpp
@@ -50,10 +50,10 @@
             { sink_(dispatch::connection_opened{id}); },
             [this, id](http_message&& m, bool reusable)
             { on_replied(id, std::move(m), reusable); },
-            [this, id] { limit_partial(id); },
-            [this, id](link_end how)
+            [this, id](link_end how) { on_ended(id, how); },
+            [this, id]
             {
-                on_ended(id, how);
+                limit_partial(id);
             }});
     entries_.emplace(id, entry{std::move(link), {}, {}});
 }
