What a target says of itself: leaving, and asking for a pause

Cause: a target that leaves or asks for a pause says so in its replies, and nobody read it; a registration that lags or a store that is away kept it in use. Change: both are kept beside its stated limit in one value (target_notices), which each placing decision asks. If all targets of a shard pause, the caller is refused at once with the soonest return. Notices belong to one start of a target: kept while its registration is away, forgotten at another start. Besides, parts that wait for a limit arm one timer per target: each armed its own, and a queue of them made the loop spin ('limit: requests wait ...' hung).

--- a/include/knapweedstream/exchange.hpp
+++ b/include/knapweedstream/exchange.hpp
@@ -95,6 +95,9 @@
 {
     /// Requests per second that it takes from all instances together.
     std::optional<double> limit_per_s;
+    /// It wants no requests from this instance for so long.
+    std::optional<duration> pause;
+    bool leaving = false; ///< It stops soon and wants no new requests.
     std::string ignored; ///< Names what could not be read; otherwise empty.
 
     auto operator<=>(target_statement const&) const = default;
@@ -111,6 +114,7 @@
     no_budget,     ///< Targets refused it and the retry budget is exhausted.
     deadly,        ///< Requests like it crashed targets.
     out_of_region, ///< No target in an allowed region.
+    paused,        ///< All targets asked for a pause.
 };
 
 /// The request was refused; it was not run.
--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -45,7 +45,7 @@
 {
     return enum_name(std::array{"registered", "changed", "draining", "gone",
                          "displaced", "slow", "stalled", "failing", "down",
-                         "recovered", "limited", "unlimited"},
+                         "recovered", "limited", "unlimited", "paused", "leaving"},
         it);
 }
 
--- a/src/core/dispatch/answers.cpp
+++ b/src/core/dispatch/answers.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/route_table.hpp"
+#include "core/dispatch/search.hpp"
 
 #include <knapweedstream/overloaded.hpp>
 
@@ -31,6 +32,7 @@
         return s.probing_kind ? store_unavailable_delay : starting_delay;
     case refusal_reason::no_target:
     case refusal_reason::out_of_region:
+    case refusal_reason::paused:
         return no_target_delay;
     case refusal_reason::overloaded:
     case refusal_reason::no_budget:
@@ -94,7 +96,7 @@
     if (shards == nullptr && e.failure.status != 0)
         return answer_relayed{e.failure};
     if (!has_run(e))
-        return answer_refused{e.refusal, retry_delay(s, e.refusal)};
+        return refusal_of(s, e, e.refusal, now);
     return answer_failed{failure_of(e, now)};
 }
 
@@ -232,6 +234,20 @@
     out.push_back(report_fact{std::move(end)});
 }
 
+auto refusal_of(dispatch_state& s, request_entry const& e, refusal_reason why,
+    time_point now) -> answer_refused
+{
+    auto end = time_point{};
+    for (auto const& p : e.parts)
+        if (p.state != part_state::answered)
+            end = std::max(end, end_of_pause(s, p, *e.value.matched_route, now)
+                                    .value_or(time_point{}));
+    auto const usual = retry_delay(s, why);
+    if (end <= now)
+        return {why, usual};
+    return {refusal_reason::paused, std::max(usual, end - now)};
+}
+
 auto retry_delay(dispatch_state& s, refusal_reason why) -> duration
 {
     constexpr auto spread = 0.25; ///< Largest change, up or down.
@@ -243,7 +259,8 @@
 auto name_of(refusal_reason it) -> char const*
 {
     constexpr auto names = std::array{"not_ready", "no_route", "bad_request",
-        "no_target", "overloaded", "no_budget", "deadly", "out_of_region"};
+        "no_target", "overloaded", "no_budget", "deadly", "out_of_region",
+        "paused"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/dispatch/answers.hpp
+++ b/src/core/dispatch/answers.hpp
@@ -25,6 +25,12 @@
 auto refuse(dispatch_state& s, caller_request const& e, route const* matched,
     answer_refused const& why, commands& out) -> void;
 
+/// Refusal of a request of which nothing has run. If the targets of a part all
+/// pause, it says so, with the time until the first of them takes requests
+/// again.
+auto refusal_of(dispatch_state& s, request_entry const& e, refusal_reason why,
+    time_point now) -> answer_refused;
+
 /// Time after which a caller refused for this reason should retry; 0 if the
 /// reason does not go away by itself. It is randomized so that callers that
 /// were refused together do not retry together.
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -48,6 +48,33 @@
         "zone=" + t.info.zone + " version=" + t.info.version, t.revision}});
 }
 
+/// How long the notices of a target are kept after its registration has gone.
+constexpr auto departed_kept = seconds{60};
+
+/// Keeps the notices of a target that is removed.
+auto keep_notices(dispatch_state& s, target_entry const& t, time_point now)
+    -> void
+{
+    std::erase_if(s.departed, [&](auto const& it)
+        { return now - it.second.at > duration{departed_kept}; });
+    if (!is_empty(t.notices, now))
+        s.departed[t.id] = {t.info.started_ms, t.notices, now};
+}
+
+/// Notices of a target that registers: those from before if it is the same
+/// start.
+auto kept_notices(dispatch_state& s, target_id id, std::int64_t started_ms)
+    -> target_notices
+{
+    auto const it = s.departed.find(id);
+    if (it == s.departed.end())
+        return {};
+    auto const n = it->second.started_ms == started_ms ? it->second.notices
+                                                       : target_notices{};
+    s.departed.erase(it);
+    return n;
+}
+
 /// Updates which versions a service's targets have.
 auto update_versions(dispatch_state& s, service_entry& service, time_point now)
     -> void
@@ -66,6 +93,7 @@
         return;
     auto& t = it->second;
     close_idle(s, t, out);
+    keep_notices(s, t, now);
     note_ended(s, t, now, out);
     report_target(t, target_condition::gone, out);
     auto const service = t.service;
@@ -116,8 +144,8 @@
         remove_target(s, id, now, out);
     auto const [it, fresh] = s.targets.try_emplace(id);
     auto& t = it->second;
-    if (restarted)
-        t.notices = {};
+    if (fresh || !t.listed)
+        t.notices = kept_notices(s, id, r.started_ms);
     auto const drains = r.draining && !t.info.draining;
     if (fresh || !t.listed)
     {
--- a/src/core/dispatch/concurrency_limit.cpp
+++ b/src/core/dispatch/concurrency_limit.cpp
@@ -32,6 +32,11 @@
     return r.good ? with_completed(used, max_concurrency) : used;
 }
 
+auto concurrency_after_pause(adaptive_limit const& limit) -> adaptive_limit
+{
+    return {min_concurrency, limit.open, limit.last_decrease};
+}
+
 auto has_capacity(adaptive_limit const& limit, std::uint32_t in_flight) -> bool
 {
     return may_open(with_open(limit, in_flight));
--- a/src/core/dispatch/concurrency_limit.hpp
+++ b/src/core/dispatch/concurrency_limit.hpp
@@ -42,6 +42,10 @@
 /// @param[in] in_flight Requests of this instance at the target.
 auto has_capacity(adaptive_limit const& limit, std::uint32_t in_flight) -> bool;
 
+/// The limit for a target that asked for a pause: after it, requests return one
+/// at a time first.
+auto concurrency_after_pause(adaptive_limit const& limit) -> adaptive_limit;
+
 } // namespace knapweedstream::dispatch
 
 #endif
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -46,6 +46,11 @@
     std::uint64_t lost_attempts = 0;
     /// Replies that were invalid or to another request.
     std::uint64_t unusable_replies = 0;
+    // Replies in which targets stated a limit, asked for a pause, or said that
+    // they leave.
+    std::uint64_t limit_notices = 0;
+    std::uint64_t pause_notices = 0;
+    std::uint64_t leaving_notices = 0;
     /// Statements of targets about themselves that could not be read.
     std::uint64_t ignored_statements = 0;
     std::uint64_t connects = 0;
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -123,6 +123,18 @@
         std::find_if(waiting.begin(), waiting.end(), less_urgent), key);
 }
 
+/// Arms a timer for the next request that a limited target takes, unless one is
+/// armed that fires no later.
+auto arm_allowance(dispatch_state& s, limit_wait const& next, time_point now)
+    -> void
+{
+    auto& due = s.targets.at(next.target).allowance_due;
+    if (due > now && due <= next.at)
+        return;
+    due = next.at;
+    arm(s, next.at, target_due{next.target});
+}
+
 /// True if a part that no target can take now may wait: for a connection that
 /// is being restored, or for a target's limit, in which case a timer is armed.
 auto may_wait(dispatch_state& s, part const& p, route const& r, time_point now)
@@ -133,7 +145,7 @@
     auto const next = next_allowance(s, p, r, now);
     if (!next)
         return false;
-    arm(s, next->at, target_due{next->target});
+    arm_allowance(s, *next, now);
     return true;
 }
 
@@ -155,7 +167,7 @@
         if (!wants_probe(t.health, now) || !is_usable(t, now) ||
             !is_allowed(t, r) || was_tried(p, id) ||
             !is_version_allowed(s, p, t, now) || !warmup_allows(s, t, now) ||
-            !limit_allows(s, t, now))
+            !notices_allow(s, t, now))
             continue;
         auto const connection = take_idle(s, t, false, now);
         if (connection == connection_id{})
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -98,8 +98,8 @@
 
 auto is_usable(target_entry const& t, time_point now) -> bool
 {
-    return !t.info.draining && !t.evacuated && !t.displaced &&
-           now < t.lapses_at;
+    return !t.info.draining && !t.notices.leaving && !t.evacuated &&
+           !t.displaced && now < t.lapses_at;
 }
 
 auto is_reachable(target_entry const& t, time_point now) -> bool
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -229,7 +229,7 @@
     entry.answers.resize(entry.parts.size());
     entry.pending_parts = static_cast<std::uint32_t>(entry.parts.size());
     if (auto const why = admission_refusal(s, entry, now))
-        return refuse(s, e, r, {*why, retry_delay(s, *why)}, out);
+        return refuse(s, e, r, refusal_of(s, entry, *why, now), out);
     auto const key = next_handle<request_key>(s);
     auto const n = entry.pending_parts;
     s.callers.emplace(e.caller, key);
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -145,8 +145,9 @@
            (step.suspended || may_be_first(t.health, r, now)) &&
            can_connect(s, t, step.over_share, now) &&
            warmup_allows(s, t, now) &&
-           (step.over_limit ? share_of_limit(s, t) > 0
-                            : limit_allows(s, t, now));
+           (step.over_limit
+                   ? !is_closed(t.notices, now) && share_of_limit(s, t) > 0
+                   : notices_allow(s, t, now));
 }
 
 /// Eligible targets with capacity of one side of a rollout, from the first
@@ -220,7 +221,7 @@
         auto& t = s.targets.at(id);
         if (!is_eligible(s, t, p, r, any_time, now))
             continue;
-        if (limit_allows(s, t, now))
+        if (notices_allow(s, t, now))
             return std::nullopt;
         rate += share_of_limit(s, t);
     }
@@ -242,14 +243,37 @@
     return may_send(t.warmup);
 }
 
-auto limit_allows(dispatch_state& s, target_entry& t, time_point now) -> bool
+auto notices_allow(dispatch_state& s, target_entry& t, time_point now) -> bool
 {
+    if (is_closed(t.notices, now))
+        return false;
     if (!t.notices.limit_per_s)
         return true;
     t.notices = refilled(t.notices, self_at(s, t), now);
     return may_send(t.notices);
 }
 
+auto end_of_pause(dispatch_state& s, part const& p, route const& r,
+    time_point now) -> std::optional<time_point>
+{
+    auto const it = s.services.find(p.service);
+    if (it == s.services.end())
+        return std::nullopt;
+    auto soonest = std::optional<time_point>{};
+    for (auto const id : it->second.targets)
+    {
+        auto& t = s.targets.at(id);
+        if (!is_usable(t, now) || !is_allowed(t, r) ||
+            !is_version_allowed(s, p, t, now))
+            continue;
+        if (now >= t.notices.paused_until)
+            return std::nullopt;
+        soonest = std::min(
+            soonest.value_or(time_point::max()), t.notices.paused_until);
+    }
+    return soonest;
+}
+
 auto next_allowance(dispatch_state& s, part const& p, route const& r,
     time_point now) -> std::optional<limit_wait>
 {
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -30,9 +30,9 @@
 /// during its warm-up.
 auto warmup_allows(dispatch_state& s, target_entry& t, time_point now) -> bool;
 
-/// True if the target has stated no limit, or this instance may send it one
-/// more request now.
-auto limit_allows(dispatch_state& s, target_entry& t, time_point now) -> bool;
+/// True if what the target has said of itself allows one more request of this
+/// instance now: it neither leaves nor pauses and is not at its stated limit.
+auto notices_allow(dispatch_state& s, target_entry& t, time_point now) -> bool;
 
 /// When a target that is at its stated limit may be sent the next request.
 struct limit_wait
@@ -41,6 +41,16 @@
     time_point at;
 };
 
+/// When the first of the targets that a part could go to ends its pause; empty
+/// if none of them pauses, or another one takes requests.
+auto end_of_pause(dispatch_state& s, part const& p, route const& r,
+    time_point now) -> std::optional<time_point>;
+
+/// When the first of the targets that a part could go to ends its pause; empty
+/// if none of them pauses, or another one takes requests.
+auto end_of_pause(dispatch_state& s, part const& p, route const& r,
+    time_point now) -> std::optional<time_point>;
+
 /// The first target that a part may be sent to once its stated limit allows it;
 /// empty if no target is held back by its limit alone.
 auto next_allowance(dispatch_state& s, part const& p, route const& r,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -186,6 +186,8 @@
     time_point cold_until;  ///< End of its warm-up.
     token_bucket warmup;    ///< Used until `cold_until`.
     target_notices notices; ///< Of its present start.
+    /// Timer armed for the next request that its stated limit allows.
+    time_point allowance_due;
     target_health health;
     /// Requests that this instance may have in flight at it.
     adaptive_limit concurrency;
@@ -205,6 +207,16 @@
     target_condition logged_condition = target_condition::registered;
 };
 
+/// Notices of a target whose registration has gone, in case it comes back.
+struct departed_target
+{
+    std::int64_t started_ms = 0; ///< Start of the target, as registered.
+    target_notices notices;
+    time_point at; ///< When its registration went.
+
+    auto operator<=>(departed_target const&) const = default;
+};
+
 /// Table entry of a service: its policy, targets and queued parts.
 struct service_entry
 {
@@ -383,6 +395,7 @@
     std::unordered_map<std::string, route_latency> latencies; ///< By route.
     std::unordered_map<service_id, service_entry> services;
     std::unordered_map<target_id, target_entry> targets;
+    std::unordered_map<target_id, departed_target> departed;
     std::unordered_map<connection_id, link> links;
     std::unordered_map<attempt_id, attempt> attempts;
     std::unordered_map<request_key, request_entry> requests;
--- a/src/core/dispatch/target_notices.cpp
+++ b/src/core/dispatch/target_notices.cpp
@@ -16,6 +16,10 @@
 constexpr auto tolerated_requests = 5.0;
 /// Used part of what lies beyond the limit.
 constexpr auto used_burst = 0.5;
+/// Most time by which an instance returns later than a pause ends: a share of
+/// the pause plus a fixed time.
+constexpr auto pause_spread = 0.1;
+constexpr auto return_spread = milliseconds{250};
 constexpr auto max_depth = 4.0; ///< Largest burst of an instance.
 /// Time between requests of all instances that have no share, or have heard
 /// nothing since.
@@ -46,16 +50,31 @@
 } // namespace
 
 auto with_statement(target_notices const& n, target_statement const& said,
-    time_point now) -> target_notices
+    double spread, time_point now) -> target_notices
 {
     auto next = n;
     next.limit_per_s = said.limit_per_s;
     next.limit_heard_at = now;
     if (!said.limit_per_s)
         next.allowance = {};
+    next.leaving = n.leaving || said.leaving;
+    if (said.pause)
+        next.paused_until = std::max(n.paused_until,
+            now + scaled(*said.pause, 1 + pause_spread * spread) +
+                scaled(return_spread, spread));
     return next;
 }
 
+auto is_closed(target_notices const& n, time_point now) -> bool
+{
+    return n.leaving || now < n.paused_until;
+}
+
+auto is_empty(target_notices const& n, time_point now) -> bool
+{
+    return !is_closed(n, now) && !n.limit_per_s;
+}
+
 auto share_of_limit(double limit_per_s, sender_rank const& self) -> double
 {
     auto const n = senders(limit_per_s, self.instances);
--- a/src/core/dispatch/target_notices.hpp
+++ b/src/core/dispatch/target_notices.hpp
@@ -1,9 +1,18 @@
 /// What a target has said of itself in its replies, and what this instance may
 /// therefore send to it.
 ///
-/// A target may state how many requests per second it takes from all instances
-/// together. The instances divide that: each of them, or a few of a large
-/// fleet, sends an equal part. It holds until a reply does not state it.
+/// - Limit: requests per second that it takes from all instances together. The
+///   instances divide that: each of them, or a few of a large fleet, sends an
+///   equal part. It holds until a reply does not state it.
+/// - Pause: it wants nothing from this instance for some time; of several, the
+///   one that ends last counts.
+/// - Leaving: it wants no new requests any more.
+///
+/// Notices belong to one start of a target: they end when it registers with
+/// another start, and survive if its registration only vanishes for a while. An
+/// instance that has restarted learns of them from the next reply. While an
+/// instance is suspended its steady clock stands still, so a pause ends later
+/// than the target asked for, never sooner.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_TARGET_NOTICES_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_TARGET_NOTICES_HPP
 
@@ -33,13 +42,24 @@
     std::optional<double> limit_per_s;
     time_point limit_heard_at; ///< When it last stated the limit.
     token_bucket allowance;    ///< Of this instance; used while limited.
+    time_point paused_until;
+    bool leaving = false;
 
     auto operator<=>(target_notices const&) const = default;
 };
 
 /// Takes over what a reply says.
+///
+/// @param[in] spread From 0 to 1; the instances return from a pause at
+///     different times.
 auto with_statement(target_notices const& n, target_statement const& said,
-    time_point now) -> target_notices;
+    double spread, time_point now) -> target_notices;
+
+/// True if the target wants no requests now, whatever its limit.
+auto is_closed(target_notices const& n, time_point now) -> bool;
+
+/// True if nothing needs to be remembered of a target that has gone.
+auto is_empty(target_notices const& n, time_point now) -> bool;
 
 /// Requests per second that this instance may send to a limited target; 0 if
 /// it leaves the target to others.
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -124,6 +124,8 @@
     recovered,
     limited,   ///< It states how many requests per second it takes.
     unlimited, ///< It no longer does.
+    paused,    ///< It asked for a pause.
+    leaving,   ///< It said in a reply that it stops soon.
 };
 
 /// The condition of a target has changed.
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -182,6 +182,26 @@
         CHECK(!reply_with(bad, 200).limit_per_s);
         CHECK(!reply_with(bad, 200).ignored.empty());
     }
+    auto const pause = [&](std::string const& value, std::uint32_t status)
+    {
+        auto m = ks::http_message{};
+        m.status = status;
+        m.fields = {{"Retry-After", value}, {"X-Not-Executed", "1"},
+            {"Server-Leaving", value == "1" ? "1" : "0"}};
+        return decode(std::move(m), "q").said;
+    };
+    CHECK(pause("1.5", 503).pause == ks::milliseconds{1'500});
+    CHECK(!pause("1.5", 503).leaving);
+    CHECK(pause("1", 503).leaving);
+    CHECK(!pause("1.5", 429).pause);
+    CHECK(pause("1e9", 503).pause == ks::seconds{60});
+    CHECK(!pause("1e9", 503).ignored.empty());
+    for (auto const* bad : {"-1", "soon", "nan", "",
+             "Wed, 21 Oct 2015 07:28:00 GMT"})
+    {
+        CHECK(!pause(bad, 503).pause);
+        CHECK(!pause(bad, 503).ignored.empty());
+    }
     // Another target's reply says nothing about the one that was asked.
     CHECK(reply_with("29.8", 421) == ks::target_statement{});
 }
