A registration that vanishes long after an outage is gone at once

Cause: for 10 s after an instance had been cut off from the store every vanished registration was kept for 2.2 s more, on top of up to 1.2 s until the watch returns (class: a grace period counted from the wrong event). Evidence: 'store: a registration that vanishes long after an outage ...' failed before.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -18,9 +18,6 @@
 namespace
 {
 
-/// Time after a store outage in which a vanished registration may come back.
-constexpr auto outage_window = seconds{10};
-
 auto is_evacuated(dispatch_state const& s, std::string const& zone) -> bool
 {
     return s.evacuated.contains(zone);
@@ -108,9 +105,9 @@
     serve_queue(s, service, now, out);
 }
 
-/// Removes a target whose registration vanished; during or shortly after a
-/// store outage only after a grace period, since the registration may come
-/// back.
+/// Removes a target whose registration vanished; shortly after a store outage
+/// only when the grace period since the store's return has ended, as the
+/// registration may come back until then.
 auto deregister_target(
     dispatch_state& s, target_id id, time_point now, commands& out) -> void
 {
@@ -118,11 +115,12 @@
     if (it == s.targets.end() || it->second.lapses_at != time_point::max())
         return;
     auto const disruption = s.last_disruption.find(store_kind::targets);
-    auto const recent = disruption != s.last_disruption.end() &&
-                        now - disruption->second < duration{outage_window};
-    if (!recent)
+    auto const until = disruption == s.last_disruption.end()
+                           ? now
+                           : disruption->second + s.init.limits.lapse_grace;
+    if (now >= until)
         return remove_target(s, id, now, out);
-    it->second.lapses_at = now + s.init.limits.lapse_grace;
+    it->second.lapses_at = until;
     arm(s, it->second.lapses_at, target_due{id});
 }
 
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -80,8 +80,8 @@
     milliseconds suspension_most{2'000};
     /// Half-life of a target's observed slowness and failure rate.
     milliseconds estimate_half_life{2'000};
-    /// How long a target is kept whose registration vanished during or shortly
-    /// after a store outage, since the registration may come back.
+    /// How long after a store outage targets are kept whose registration
+    /// vanished, since the registration may come back.
     milliseconds lapse_grace{2'200};
 
     /// How long a watch waits for changes. Must be shorter than the time for
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -8,6 +8,34 @@
 using namespace knapweedstream::dispatch;
 using ks::milliseconds;
 
+TEST_CASE("store: a registration that vanishes long after an outage is gone at "
+          "once, one that vanishes with it after a grace period")
+{
+    for (auto const late : {false, true})
+    {
+        auto r = harness{};
+        r.finish_startup();
+        r.feed_lists(config_of(single_route("s")), three_targets("s"));
+        r.feed(store_failed{
+            ks::store_kind::targets, ks::store_failure::unreachable});
+        r.advance(ks::seconds{4});
+        r.feed(store_changed{ks::store_kind::targets, {}, 50});
+        if (late)
+            r.advance(ks::seconds{3});
+        auto const t = make_registration("s-a", "s", "a");
+        r.feed(store_changed{
+            ks::store_kind::targets, {{{"s-a", 60, t}, true}}, 60});
+        auto const is_gone = [&]
+        {
+            auto const all = r.facts<target_condition_changed>();
+            return all.back().condition == target_condition::gone;
+        };
+        CHECK(is_gone() == late);
+        r.advance(ks::milliseconds{2'300});
+        CHECK(is_gone());
+    }
+}
+
 TEST_CASE("store: during an outage only one kind of object is requested")
 {
     auto r = harness{};
