--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -3,7 +3,7 @@
 #include "core/dispatch/answers.hpp"
 #include "core/dispatch/concurrency_limit.hpp"
 #include "core/dispatch/crashes.hpp"
-#include "core/dispatch/link_shares.hpp"
+#include "core/dispatch/hear_notices.hpp"
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
@@ -132,47 +132,6 @@
             target_condition::displaced, "reply=wrong_target", t.revision}});
 }
 
-auto limit_text(std::optional<double> const& limit) -> std::string
-{
-    return limit ? std::to_string(*limit) : "none";
-}
-
-auto report_notice(target_entry const& t, target_condition what,
-    std::string details, commands& out) -> void
-{
-    out.push_back(report_fact{target_condition_changed{t.info.name,
-        t.info.service, t.info.address, what, std::move(details), t.revision}});
-}
-
-/// Reports each notice of a target that has changed.
-auto report_notices(target_entry const& t, target_notices const& before,
-    time_point now, commands& out) -> void
-{
-    auto const& n = t.notices;
-    auto const limited = n.limit_per_s.has_value();
-    if (limited != before.limit_per_s.has_value())
-        report_notice(t,
-            limited ? target_condition::limited : target_condition::unlimited,
-            "limit_per_s=" + limit_text(n.limit_per_s) +
-                " before=" + limit_text(before.limit_per_s),
-            out);
-    if (n.leaving && !before.leaving)
-        report_notice(t, target_condition::leaving, "by=reply", out);
-    if (n.paused_until <= before.paused_until)
-        return;
-    auto const left =
-        std::chrono::duration_cast<milliseconds>(n.paused_until - now);
-    report_notice(t, target_condition::paused,
-        "pause_ms=" + std::to_string(left.count()), out);
-}
-
-auto count_notices(dispatch_stats& stats, target_statement const& said) -> void
-{
-    stats.limit_notices += said.limit_per_s ? 1 : 0;
-    stats.pause_notices += said.pause ? 1 : 0;
-    stats.leaving_notices += said.leaving ? 1 : 0;
-}
-
 auto report_failure(dispatch_state& s, attempt const& a,
     attempt_outcome const& m, time_point now, commands& out) -> void
 {
@@ -227,29 +186,6 @@
     answer_if_due(s, a.part.request, now, out);
 }
 
-/// Takes over what a target says of itself.
-auto hear(dispatch_state& s, target_entry& t, target_statement const& said,
-    time_point now, commands& out) -> void
-{
-    auto const before = t.notices;
-    t.notices = with_statement(before, said, draw_fraction(s), now);
-    report_notices(t, before, now, out);
-    if (said.pause)
-        t.concurrency = concurrency_after_pause(t.concurrency);
-    if (t.notices.leaving && !before.leaving)
-    {
-        close_idle(s, t, out);
-        invalidate_shares(s, t.service);
-    }
-    count_notices(s.stats, said);
-    if (!said.ignored.empty())
-    {
-        ++s.stats.ignored_statements;
-        out.push_back(report_fact{
-            statement_ignored{t.info.name, t.info.service, said.ignored}});
-    }
-}
-
 /// True if a connection that has carried no reply was reset sooner than a reply
 /// could come. This shows that the target had more connections than it accepts
 /// and did not read the request.
@@ -392,7 +328,7 @@
     t.concurrency = with_sample(t.concurrency,
         {now - a.sent_at, a.late_after, refused, good, t.health.in_flight},
         now);
-    hear(s, t, e.said, now, out);
+    hear_notices(s, t, e.said, now, out);
     auto const ratio = good ? observe_latency(s, a, t, now) : 0;
     auto const overdue = now - a.sent_at > a.hedge_delay;
     if (overdue && !a.overdue)
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -11,6 +11,7 @@
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
+#include "core/dispatch/observations.hpp"
 #include "core/dispatch/target_notices.hpp"
 #include "core/dispatch/version_admission.hpp"
 #include "core/dispatch/version_shift.hpp"
@@ -207,16 +208,6 @@
     target_condition logged_condition = target_condition::registered;
 };
 
-/// Notices of a target whose registration has gone, in case it comes back.
-struct departed_target
-{
-    std::int64_t started_ms = 0; ///< Start of the target, as registered.
-    target_notices notices;
-    time_point at; ///< When its registration went.
-
-    auto operator<=>(departed_target const&) const = default;
-};
-
 /// Table entry of a service: its policy, targets and queued parts.
 struct service_entry
 {
@@ -325,33 +316,6 @@
     auto operator<=>(stop_progress const&) const = default;
 };
 
-/// The newest report of another instance.
-struct received_report
-{
-    instance_report value;
-    time_point at; ///< When it was read.
-
-    auto operator<=>(received_report const&) const = default;
-};
-
-/// Content that targets have answered lately. It crashes no target.
-struct answered_contents
-{
-    std::unordered_map<fingerprint, time_point> at;
-    std::deque<fingerprint> order; ///< Oldest first; bounded.
-};
-
-/// The report that this instance has written to the store.
-struct written_report
-{
-    instance_report value;
-    bool exists = false; ///< The store holds a report of this instance.
-    bool due = false;    ///< A timer for the next report is armed.
-    time_point at;       ///< When it was last written.
-
-    auto operator<=>(written_report const&) const = default;
-};
-
 /// The whole state of a dispatcher.
 struct dispatch_state
 {
