--- a/include/knapweedstream/exchange.hpp
+++ b/include/knapweedstream/exchange.hpp
@@ -98,7 +98,7 @@
     /// It wants no requests from this instance for so long.
     std::optional<duration> pause;
     bool leaving = false; ///< It stops soon and wants no new requests.
-    std::string ignored; ///< Names what could not be read; otherwise empty.
+    std::string ignored;  ///< Names what could not be read; otherwise empty.
 
     auto operator<=>(target_statement const&) const = default;
 };
--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -43,9 +43,10 @@
 
 auto name_of(dispatch::target_condition it) -> char const*
 {
-    return enum_name(std::array{"registered", "changed", "draining", "gone",
-                         "displaced", "slow", "stalled", "failing", "down",
-                         "recovered", "limited", "unlimited", "paused", "leaving"},
+    return enum_name(
+        std::array{"registered", "changed", "draining", "gone", "displaced",
+            "slow", "stalled", "failing", "down", "recovered", "limited",
+            "unlimited", "paused", "leaving"},
         it);
 }
 
--- a/src/core/dispatch/answers.cpp
+++ b/src/core/dispatch/answers.cpp
@@ -258,9 +258,9 @@
 
 auto name_of(refusal_reason it) -> char const*
 {
-    constexpr auto names = std::array{"not_ready", "no_route", "bad_request",
-        "no_target", "overloaded", "no_budget", "deadly", "out_of_region",
-        "paused"};
+    constexpr auto names =
+        std::array{"not_ready", "no_route", "bad_request", "no_target",
+            "overloaded", "no_budget", "deadly", "out_of_region", "paused"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/tests/dispatch/test_notices.cpp
+++ b/tests/dispatch/test_notices.cpp
@@ -116,7 +116,8 @@
                     {
                         at.push_back(now);
                         all[i] = with_sent(all[i]);
-                        all[i] = with_statement(all[i], limited_to(limit), 0, now);
+                        all[i] =
+                            with_statement(all[i], limited_to(limit), 0, now);
                     }
                 }
             }
@@ -264,9 +265,8 @@
 TEST_CASE("leaving: a target that says so gets no new request, whatever its "
           "registration says")
 {
-    for (auto const& route :
-        {single_route("s"), with_at_most_once(single_route("s")),
-            shard_route({"s"}, 1.0)})
+    for (auto const& route : {single_route("s"),
+             with_at_most_once(single_route("s")), shard_route({"s"}, 1.0)})
     {
         auto f = notices_fixture{route};
         make_target_say(f.r, "s-a", success_reply(), leaving());
@@ -300,8 +300,9 @@
     CHECK(count_sent(f.r, "s-a", seconds{3}) > 0);
 }
 
-TEST_CASE("leaving: the answers under way are not cut, and the load moves to all "
-          "other targets")
+TEST_CASE(
+    "leaving: the answers under way are not cut, and the load moves to all "
+    "other targets")
 {
     auto f = notices_fixture{};
     auto all = std::vector<ks::target_registration>{};
@@ -353,8 +354,8 @@
     for (auto i = 0; i < 20; ++i)
         f.r.submit("burst");
     auto const sent = f.r.take_sent();
-    CHECK(std::count_if(sent.begin(), sent.end(), [](sent_request const& it)
-              { return it.target == "s-a"; }) <= 1);
+    CHECK(std::count_if(sent.begin(), sent.end(),
+              [](sent_request const& it) { return it.target == "s-a"; }) <= 1);
     CHECK(asked < f.r.now);
 }
 
@@ -371,8 +372,9 @@
     CHECK(!is_closed(late, t + seconds{12}));
 }
 
-TEST_CASE("pause: when all targets of a shard pause the caller is refused at once, "
-          "with the soonest return")
+TEST_CASE(
+    "pause: when all targets of a shard pause the caller is refused at once, "
+    "with the soonest return")
 {
     for (auto const& route : {single_route("s0"), shard_route({"s0"}, 1.0)})
     {
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -16,7 +16,9 @@
 auto list_with(std::string const& odd_spec) -> std::string
 {
     auto const entry = [](std::string const& name, std::string const& spec)
-    { return R"({"meta":{"name":")" + name + R"("},"spec":)" + spec + "}"; };
+    {
+        return R"({"meta":{"name":")" + name + R"("},"spec":)" + spec + "}";
+    };
     auto const good = std::string{
         R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
         R"("slots":2,"state":"ready","warmup_left_ms":0,"sequence":4})"};
@@ -30,11 +32,10 @@
 {
     auto out = std::string{"{"};
     for (auto const& [key, usual] :
-        std::vector<std::pair<std::string, std::string>>{
-            {"service", R"("s")"}, {"address", R"("10.0.0.9:80")"},
-            {"zone", R"("a")"}, {"version", R"("v1")"}, {"slots", "2"},
-            {"state", R"("ready")"}, {"warmup_left_ms", "0"},
-            {"sequence", "4"}})
+        std::vector<std::pair<std::string, std::string>>{{"service", R"("s")"},
+            {"address", R"("10.0.0.9:80")"}, {"zone", R"("a")"},
+            {"version", R"("v1")"}, {"slots", "2"}, {"state", R"("ready")"},
+            {"warmup_left_ms", "0"}, {"sequence", "4"}})
         out += (out.size() > 1 ? "," : "") + ("\"" + key + "\":") +
                (key == member ? value : usual);
     return out + "}";
@@ -83,8 +84,8 @@
         auto const list = read_list(list_with(odd));
         REQUIRE(list.size() == 3);
         for (auto const i : {0u, 2u})
-            CHECK(std::holds_alternative<ks::target_registration>(
-                list[i].value));
+            CHECK(
+                std::holds_alternative<ks::target_registration>(list[i].value));
         CHECK(std::holds_alternative<ks::unreadable_object>(list[1].value));
     }
     auto const usable = read_list(list_with(spec_with("slots", "2")));
@@ -196,8 +197,8 @@
     CHECK(!pause("1.5", 429).pause);
     CHECK(pause("1e9", 503).pause == ks::seconds{60});
     CHECK(!pause("1e9", 503).ignored.empty());
-    for (auto const* bad : {"-1", "soon", "nan", "",
-             "Wed, 21 Oct 2015 07:28:00 GMT"})
+    for (auto const* bad :
+        {"-1", "soon", "nan", "", "Wed, 21 Oct 2015 07:28:00 GMT"})
     {
         CHECK(!pause(bad, 503).pause);
         CHECK(!pause(bad, 503).ignored.empty());
