--- a/tests/failure/test_rollouts.cpp
+++ b/tests/failure/test_rollouts.cpp
@@ -169,6 +169,27 @@
     }
 }
 
+TEST_CASE("a bad version that gets few queries at each owner is not completed")
+{
+    for (std::uint64_t seed = 50; seed < 54; ++seed)
+    {
+        CAPTURE(seed);
+        auto w = rollout_world(seed);
+        send_queries(*w, 30);
+        start_rollout(*w);
+        for (auto& [address, l] : w->leafs)
+            if (is_new(l))
+                l.fail_percent = 35;
+        for (auto i = 0; i < 32; ++i)
+        {
+            w->query(static_cast<std::size_t>(i) % 3, "voorraad",
+                "q" + std::to_string(i % 20));
+            w->run_for(milliseconds{250});
+        }
+        CHECK(state_of(*w).phase != rollout_phase::completed);
+    }
+}
+
 TEST_CASE("a bad version is stopped while the platform is down")
 {
     auto w = rollout_world(32);
