EXPOSURE on the queries' path: the driver judges the outcomes of all owners

Callers saw: a bad version with few queries at each owner was completed. Cause: the same as on the routed path; each owner judged alone, and the driver completed what nobody had objected to. Change: owners send their outcomes to the driver in each heartbeat round of a rollout; it stops the version if the sum shows a fault, and does not complete one that looks faulty before there are enough requests to be sure.

--- a/include/knapweedstream/rollout.hpp
+++ b/include/knapweedstream/rollout.hpp
@@ -48,6 +48,18 @@
     latency,  ///< The new version was too slow.
 };
 
+/// Outcomes of the requests to one version of one service. All values are
+/// halved when many requests have been counted, so that old outcomes weigh
+/// less.
+struct version_record
+{
+    double requests = 0;
+    double failures = 0;
+    double latency_us = 0; ///< Sum over the successes.
+
+    auto operator<=>(version_record const&) const = default;
+};
+
 /// State of a rollout, stored in the platform.
 struct rollout
 {
--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -31,7 +31,7 @@
         "sub_cancel", "heartbeat", "shard_views", "target_warmth",
         "deadly_notice", "booking_forward", "booking_result", "config_update",
         "config_request", "peer_suspicion", "rollout_update", "version_fault",
-        "views_request"};
+        "views_request", "version_outcomes"};
     static_assert(names.size() == std::variant_size_v<message>);
     return names[index];
 }
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -45,6 +45,8 @@
             [&](rollout_update const& it)
             { on_rollout_update(s, from, it, out); },
             [&](version_fault const& it) { on_version_fault(s, it, out); },
+            [&](version_outcomes const& it)
+            { on_version_outcomes(s, from, it, out); },
             [&](views_request const&) { send_views(s, from); },
             [&](peer_suspicion const& it) { on_peer_suspicion(s, it, now); },
             [&](config_request const& it)
--- a/src/core/rollout.cpp
+++ b/src/core/rollout.cpp
@@ -32,6 +32,12 @@
         r.latency_us * decay + (failed ? 0 : latency_us)};
 }
 
+auto sum_of(version_record const& a, version_record const& b) -> version_record
+{
+    return {a.requests + b.requests, a.failures + b.failures,
+        a.latency_us + b.latency_us};
+}
+
 auto compare_versions(version_record const& before, version_record const& after,
     rollout_policy const& policy) -> rollout_fault
 {
--- a/src/core/rollout.hpp
+++ b/src/core/rollout.hpp
@@ -9,22 +9,13 @@
 namespace knapweedstream
 {
 
-/// Outcomes of the requests to one version of one service. All values are
-/// halved when many requests have been counted, so that old outcomes weigh
-/// less.
-struct version_record
-{
-    double requests = 0;
-    double failures = 0;
-    double latency_us = 0; ///< Sum over the successes.
-
-    auto operator<=>(version_record const&) const = default;
-};
-
 /// Returns the record with the outcome of one more request.
 auto with_result(version_record const& r, bool failed, double latency_us)
     -> version_record;
 
+/// Returns the outcomes of two records together.
+auto sum_of(version_record const& a, version_record const& b) -> version_record;
+
 /// Compares the new version with the old one over the same period.
 ///
 /// @param[in] before Record of the old version.
--- a/src/core/rollout_driver.cpp
+++ b/src/core/rollout_driver.cpp
@@ -24,12 +24,18 @@
     return service.info.rollout;
 }
 
-/// True if this node drives the service's rollout: it ranks first for it.
-auto is_driver(node_state const& s, service_id id) -> bool
+/// The instance that drives the service's rollout: it ranks first for it. None
+/// if no instance is known.
+auto driver_of(node_state const& s, service_id id) -> instance_id
 {
     auto const first =
         rendezvous(hash_name("rollout", id.value), owner_candidates(s), 1);
-    return !first.empty() && first.front() == s.self;
+    return first.empty() ? instance_id{} : first.front();
+}
+
+auto is_driver(node_state const& s, service_id id) -> bool
+{
+    return driver_of(s, id) == s.self;
 }
 
 auto hash_percent(run_id const& run) -> std::uint32_t
@@ -86,7 +92,66 @@
     return true;
 }
 
-/// Reads the stored rollout, starts it, or writes the step that is due.
+/// Outcomes of a service's two versions that all owners together have seen, as
+/// far as this node knows.
+auto all_outcomes(node_state const& s, service_entry const& service)
+    -> version_outcomes
+{
+    auto const id = policy_of(service).id;
+    auto const& e = service.rollout;
+    auto all = version_outcomes{{}, id, e.before, e.after};
+    for (auto const& [owner, seen] : e.reported)
+        if (owner != s.self && seen.id == id)
+        {
+            all.before = sum_of(all.before, seen.before);
+            all.after = sum_of(all.after, seen.after);
+        }
+    return all;
+}
+
+/// True if the new version looks faulty, though there may be too few requests
+/// to be sure.
+auto looks_faulty(node_state const& s, service_entry const& service) -> bool
+{
+    auto policy = policy_of(service);
+    policy.min_samples = 1;
+    auto const all = all_outcomes(s, service);
+    return compare_versions(all.before, all.after, policy) !=
+           rollout_fault::none;
+}
+
+/// Stops the new version here and at all peers if the outcomes show a fault.
+auto stop_if_faulty(node_state& s, service_id id, version_record const& before,
+    version_record const& after, commands& out) -> void
+{
+    auto& service = s.services.at(id);
+    auto const& policy = policy_of(service);
+    if (service.rollout.value.phase != rollout_phase::running)
+        return;
+    auto const fault = compare_versions(before, after, policy);
+    if (fault == rollout_fault::none ||
+        !stop_version(service, policy.id, fault))
+        return;
+    out.push_back(
+        report_fact{version_stopped{service.info.name, policy.id, fault}});
+    broadcast(s, version_fault{id, policy.id, fault}, {});
+}
+
+/// Sends the outcomes seen here to the driver of a rollout.
+auto report_outcomes(node_state& s, service_id id, service_entry const& service)
+    -> void
+{
+    auto const& e = service.rollout;
+    auto const driver = driver_of(s, id);
+    if (e.value.phase == rollout_phase::running && e.after.requests > 0 &&
+        driver != instance_id{})
+        post(s, driver,
+            version_outcomes{id, policy_of(service).id, e.before, e.after});
+}
+
+/// Reads the stored rollout, starts it, or writes the step that is due. A
+/// version that looks faulty is not completed before there are enough requests
+/// to be sure.
 auto advance_rollout(node_state& s, service_id id, service_entry& service,
     time_point now, commands& out) -> void
 {
@@ -106,7 +171,9 @@
             id, e, first_step(policy, wall_ms(s, now), token), out);
     auto const next =
         next_step(e.value, policy, e.fault, wall_ms(s, now), token);
-    if (next)
+    auto const hold = next && next->phase == rollout_phase::completed &&
+                      looks_faulty(s, service);
+    if (next && !hold)
         write_rollout(id, e, *next, out);
 }
 
@@ -144,15 +211,7 @@
     auto& e = service.rollout;
     auto& record = t.version == policy.to ? e.after : e.before;
     record = with_result(record, failed, latency_us);
-    if (e.value.phase != rollout_phase::running)
-        return;
-    auto const fault = compare_versions(e.before, e.after, policy);
-    if (fault == rollout_fault::none ||
-        !stop_version(service, policy.id, fault))
-        return;
-    out.push_back(
-        report_fact{version_stopped{service.info.name, policy.id, fault}});
-    broadcast(s, version_fault{it->first, policy.id, fault}, {});
+    stop_if_faulty(s, it->first, e.before, e.after, out);
 }
 
 auto drive_rollouts(node_state& s, time_point now, commands& out) -> void
@@ -168,7 +227,10 @@
         if (is_driver(s, id))
             advance_rollout(s, id, service, now, out);
         else
+        {
             service.rollout.loaded = false;
+            report_outcomes(s, id, service);
+        }
         if (service.rollout.version > 0)
         {
             auto const peers = random_peers(s, 1);
@@ -207,6 +269,18 @@
     adopt_if_newer(s, m.service, m.version, m.value, out);
 }
 
+auto on_version_outcomes(node_state& s, instance_id from,
+    version_outcomes const& m, commands& out) -> void
+{
+    auto const it = s.services.find(m.service);
+    if (it == s.services.end() || policy_of(it->second).id != m.id)
+        return;
+    auto& e = it->second.rollout;
+    e.reported[from] = m;
+    auto const all = all_outcomes(s, it->second);
+    stop_if_faulty(s, m.service, all.before, all.after, out);
+}
+
 auto on_version_fault(node_state& s, version_fault const& m, commands& out)
     -> void
 {
--- a/src/core/rollout_driver.hpp
+++ b/src/core/rollout_driver.hpp
@@ -22,8 +22,9 @@
 auto record_version_result(node_state& s, target const& t, bool failed,
     double latency_us, commands& out) -> void;
 
-/// Advances the rollouts that this node drives, and sends the state of each to
-/// a random peer. Called in each heartbeat round.
+/// Advances the rollouts that this node drives, sends the state of each to a
+/// random peer, and the outcomes seen here to its driver. Called in each
+/// heartbeat round.
 auto drive_rollouts(node_state& s, time_point now, commands& out) -> void;
 
 /// Handles the state of a rollout as stored in the platform.
@@ -35,6 +36,10 @@
 /// Handles the state of a rollout sent by a peer.
 auto on_rollout_update(node_state& s, instance_id from, rollout_update const& m,
     commands& out) -> void;
+/// Takes over the outcomes that an owner has observed; as the driver, stops the
+/// new version if all owners' outcomes together show that it is faulty.
+auto on_version_outcomes(node_state& s, instance_id from,
+    version_outcomes const& m, commands& out) -> void;
 /// Stops a new version that a peer found faulty.
 auto on_version_fault(node_state& s, version_fault const& m, commands& out)
     -> void;
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -255,6 +255,8 @@
     rollout_fault fault = rollout_fault::none; ///< Detected here or by a peer.
     version_record before;                     ///< Results of the old version.
     version_record after;                      ///< Results of the new version.
+    /// Newest outcomes of the other owners; kept by the driver.
+    std::map<instance_id, version_outcomes> reported;
 
     auto operator<=>(rollout_entry const&) const = default;
 };
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -188,6 +188,18 @@
     auto operator<=>(version_fault const&) const = default;
 };
 
+/// Outcomes that an owner has observed during a rollout, for the instance that
+/// drives it.
+struct version_outcomes
+{
+    service_id service;
+    std::uint32_t id = 0;  ///< `rollout_policy::id`.
+    version_record before; ///< Of the old version.
+    version_record after;  ///< Of the new version.
+
+    auto operator<=>(version_outcomes const&) const = default;
+};
+
 /// Requests the configurations that the sender lacks or has older versions of.
 struct config_request
 {
@@ -207,7 +219,7 @@
 using message = std::variant<sub_query, sub_answer, sub_cancel, heartbeat,
     shard_views, target_warmth, deadly_notice, booking_forward, booking_result,
     config_update, config_request, peer_suspicion, rollout_update,
-    version_fault, views_request>;
+    version_fault, views_request, version_outcomes>;
 
 } // namespace knapweedstream
 
