--- a/include/knapweedstream/report.hpp
+++ b/include/knapweedstream/report.hpp
@@ -1,4 +1,4 @@
-/// What an instance has observed and tells all other instances: outcomes of
+/// What an instance has observed and reports to all others: outcomes of
 /// requests to both versions of a service during a rollout, and requests that
 /// crashed targets.
 #ifndef KNAPWEEDSTREAM_REPORT_HPP
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/attempts.hpp"
 
 #include "core/dispatch/answers.hpp"
+#include "core/dispatch/attempt_outcome.hpp"
 #include "core/dispatch/concurrency_limit.hpp"
 #include "core/dispatch/crashes.hpp"
 #include "core/dispatch/hear_notices.hpp"
@@ -11,8 +12,6 @@
 #include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/search.hpp"
 
-#include <knapweedstream/overloaded.hpp>
-
 #include <algorithm>
 
 namespace knapweedstream::dispatch
@@ -91,36 +90,6 @@
                                       static_cast<double>(usual.count());
 }
 
-/// Outcome of an attempt.
-struct attempt_outcome
-{
-    attempt_end how = attempt_end::success;
-    bool ran = true;          ///< The target may have run the request.
-    std::uint32_t status = 0; ///< HTTP status of the reply; 0 if none.
-};
-
-auto outcome_of_reply(target_reply const& r) -> attempt_outcome
-{
-    return std::visit(
-        overloaded{[](reply_success const& it) -> attempt_outcome {
-                       return {attempt_end::success, true, it.message.status};
-                   },
-            [](reply_failure const& it) -> attempt_outcome {
-                return {attempt_end::failure, true, it.message.status};
-            },
-            [](reply_overloaded const&) -> attempt_outcome {
-                return {attempt_end::overloaded, false, 0};
-            },
-            [](reply_wrong_target const&) -> attempt_outcome {
-                return {attempt_end::wrong_target, false, 0};
-            },
-            [](reply_unusable const&) -> attempt_outcome
-            {
-                return {attempt_end::unusable, true, 0};
-            }},
-        r);
-}
-
 /// Marks a target as displaced: another target answers at its address. It gets
 /// no more requests until it registers again.
 auto displace(dispatch_state& s, target_entry& t, commands& out) -> void
@@ -186,43 +155,6 @@
     answer_if_due(s, a.part.request, now, out);
 }
 
-/// True if a connection that has carried no reply was reset sooner than a reply
-/// could come. This shows that the target had more connections than it accepts
-/// and did not read the request.
-auto was_reset_unread(dispatch_state const& s, attempt const& a, link const& l,
-    connection_closed const& e, time_point now) -> bool
-{
-    auto const r = s.requests.find(a.part.request);
-    if (l.replied || e.how != connection_end::reset || r == s.requests.end())
-        return false;
-    auto const& t = s.targets.at(l.target);
-    auto const round_trip =
-        t.connect_time + duration{s.init.limits.turned_away_slack};
-    auto const known = s.latencies.find(r->second.value.matched_route->name);
-    auto const sooner =
-        known == s.latencies.end()
-            ? round_trip
-            : earliest_latency(
-                  known->second.at[static_cast<std::size_t>(t.distance)],
-                  round_trip);
-    return now - a.sent_at < sooner;
-}
-
-/// Outcome of an attempt whose connection was lost.
-auto outcome_of_loss(dispatch_state const& s, attempt const& a, link const& l,
-    connection_closed const& e, time_point now) -> attempt_outcome
-{
-    if (e.unsent)
-        return {attempt_end::unsent, false, 0};
-    auto const r = s.requests.find(a.part.request);
-    auto const idempotent =
-        r != s.requests.end() && r->second.value.matched_route->delivery ==
-                                     delivery_semantics::idempotent;
-    if (idempotent && was_reset_unread(s, a, l, e, now))
-        return {attempt_end::turned_away, false, 0};
-    return {attempt_end::lost, true, 0};
-}
-
 /// Records an attempt that was given up without a reply as slow if it took that
 /// long; sooner, its end says nothing about the version.
 auto record_unanswered(dispatch_state& s, target_entry const& t,
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -6,6 +6,7 @@
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/requests.hpp"
 #include "core/dispatch/search.hpp"
+#include "core/dispatch/sender_share.hpp"
 
 #include <algorithm>
 
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -5,10 +5,10 @@
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/parts.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/sender_share.hpp"
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace knapweedstream::dispatch
 {
@@ -111,32 +111,6 @@
         s.services.at(t.service).versions, t.info.version, now);
 }
 
-/// Rank of this instance among those that may send to a target that takes
-/// little: instances in the target's region come first.
-auto sender_rank_of(dispatch_state const& s, target_entry const& t)
-    -> std::size_t
-{
-    return rank_of_self(s,
-        [&](instance_record const& it) {
-            return std::pair{
-                it.region != t.region, hash_name(it.name, t.id.value)};
-        });
-}
-
-auto self_at(dispatch_state const& s, target_entry const& t) -> sender_rank
-{
-    return {sender_rank_of(s, t), std::max<std::size_t>(1, s.instances.size())};
-}
-
-/// Requests per second that this instance may send to a target; the greatest
-/// possible value if it has stated no limit.
-auto share_of_limit(dispatch_state const& s, target_entry const& t) -> double
-{
-    auto const& limit = t.notices.limit_per_s;
-    return limit ? share_of_limit(*limit, self_at(s, t))
-                 : std::numeric_limits<double>::max();
-}
-
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
     route const& r, search_step const& step, time_point now) -> bool
 {
@@ -233,26 +207,6 @@
 
 } // namespace
 
-auto warmup_allows(dispatch_state& s, target_entry& t, time_point now) -> bool
-{
-    auto const rate = s.services.at(t.service).policy.cold_requests_per_s;
-    if (now >= t.cold_until || rate <= 0)
-        return true;
-    t.warmup =
-        with_refill(t.warmup, s.init.bounds, rate, sender_rank_of(s, t), now);
-    return may_send(t.warmup);
-}
-
-auto notices_allow(dispatch_state& s, target_entry& t, time_point now) -> bool
-{
-    if (is_closed(t.notices, now))
-        return false;
-    if (!t.notices.limit_per_s)
-        return true;
-    t.notices = refilled(t.notices, self_at(s, t), now);
-    return may_send(t.notices);
-}
-
 auto end_of_pause(dispatch_state& s, part const& p, route const& r,
     time_point now) -> std::optional<time_point>
 {
@@ -289,7 +243,7 @@
         if (!t.notices.limit_per_s || !matches_side(it->second, side, t) ||
             !is_eligible(s, t, p, r, any_time, now))
             continue;
-        auto const wait = wait_for_allowance(t.notices, self_at(s, t));
+        auto const wait = wait_for_allowance(t.notices, rank_for_target(s, t));
         if (wait > duration{0} && (!next || now + wait < next->at))
             next = limit_wait{id, now + wait};
     }
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -26,14 +26,6 @@
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool none_running, time_point now) -> target_entry*;
 
-/// True if the target is warm, or this instance may send it one more request
-/// during its warm-up.
-auto warmup_allows(dispatch_state& s, target_entry& t, time_point now) -> bool;
-
-/// True if what the target has said of itself allows one more request of this
-/// instance now: it neither leaves nor pauses and is not at its stated limit.
-auto notices_allow(dispatch_state& s, target_entry& t, time_point now) -> bool;
-
 /// When a target that is at its stated limit may be sent the next request.
 struct limit_wait
 {
--- a/tests/dispatch/rollout_fleet.cpp
+++ b/tests/dispatch/rollout_fleet.cpp
@@ -173,7 +173,7 @@
     publish({{"s", order_revision_, order_}, false}, store_kind::rollouts);
 }
 
-/// Applies the writes of an instance to the store, and tells all instances.
+/// Applies the writes of an instance to the store and delivers them to all.
 auto rollout_fleet::carry_writes(std::size_t i) -> void
 {
     auto const& all = instances[i]->all_commands;
--- a/tests/dispatch/test_crashes.cpp
+++ b/tests/dispatch/test_crashes.cpp
@@ -22,7 +22,7 @@
 constexpr auto confirm_time = milliseconds{4'000};
 
 /// Instances that share targets, each of which ends when it begins to run a
-/// request for the path `/p/deadly`. Reports reach the other instances at once.
+/// request for one path. Reports reach the other instances at once.
 struct crash_fleet
 {
     std::vector<std::unique_ptr<harness>> instances;
@@ -152,7 +152,8 @@
         }
     }
 
-    /// Sends deadly requests each 300 ms and ordinary ones each 10 ms.
+    /// Sends requests that end targets each 300 ms and ordinary ones each 10
+    /// ms.
     auto run(seconds length) -> void
     {
         auto random = ks::random_state{3, 0};
