A target that states a limit of 0 is asked again now and then

Callers saw: if all targets of a service state a limit of 0, each request is refused, also after the limit has ended, until the targets register again. Cause: the admission asked for a share above 0, so that the request which checks whether the limit still holds was never sent; a tiny limit made the wait overflow. Change: the checking request counts as a share; waits are an hour at most.

--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -111,6 +111,13 @@
         s.services.at(t.service).versions, t.info.version, now);
 }
 
+/// True if the target takes requests of this instance sooner or later.
+auto has_share(dispatch_state const& s, target_entry const& t, time_point now)
+    -> bool
+{
+    return !is_closed(t.notices, now) && share_of_limit(s, t) > 0;
+}
+
 auto is_eligible(dispatch_state& s, target_entry& t, part const& p,
     route const& r, search_step const& step, time_point now) -> bool
 {
@@ -119,9 +126,8 @@
            (step.suspended || may_be_first(t.health, r, now)) &&
            can_connect(s, t, step.over_share, now) &&
            warmup_allows(s, t, now) &&
-           (step.over_limit
-                   ? !is_closed(t.notices, now) && share_of_limit(s, t) > 0
-                   : notices_allow(s, t, now));
+           (notices_allow(s, t, now) ||
+               (step.over_limit && has_share(s, t, now)));
 }
 
 /// Eligible targets with capacity of one side of a rollout, from the first
@@ -201,8 +207,7 @@
     }
     if (rate <= 0)
         return std::nullopt;
-    return std::chrono::ceil<duration>(std::chrono::duration<double>(
-        (1.0 + static_cast<double>(waiting)) / rate));
+    return wait_for(1.0 + static_cast<double>(waiting), rate);
 }
 
 } // namespace
--- a/src/core/dispatch/target_notices.cpp
+++ b/src/core/dispatch/target_notices.cpp
@@ -113,17 +113,23 @@
     return next;
 }
 
+auto wait_for(double requests, double rate) -> duration
+{
+    constexpr auto longest = std::chrono::duration<double>(3'600);
+    if (requests <= 0)
+        return duration{0};
+    auto const wait = std::chrono::duration<double>(requests / rate);
+    return std::chrono::ceil<duration>(
+        rate > 0 ? std::min(wait, longest) : longest);
+}
+
 auto wait_for_allowance(target_notices const& n, sender_rank const& self)
     -> duration
 {
     if (may_send(n))
         return duration{0};
-    auto const rate = share_of_limit(*n.limit_per_s, self);
-    if (rate <= 0)
-        return duration::max();
-    auto const seconds_left = (1 - n.allowance.tokens) / rate;
-    return std::chrono::ceil<duration>(
-        std::chrono::duration<double>(seconds_left));
+    return wait_for(
+        1 - n.allowance.tokens, share_of_limit(*n.limit_per_s, self));
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/target_notices.hpp
+++ b/src/core/dispatch/target_notices.hpp
@@ -77,6 +77,10 @@
 /// Counts a request that was sent.
 auto with_sent(target_notices const& n) -> target_notices;
 
+/// Time in which `requests` may be sent at a rate per second, an hour at most;
+/// 0 for none.
+auto wait_for(double requests, double rate) -> duration;
+
 /// Time until the next request may be sent; 0 if one may be sent now.
 auto wait_for_allowance(target_notices const& n, sender_rank const& self)
     -> duration;
--- a/tests/dispatch/test_notices.cpp
+++ b/tests/dispatch/test_notices.cpp
@@ -183,6 +183,26 @@
     }
 }
 
+TEST_CASE(
+    "limit: a service whose targets all state almost nothing is asked again "
+    "now and then")
+{
+    for (auto const limit : {0.0, 1e-300, 1e-5})
+    {
+        CAPTURE(limit);
+        auto f = notices_fixture{};
+        auto const limits = std::map<std::string, double>{
+            {"s-a", limit}, {"s-b", limit}, {"s-c", limit}};
+        f.send(seconds{5}, milliseconds{20}, limits);
+        for (auto const& [name, at] : f.sent)
+            CHECK(static_cast<double>(most_in_window(at)) <= tolerated(limit));
+        f.send(seconds{15}, milliseconds{20}, {});
+        f.callers.clear();
+        f.send(seconds{1}, milliseconds{20}, {});
+        CHECK(f.count_refused() == 0);
+    }
+}
+
 TEST_CASE("limit: one that is no longer confirmed is checked now and then")
 {
     auto n = with_statement({}, limited_to(0), 0, time_point{seconds{100}});
