One contact with the store for all kinds: a silent watch is found in time

Cause: each kind of objects judged its own connection. While one kind was probed, the check of the targets' watch was left out; a check that failed was not repeated and not logged; and when the store was back, a watch that had been waiting since before was trusted.

Change: a failure of any kind puts all waiting watches in doubt, and the next answer renews them on new connections. A failed check counts as a failed watch. Watches are checked also while another kind fails, at a quarter of the bound of their kind, and the check may take another quarter (new settings config_apply_ms, evacuate_ms). Probes wait 0.7 s instead of 2 s, so that the return of a silent store is noticed within a second.

--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -110,6 +110,8 @@
         number_key("retry_budget_extra", &s::bounds, &b::retry_budget_extra),
         seconds_key("budget_window_s", &s::bounds, &b::budget_window),
         number_key("drain_ms", &s::bounds, &b::drain),
+        number_key("config_apply_ms", &s::bounds, &b::config_apply),
+        number_key("evacuate_ms", &s::bounds, &b::evacuate),
         seconds_key("grace_s", &s::bounds, &b::grace),
         number_key("warmup_factor", &s::bounds, &b::warmup_factor),
         number_key("warmup_slack", &s::bounds, &b::warmup_slack),
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -7,7 +7,6 @@
 {
 
 constexpr auto call_timeout = seconds{3}; ///< Until the response.
-constexpr auto watch_margin = seconds{2}; ///< Added to a watch's wait.
 constexpr auto unacked_timeout = milliseconds{2'000};
 constexpr auto keepalive_idle = seconds{2};
 constexpr auto max_reply_header = std::size_t{64} << 10;
@@ -73,7 +72,7 @@
 {
     auto const kind = c.kind;
     call(
-        channel_name("follow-", kind), codec_.watch(c), c.wait + watch_margin,
+        channel_name("follow-", kind), codec_.watch(c), c.timeout,
         [this, kind](http_message const& m)
         { return codec_.read_watch(kind, m); },
         follow_failure(kind));
@@ -82,9 +81,9 @@
 auto store_client::run(dispatch::store_check const& c) -> void
 {
     auto const request =
-        dispatch::store_watch{c.kind, c.revision, check_wait, true};
+        dispatch::store_watch{c.kind, c.revision, check_wait, true, c.timeout};
     call(
-        channel_name("check-", c.kind), codec_.watch(request), call_timeout,
+        channel_name("check-", c.kind), codec_.watch(request), c.timeout,
         [this, c](http_message const& m)
         { return to_check_result(c, codec_.read_watch(c.kind, m)); },
         [c](store_failure why) -> dispatch::event {
--- a/src/core/dispatch/answers.cpp
+++ b/src/core/dispatch/answers.cpp
@@ -29,7 +29,7 @@
     switch (why)
     {
     case refusal_reason::not_ready:
-        return s.probing_kind ? store_unavailable_delay : starting_delay;
+        return s.contact.probing ? store_unavailable_delay : starting_delay;
     case refusal_reason::no_target:
     case refusal_reason::out_of_region:
     case refusal_reason::paused:
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -21,14 +21,20 @@
 
 /// Limits adjusted to the bounds: the pause between watches of registrations is
 /// kept well below the drain time, so that this instance learns in time that a
-/// target is draining.
+/// target is draining. A watch that falls silent is found within half of the
+/// bound of its kind: a quarter until the check, a quarter for its answer.
 auto clamped(dispatch_limits limits, dispatch_bounds const& bounds)
     -> dispatch_limits
 {
     constexpr auto drain_parts = 5;
     constexpr auto pause_parts = 2;
+    constexpr auto check_parts = 4;
     limits.targets_pause = std::min(
         limits.targets_pause, bounds.drain * pause_parts / drain_parts);
+    limits.targets_check =
+        std::min(limits.watch_check, bounds.drain / check_parts);
+    limits.watch_check = std::min(limits.watch_check,
+        std::min(bounds.config_apply, bounds.evacuate) / check_parts);
     return limits;
 }
 
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -15,6 +15,14 @@
 
 /// Wait of a watch that only probes whether the store answers again.
 constexpr auto probe_wait = milliseconds{1};
+/// Time until the answer of a probe. A store that is silent is called again
+/// soon, since it answers only calls that come after its return.
+constexpr auto probe_timeout = milliseconds{700};
+/// One of so many probes waits longer, for a store that answers slowly.
+constexpr auto patient_probes = 4u;
+/// Time until the answer of a call that the store answers at once. Also added
+/// to the wait of a watch.
+constexpr auto call_timeout = milliseconds{2'000};
 /// Number of changes in a batch from which more may be waiting in the store.
 constexpr auto large_batch = 200u;
 /// Factor of the pause between watches at low priority.
@@ -22,13 +30,23 @@
 /// Number, from 0, of the polled list that must not be stale.
 constexpr auto fresh_list_index = 1u;
 
-auto watch(follow_state f, by_watch const& policy) -> follow_step
+/// Time until the answer of a watch.
+auto watch_timeout(follow_state const& f, milliseconds wait) -> milliseconds
+{
+    auto const impatient = f.failures % patient_probes != 0;
+    return impatient ? probe_timeout : wait + call_timeout;
+}
+
+auto watch(follow_state f, by_watch const& policy, time_point now)
+    -> follow_step
 {
     auto const probing = f.failures > 0; // Does the store answer again?
     auto const wait = probing ? probe_wait : policy.wait;
     auto const stale = probing || (policy.may_be_stale && !f.require_fresh);
     f.phase = watching{};
-    auto out = commands{store_watch{f.kind, f.revision, wait, stale}};
+    f.called_at = now;
+    auto out = commands{
+        store_watch{f.kind, f.revision, wait, stale, watch_timeout(f, wait)}};
     return {std::move(f), std::move(out)};
 }
 
@@ -44,10 +62,11 @@
         policy);
 }
 
-auto list(follow_state f, follow_policy const& policy, std::string after)
-    -> follow_step
+auto list(follow_state f, follow_policy const& policy, std::string after,
+    time_point now) -> follow_step
 {
     auto const stale = may_be_stale(f, policy);
+    f.called_at = now;
     auto out = commands{store_list{f.kind, std::move(after), stale}};
     return {std::move(f), std::move(out)};
 }
@@ -88,10 +107,10 @@
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched != nullptr && f.revision != 0)
-        return watch(f, *watched);
+        return watch(f, *watched, now);
     auto next = f;
     next.phase = listing{};
-    return list(std::move(next), policy, {});
+    return list(std::move(next), policy, {}, now);
 }
 
 auto with_page(follow_state f, store_listed const& page,
@@ -108,18 +127,19 @@
     {
         pages->objects.insert(
             pages->objects.end(), page.objects.begin(), page.objects.end());
-        return list(std::move(f), policy, page.next);
+        return list(std::move(f), policy, page.next, now);
     }
     f.revision = pages->revision;
+    f.confirmed = f.revision;
     auto const before = f.lists++;
     auto const again = [&](by_poll const& it)
     {
         return pause(
             std::move(f), now + backoff_delay(it.first, before, it.most));
     };
-    return std::visit(
-        overloaded{
-            [&](by_watch const& it) { return watch(std::move(f), it); }, again},
+    return std::visit(overloaded{[&](by_watch const& it)
+                          { return watch(std::move(f), it, now); },
+                          again},
         policy);
 }
 
@@ -131,12 +151,13 @@
     auto next = f;
     next.failures = 0;
     next.revision = std::max(f.revision, e.revision);
+    next.confirmed = std::max(f.confirmed, next.revision);
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched == nullptr)
         return {f, {}};
     if (e.changes.empty() || e.changes.size() >= large_batch)
-        return watch(std::move(next), *watched);
+        return watch(std::move(next), *watched, now);
     auto const times = f.low_priority ? low_priority_pauses : 1;
     return pause(std::move(next), now + times * watched->pause);
 }
@@ -153,11 +174,37 @@
     return resume(next, limits, now);
 }
 
-auto check_of(follow_state const& f) -> std::optional<store_check>
+auto check_interval(store_kind kind, dispatch_limits const& limits)
+    -> milliseconds
+{
+    return kind == store_kind::targets ? limits.targets_check
+                                       : limits.watch_check;
+}
+
+auto with_check(follow_state const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step
 {
     if (!std::holds_alternative<watching>(f.phase))
-        return {};
-    return store_check{f.kind, f.revision};
+        return {f, {}};
+    auto next = f;
+    next.checked_at = now;
+    next.check_pending = true;
+    auto const timeout = check_interval(f.kind, limits);
+    return {std::move(next), {store_check{f.kind, f.revision, timeout}}};
+}
+
+auto renewed(follow_state const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step
+{
+    auto next = f;
+    next.phase = pausing{now};
+    return resume(next, limits, now);
+}
+
+auto is_check_of_watch(follow_state const& f, store_checked const& e) -> bool
+{
+    return std::holds_alternative<watching>(f.phase) && e.since == f.revision &&
+           f.called_at <= f.checked_at;
 }
 
 auto has_missed_changes(follow_state const& f, store_checked const& e) -> bool
@@ -167,15 +214,17 @@
 }
 
 auto with_checked(follow_state const& f, store_checked const& e,
-    dispatch_limits const& limits) -> follow_step
+    dispatch_limits const& limits, time_point now) -> follow_step
 {
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
-    if (watched == nullptr || !has_missed_changes(f, e))
-        return {f, {}};
     auto next = f;
+    if (e.since == f.revision)
+        next.confirmed = std::max(f.confirmed, e.revision);
+    if (watched == nullptr || !has_missed_changes(f, e))
+        return {std::move(next), {}};
     next.revision = std::max(f.revision, e.revision);
-    return watch(std::move(next), *watched);
+    return watch(std::move(next), *watched, now);
 }
 
 auto without_history(follow_state const& f, dispatch_limits const& limits,
@@ -207,7 +256,13 @@
     auto const spread = scaled(wait, 0.75 + jitter / 2);
     auto next = f;
     ++next.failures;
-    return pause(std::move(next), now + spread);
+    // A probe that failed late has used up part of the time between probes.
+    auto const probed =
+        f.failures > 0 && !std::holds_alternative<pausing>(f.phase);
+    auto const soonest = now + limits.store_retry_first / 2;
+    auto const until =
+        probed ? std::max(f.called_at + spread, soonest) : now + spread;
+    return pause(std::move(next), until);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -60,6 +60,11 @@
 /// The policy by which a kind of objects is followed.
 auto policy_of(store_kind kind, dispatch_limits const& limits) -> follow_policy;
 
+/// Interval of checks of the kind's waiting watch: a quarter of the bound
+/// within which its changes must be known.
+auto check_interval(store_kind kind, dispatch_limits const& limits)
+    -> milliseconds;
+
 using follow_phase = std::variant<pausing, listing, watching>;
 
 /// State of following one kind of objects.
@@ -75,6 +80,12 @@
     bool low_priority = false;
     /// Lists must not return stale data, as no later watch would complete them.
     bool list_fresh = false;
+    time_point called_at;       ///< When the last list or watch was called.
+    time_point checked_at;      ///< When the waiting watch was last checked.
+    bool check_pending = false; ///< A check awaits its answer.
+    /// Revision of the store up to which all changes of the kind are known; at
+    /// least `revision`.
+    std::uint64_t confirmed = 0;
 
     auto operator<=>(follow_state const&) const = default;
 };
@@ -100,18 +111,26 @@
 auto with_changes(follow_state const& f, store_changed const& e,
     dispatch_limits const& limits, time_point now) -> follow_step;
 
-/// Call that checks the waiting watch, if there is one. It detects a connection
-/// that stays open but delivers nothing more.
-auto check_of(follow_state const& f) -> std::optional<store_check>;
+/// Checks the waiting watch, if there is one. This detects a connection that
+/// stays open but delivers nothing more.
+auto with_check(follow_state const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step;
+
+/// Calls for a kind at once. A pending call and its connection are replaced.
+auto renewed(follow_state const& f, dispatch_limits const& limits,
+    time_point now) -> follow_step;
+
+/// True if the watch that a check was sent for is still waiting.
+auto is_check_of_watch(follow_state const& f, store_checked const& e) -> bool;
 
 /// True if a check has returned changes that the waiting watch should have
 /// returned.
 auto has_missed_changes(follow_state const& f, store_checked const& e) -> bool;
 
-/// If the waiting watch has missed changes, starts a new watch from the
-/// revision that the check returned.
+/// Continues after a check has been answered. If the waiting watch has missed
+/// changes, starts a new watch from the revision that the check returned.
 auto with_checked(follow_state const& f, store_checked const& e,
-    dispatch_limits const& limits) -> follow_step;
+    dispatch_limits const& limits, time_point now) -> follow_step;
 
 /// Ends the low priority. If it was set, a pause that does not follow a failure
 /// ends at once too.
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -98,13 +98,16 @@
     /// up to `poll_most`.
     milliseconds poll_first{1'500};
     milliseconds poll_most{20'000};
-    milliseconds watch_check{5'000}; ///< Interval of checks of waiting watches.
+    /// Longest interval of checks of waiting watches, and longest time until
+    /// the answer to one. Both are shorter where a bound requires it.
+    milliseconds watch_check{5'000};
+    milliseconds targets_check{5'000}; ///< The same for targets.
     /// Delay before the next call after a failed one; doubles with each
     /// failure up to `store_retry_most` while no list of the kind has been
     /// read, and up to `store_retry_known` afterwards.
     milliseconds store_retry_first{200};
     milliseconds store_retry_most{500};
-    milliseconds store_retry_known{1'500};
+    milliseconds store_retry_known{900};
 
     auto operator<=>(dispatch_limits const&) const = default;
 };
@@ -119,6 +122,10 @@
     milliseconds budget_window{10'000};
     /// Time after which a draining target must get no new requests.
     milliseconds drain{4'000};
+    /// Time after which a configuration must be in force.
+    milliseconds config_apply{4'000};
+    /// Time after which a zone's evacuation must be in force.
+    milliseconds evacuate{5'000};
     milliseconds grace{6'000}; ///< From SIGTERM to SIGKILL.
     /// A cold target gets at most its stated rate times `warmup_factor` plus
     /// `warmup_slack` requests per second.
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -14,9 +14,9 @@
 namespace
 {
 
-/// Watched kinds that are checked besides the targets.
-constexpr auto other_checked_kinds =
-    std::array{store_kind::configuration, store_kind::evacuations};
+/// Kinds whose waiting watches are checked.
+constexpr auto checked_kinds = std::array{
+    store_kind::targets, store_kind::configuration, store_kind::evacuations};
 
 /// Stores the state after a step, arms a timer for the end of a pause, and
 /// issues the step's calls.
@@ -40,22 +40,46 @@
         report_fact{store_availability_changed{kind, lost, why, known}});
 }
 
-/// Records that the store has answered a call for a kind. After an outage it
-/// lets the other kinds call again.
-auto mark_reachable(
+/// Calls at once for a kind that waits for the end of an outage, and again for
+/// one whose pending call has been in doubt since its begin.
+auto follow_again(
     dispatch_state& s, store_kind kind, time_point now, commands& out) -> void
+{
+    auto const& f = s.follows[kind];
+    auto const paused = std::holds_alternative<pausing>(f.phase);
+    if (paused && f.failures == 0)
+        arm(s, now, follow_due{kind}); // In case its pause has ended meanwhile.
+    else if (paused || is_in_doubt(s.contact, f))
+        apply_step(s, renewed(f, s.init.limits, now), out);
+}
+
+/// Records that the store has answered, with the revision that it has reached.
+/// After an outage all kinds are brought up to date.
+///
+/// @param[in] current Kind whose list or watch has been answered; none if a
+///     check was.
+auto mark_reachable(dispatch_state& s, std::optional<store_kind> current,
+    std::uint64_t revision, time_point now, commands& out) -> void
+{
+    auto const was_lost = s.contact.probing.has_value();
+    s.contact = with_answer(s.contact, revision);
+    if (!was_lost)
+        return;
+    for (auto const it : store_kinds)
+        if (it != current)
+            follow_again(s, it, now, out);
+}
+
+/// Records that a list or a watch of a kind has been answered.
+auto mark_answered(dispatch_state& s, store_kind kind, std::uint64_t revision,
+    time_point now, commands& out) -> void
 {
     if (s.follows[kind].failures > 0)
     {
         s.last_disruption[kind] = now;
         report_availability(s, kind, false, store_failure::unreachable, out);
     }
-    if (!s.probing_kind)
-        return;
-    s.probing_kind.reset();
-    for (auto const it : store_kinds)
-        if (it != kind && std::holds_alternative<pausing>(s.follows[it].phase))
-            arm(s, now, follow_due{it});
+    mark_reachable(s, kind, revision, now, out);
 }
 
 /// Writes this instance's record if the list of instances lacks it or has
@@ -96,16 +120,18 @@
         it.versions = with_orders_read(it.versions);
 }
 
-/// Checks the watch of a kind, if one is waiting.
-///
-/// @returns True if it was.
-auto check_watch(dispatch_state const& s, store_kind kind, commands& out)
-    -> bool
+/// Checks the waiting watches that need it.
+auto check_watches(dispatch_state& s, time_point now, commands& out) -> void
+{
+    for (auto const kind : checked_kinds)
+        if (needs_check(s.contact, s.follows[kind], s.init.limits, now))
+            apply_step(s, with_check(s.follows[kind], s.init.limits, now), out);
+}
+
+/// Interval at which the watches are looked at; the shortest of all kinds.
+auto check_timer(dispatch_limits const& limits) -> milliseconds
 {
-    auto const c = check_of(s.follows.at(kind));
-    if (c)
-        out.push_back(*c);
-    return c.has_value();
+    return std::min(limits.targets_check, limits.watch_check);
 }
 
 } // namespace
@@ -120,13 +146,13 @@
         f.low_priority = kind == store_kind::targets;
         apply_step(s, resume(f, s.init.limits, now), out);
     }
-    arm(s, now + s.init.limits.watch_check, check_due{});
+    arm(s, now + check_timer(s.init.limits), check_due{});
 }
 
 auto on_listed(dispatch_state& s, store_listed const& e, time_point now,
     commands& out) -> void
 {
-    mark_reachable(s, e.kind, now, out);
+    mark_answered(s, e.kind, e.revision, now, out);
     auto const& before = s.follows[e.kind];
     auto const* list = std::get_if<listing>(&before.phase);
     if (list == nullptr)
@@ -146,7 +172,7 @@
 auto on_changed(dispatch_state& s, store_changed const& e, time_point now,
     commands& out) -> void
 {
-    mark_reachable(s, e.kind, now, out);
+    mark_answered(s, e.kind, e.revision, now, out);
     apply_changes(s, e.kind, e.changes, now, out);
     apply_step(s, with_changes(s.follows[e.kind], e, s.init.limits, now), out);
     if (e.kind == store_kind::targets)
@@ -162,8 +188,7 @@
     if (f.failures == 0)
         report_availability(s, e.kind, true, e.failure, out);
     s.last_disruption[e.kind] = now;
-    if (!s.probing_kind)
-        s.probing_kind = e.kind;
+    s.contact = with_failed_call(s.contact, f, e.failure, now);
     apply_step(s, with_failure(f, s.init.limits, draw_fraction(s), now), out);
 }
 
@@ -172,7 +197,7 @@
 auto on_follow_due(dispatch_state& s, follow_due const& e, time_point now,
     commands& out) -> void
 {
-    if (s.probing_kind && *s.probing_kind != e.kind)
+    if (s.contact.probing && *s.contact.probing != e.kind)
         return;
     apply_step(s, resume(s.follows[e.kind], s.init.limits, now), out);
 }
@@ -185,38 +210,36 @@
         apply_step(s, prioritized(f, s.init.limits, now), out);
 }
 
-/// Checks only the targets' watch, if it is waiting. The answer shows whether
-/// the store has changed at all, and so whether the other kinds need a check.
+/// Checks the waiting watches, also while another kind fails: a watch that
+/// waits on a silent connection would otherwise be noticed only at its end.
 auto on_check_due(dispatch_state& s, time_point now, commands& out) -> void
 {
-    arm(s, now + s.init.limits.watch_check, check_due{});
-    if (s.probing_kind || check_watch(s, store_kind::targets, out))
-        return;
-    for (auto const kind : other_checked_kinds)
-        check_watch(s, kind, out);
+    arm(s, now + check_timer(s.init.limits), check_due{});
+    check_watches(s, now, out);
 }
 
+/// A check that fails says as much as a watch that fails: the kind is called
+/// again at once on a new connection.
 auto on_checked(dispatch_state& s, store_checked const& e, time_point now,
     commands& out) -> void
 {
+    s.follows[e.kind].check_pending = false;
+    auto const f = s.follows[e.kind];
     if (e.failure)
     {
-        ++s.stats.store_failures;
-        return; // The waiting watch detects whether the store is lost.
+        if (is_check_of_watch(f, e) && is_contact_lost(*e.failure))
+            on_store_failed(s, {e.kind, *e.failure}, now, out);
+        return;
     }
-    if (e.kind == store_kind::targets && e.revision > s.checked_revision)
+    if (has_missed_changes(f, e))
     {
-        s.checked_revision = e.revision;
-        for (auto const kind : other_checked_kinds)
-            check_watch(s, kind, out);
+        out.push_back(report_fact{
+            watch_stalled{e.kind, f.revision, e.revision, e.changes.size()}});
+        apply_changes(s, e.kind, e.changes, now, out);
     }
-    auto const f = s.follows.at(e.kind);
-    if (!has_missed_changes(f, e))
-        return;
-    out.push_back(report_fact{
-        watch_stalled{e.kind, f.revision, e.revision, e.changes.size()}});
-    apply_changes(s, e.kind, e.changes, now, out);
-    apply_step(s, with_checked(f, e, s.init.limits), out);
+    apply_step(s, with_checked(s.follows[e.kind], e, s.init.limits, now), out);
+    mark_reachable(s, {}, e.revision, now, out);
+    check_watches(s, now, out);
     update_ready(s, out);
 }
 
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -12,6 +12,7 @@
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
 #include "core/dispatch/observations.hpp"
+#include "core/dispatch/store_contact.hpp"
 #include "core/dispatch/target_notices.hpp"
 #include "core/dispatch/timers.hpp"
 #include "core/dispatch/version_admission.hpp"
@@ -252,11 +253,7 @@
     routing_config_ptr config; ///< In force; null until one was read.
     std::uint64_t config_revision = 0;
     std::map<store_kind, follow_state> follows;
-    /// While the store is unavailable: the only kind of objects for which it is
-    /// called, to find out whether it answers again.
-    std::optional<store_kind> probing_kind;
-    /// Store revision at the last check of all watches.
-    std::uint64_t checked_revision = 0;
+    store_contact contact;
     /// When calls for a kind last failed or succeeded again, or the store had
     /// discarded changes of it that this instance had not read.
     std::map<store_kind, time_point> last_disruption;
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -61,6 +61,7 @@
     std::uint64_t revision = 0; ///< Returns changes after it.
     milliseconds wait{0};       ///< Longest wait for a change.
     bool may_be_stale = false;  ///< Accepts changes that are seconds late.
+    milliseconds timeout{0};    ///< Until the answer; it fails without one.
     auto operator<=>(store_watch const&) const = default;
 };
 
@@ -71,6 +72,7 @@
 {
     store_kind kind = store_kind::configuration;
     std::uint64_t revision = 0; ///< Returns changes after it.
+    milliseconds timeout{0};    ///< Until the answer; it fails without one.
     auto operator<=>(store_check const&) const = default;
 };
 
