--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -15,6 +15,8 @@
 using key = ini_key<dispatch_settings>;
 
 constexpr auto routes_front_end = "routes";
+/// Largest number of a setting, whatever its unit; it fits into all types.
+constexpr auto largest_number = 1e9;
 
 auto address_key(std::string_view name, std::string dispatch_settings::*member,
     bool required) -> key
@@ -70,7 +72,7 @@
             auto n = 0.0;
             if (t.empty())
                 return true;
-            if (!read_double(t, n) || !(n >= 0))
+            if (!read_double(t, n) || n < 0 || n > largest_number)
                 return false;
             if constexpr (std::is_same_v<T, milliseconds>)
                 o.*part.*member = milliseconds{static_cast<std::int64_t>(n)};
@@ -93,7 +95,7 @@
             if (t.empty())
                 return true;
             constexpr auto ms_per_s = 1'000.0;
-            if (!read_double(t, n) || !(n > 0))
+            if (!read_double(t, n) || n <= 0 || n > largest_number)
                 return false;
             o.*part.*member =
                 milliseconds{static_cast<std::int64_t>(n * ms_per_s)};
--- a/src/adapter/error.cpp
+++ b/src/adapter/error.cpp
@@ -20,6 +20,7 @@
         text += ": [" + e.section + "]";
         text += e.key.empty() ? "" : " " + e.key;
         text += ": expected " + e.expected;
+        text += e.value.empty() ? "" : ", found \"" + e.value + "\"";
     }
     return text;
 }
--- a/src/adapter/error.hpp
+++ b/src/adapter/error.hpp
@@ -22,6 +22,8 @@
     std::string section;
     std::string key;
     std::string expected; ///< What a correct file would hold.
+    std::string value =
+        {}; ///< What the file holds; empty if the key is missing.
     auto operator<=>(ini_error const&) const = default;
 };
 
--- a/src/adapter/ini.cpp
+++ b/src/adapter/ini.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -117,7 +118,7 @@
 
 auto read_double(std::string const& text, double& out) -> bool
 {
-    return read_number(text, out);
+    return read_number(text, out) && std::isfinite(out);
 }
 
 auto read_bool(std::string const& text, bool& out) -> bool
--- a/src/adapter/ini.hpp
+++ b/src/adapter/ini.hpp
@@ -71,7 +71,7 @@
 auto read_u64(std::string const& text, std::uint64_t& out) -> bool;
 /// Reads a positive 32-bit integer; false if the text is anything else.
 auto read_positive(std::string const& text, std::uint32_t& out) -> bool;
-/// Reads a floating-point number; false if the text is anything else.
+/// Reads a finite floating-point number; false if the text is anything else.
 auto read_double(std::string const& text, double& out) -> bool;
 /// Reads `on` or `off`; false if the text is anything else.
 auto read_bool(std::string const& text, bool& out) -> bool;
@@ -92,11 +92,12 @@
     {
         auto const known = std::find_if(keys.begin(), keys.end(),
             [&](ini_key<T> const& k) { return k.name == it.key; });
-        auto const expected =
-            known == keys.end() ? "a known key" : std::string(known->expected);
-        if (known == keys.end() || !known->read(it.value, out))
+        if (known == keys.end())
             errors.push_back(
-                {file.path, it.line, section.name, it.key, expected});
+                {file.path, it.line, section.name, it.key, "a known key", {}});
+        else if (!known->read(it.value, out))
+            errors.push_back({file.path, it.line, section.name, it.key,
+                std::string(known->expected), it.value});
     }
     for (auto const& k : keys)
     {
@@ -105,7 +106,7 @@
                 [&](ini_value const& it) { return it.key == k.name; });
         if (k.required && !there)
             errors.push_back({file.path, section.line, section.name,
-                std::string(k.name), std::string(k.expected)});
+                std::string(k.name), std::string(k.expected), {}});
     }
 }
 
--- a/src/app/cli_call.cpp
+++ b/src/app/cli_call.cpp
@@ -1,5 +1,5 @@
 #include "adapter/json_api.hpp"
-#include "app/cli_options.hpp"
+#include "app/cli.hpp"
 #include "app/http_call.hpp"
 
 #include <boost/json.hpp>
@@ -20,11 +20,11 @@
 auto add_common_options(po::options_description& options) -> void
 {
     options.add_options()("to", po::value<std::string>()->required(),
-        "address of an instance, IP:PORT")("customer",
-        po::value<std::string>()->required(),
-        "customer")("service", po::value<std::string>()->required(), "service")(
-        "deadline-ms", po::value<std::int64_t>()->default_value(0),
-        "deadline in ms; 0: that of the service");
+        "address of an instance, IP:PORT")(
+        "customer", po::value<std::string>()->required(), "customer")("service",
+        po::value<std::string>()->required(), "service")("deadline-ms",
+        po::value<std::int64_t>()->default_value(0)->value_name("MS"),
+        "deadline; 0: that of the service");
 }
 
 auto timeout_of(po::variables_map const& v) -> duration
@@ -51,7 +51,7 @@
 
 } // namespace
 
-auto send_query(arguments const& args) -> leaf::result<int>
+auto query_options() -> po::options_description
 {
     auto options = po::options_description{"options"};
     add_common_options(options);
@@ -59,7 +59,11 @@
         "query", po::value<std::string>()->required(), "query text")("max-rows",
         po::value<std::uint32_t>()->default_value(100),
         "maximum number of rows");
-    BOOST_LEAF_AUTO(v, parse_options(args, "query", options, "query"));
+    return options;
+}
+
+auto send_query(po::variables_map const& v) -> leaf::result<int>
+{
     auto const body =
         json::serialize(json::object{{"customer", text_option(v, "customer")},
             {"service", text_option(v, "service")},
@@ -72,7 +76,7 @@
     return print(reply);
 }
 
-auto send_booking(arguments const& args) -> leaf::result<int>
+auto book_options() -> po::options_description
 {
     auto options = po::options_description{"options"};
     add_common_options(options);
@@ -80,7 +84,11 @@
         "key", po::value<std::string>()->required(), "idempotency key")(
         "item", po::value<std::string>()->required(), "item to book")(
         "text", po::value<std::string>()->default_value(""), "details");
-    BOOST_LEAF_AUTO(v, parse_options(args, "book", options, "item"));
+    return options;
+}
+
+auto send_booking(po::variables_map const& v) -> leaf::result<int>
+{
     auto const body =
         json::serialize(json::object{{"customer", text_option(v, "customer")},
             {"service", text_option(v, "service")},
--- a/src/app/cli_config.cpp
+++ b/src/app/cli_config.cpp
@@ -1,14 +1,13 @@
 #include "adapter/ini.hpp"
 #include "adapter/json_api.hpp"
 #include "adapter/settings.hpp"
-#include "app/cli_options.hpp"
+#include "app/cli.hpp"
 #include "app/http_call.hpp"
 
 #include <boost/json.hpp>
 
 #include <algorithm>
 #include <iostream>
-#include <thread>
 
 namespace knapweedstream
 {
@@ -19,8 +18,6 @@
 namespace json = boost::json;
 
 constexpr auto call_timeout = seconds{5};
-constexpr auto poll_interval = milliseconds{200};
-constexpr auto exit_not_in_force = 5; ///< Exit code of `status`.
 
 auto object_path(std::string const& customer) -> std::string
 {
@@ -112,36 +109,9 @@
         [&](http_error const&) { return read_back(); });
 }
 
-/// Version of the customer's configuration that an instance has in force; 0 if
-/// it has none.
-auto version_at(std::string const& address, std::string const& customer)
-    -> leaf::result<std::uint64_t>
-{
-    BOOST_LEAF_AUTO(reply,
-        call(address, {EVHTTP_REQ_GET, "/v1/status", {}, {}}, call_timeout));
-    auto ec = json::error_code{};
-    auto const page = json::parse(reply.body, ec);
-    auto const* o = page.if_object();
-    auto const* list = o == nullptr ? nullptr : o->if_contains("configs");
-    if (ec || list == nullptr || !list->is_array())
-        return leaf::new_error(decode_error{"status page"});
-    for (auto const& it : list->get_array())
-        if (it.at("customer").as_string() == json::string_view{customer})
-            return it.at("version").to_number<std::uint64_t>();
-    return 0;
-}
-
-auto print_status(std::string const& address) -> leaf::result<int>
-{
-    BOOST_LEAF_AUTO(reply,
-        call(address, {EVHTTP_REQ_GET, "/v1/status", {}, {}}, call_timeout));
-    std::cout << reply.body << "\n";
-    return 0;
-}
-
 } // namespace
 
-auto apply_template(arguments const& args) -> leaf::result<int>
+auto apply_options() -> po::options_description
 {
     auto options = po::options_description{"options"};
     options.add_options()("platform", po::value<std::string>()->required(),
@@ -150,7 +120,11 @@
         "customer template (INI)")("if-version", po::value<std::uint64_t>(),
         "fail unless the platform holds this version")(
         "dry-run", "only print the difference");
-    BOOST_LEAF_AUTO(v, parse_options(args, "apply", options, "template"));
+    return options;
+}
+
+auto apply_template(po::variables_map const& v) -> leaf::result<int>
+{
     auto const path = text_option(v, "template");
     auto const platform = text_option(v, "platform");
     BOOST_LEAF_AUTO(text, read_file(path));
@@ -175,56 +149,4 @@
     return 0;
 }
 
-auto show_status(arguments const& args) -> leaf::result<int>
-{
-    using list = std::vector<std::string>;
-    auto options = po::options_description{"options"};
-    options.add_options()(
-        "to", po::value<list>()->required(), "addresses of instances, IP:PORT")(
-        "customer", po::value<std::string>(), "customer to wait for")(
-        "version", po::value<std::uint64_t>(), "version to wait for")("wait-ms",
-        po::value<std::int64_t>()->default_value(0),
-        "longest wait for the version in ms");
-    BOOST_LEAF_AUTO(v, parse_options(args, "status", options, "to"));
-    auto const& addresses = v["to"].as<list>();
-    if (v.count("customer") == 0 || v.count("version") == 0)
-    {
-        for (auto const& it : addresses)
-            BOOST_LEAF_CHECK(print_status(it));
-        return 0;
-    }
-    auto const customer = text_option(v, "customer");
-    auto const wanted = v["version"].as<std::uint64_t>();
-    auto const wait_end =
-        steady_now() + milliseconds{v["wait-ms"].as<std::int64_t>()};
-    while (true)
-    {
-        auto behind = list{};
-        for (auto const& it : addresses)
-        {
-            auto const version =
-                leaf::try_handle_all([&] { return version_at(it, customer); },
-                    [] { return std::uint64_t{0}; });
-            if (version < wanted)
-                behind.push_back(it);
-        }
-        if (behind.empty())
-        {
-            std::cout << "done customer=" << customer << " version=" << wanted
-                      << "\n";
-            return 0;
-        }
-        if (steady_now() >= wait_end)
-        {
-            std::cout << "undone customer=" << customer
-                      << " version=" << wanted;
-            for (auto const& it : behind)
-                std::cout << " behind=" << it;
-            std::cout << "\n";
-            return exit_not_in_force;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-}
-
 } // namespace knapweedstream
--- a/src/app/cli_report.cpp
+++ b/src/app/cli_report.cpp
@@ -1,5 +1,5 @@
 #include "adapter/burn_page.hpp"
-#include "app/cli_options.hpp"
+#include "app/cli.hpp"
 #include "app/http_call.hpp"
 
 #include <iostream>
@@ -22,7 +22,7 @@
 
 } // namespace
 
-auto show_report(arguments const& args) -> leaf::result<int>
+auto report_options() -> po::options_description
 {
     using list = std::vector<std::string>;
     auto options = po::options_description{"options"};
@@ -30,12 +30,18 @@
         "burn")("to", po::value<list>()->multitoken()->required(),
         "addresses of all instances, IP:PORT")("format",
         po::value<std::string>()->default_value("text"), "text, json or html");
-    BOOST_LEAF_AUTO(v, parse_options(args, "report", options, "report"));
+    return options;
+}
+
+auto show_report(po::variables_map const& v) -> leaf::result<int>
+{
+    using list = std::vector<std::string>;
     auto const format = text_option(v, "format");
     if (text_option(v, "report") != "burn" ||
         (format != "text" && format != "json" && format != "html"))
         return leaf::new_error(
-            usage_error{"report burn --to A... [--format text|json|html]"});
+            usage_error{"report: expected burn and a format of text, json or "
+                        "html\nsee knapweedstream report --help"});
     auto book = burn_table{};
     auto skipped = 0;
     for (auto const& address : v["to"].as<list>())
--- a/src/app/cli_run.cpp
+++ b/src/app/cli_run.cpp
@@ -1,6 +1,6 @@
 #include "adapter/ini.hpp"
 #include "adapter/log.hpp"
-#include "app/cli_options.hpp"
+#include "app/cli.hpp"
 #include "app/dispatch_runtime.hpp"
 #include "app/runtime.hpp"
 
@@ -39,14 +39,53 @@
     return instance.run();
 }
 
+using paths = std::vector<std::string>;
+
+/// Files that an option names; none if it is not given.
+auto files_of(po::variables_map const& v, char const* name) -> paths
+{
+    return v.count(name) == 0 ? paths{} : v[name].as<paths>();
+}
+
+/// Parses each file. Prints the good ones and collects the errors of the
+/// others.
+template <class Parse>
+auto check_each(paths const& files, Parse const& parse, ini_errors& errors)
+    -> leaf::result<void>
+{
+    for (auto const& path : files)
+    {
+        BOOST_LEAF_AUTO(text, read_file(path));
+        BOOST_LEAF_CHECK(leaf::try_handle_some(
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_CHECK(parse(path, text));
+                std::cout << path << ": good\n";
+                return {};
+            },
+            [&](ini_errors const& e) -> leaf::result<void>
+            {
+                errors.list.insert(
+                    errors.list.end(), e.list.begin(), e.list.end());
+                return {};
+            }));
+    }
+    return {};
+}
+
 } // namespace
 
-auto run_instance(arguments const& args) -> leaf::result<int>
+auto run_options() -> po::options_description
 {
     auto options = po::options_description{"options"};
-    options.add_options()("settings", po::value<std::string>()->required(),
-        "settings file (INI)");
-    BOOST_LEAF_AUTO(v, parse_options(args, "run", options, "settings"));
+    options.add_options()("settings",
+        po::value<std::string>()->required()->value_name("FILE"),
+        "settings file (INI) of either front end");
+    return options;
+}
+
+auto run_instance(po::variables_map const& v) -> leaf::result<int>
+{
     auto const path = text_option(v, "settings");
     BOOST_LEAF_AUTO(settings, load_settings(path));
     BOOST_LEAF_CHECK(std::visit(
@@ -59,41 +98,26 @@
     return 0;
 }
 
-auto check_files(arguments const& args) -> leaf::result<int>
+auto check_options() -> po::options_description
 {
-    using list = std::vector<std::string>;
     auto options = po::options_description{"options"};
-    options.add_options()("settings", po::value<list>(), "settings file")(
-        "template", po::value<list>(), "customer template");
-    BOOST_LEAF_AUTO(v, parse_options(args, "check", options));
+    options.add_options()("settings", po::value<paths>()->value_name("FILE"),
+        "settings file of either front end, or a rendered settings template")(
+        "template", po::value<paths>()->value_name("FILE"),
+        "customer template");
+    return options;
+}
+
+auto check_files(po::variables_map const& v) -> leaf::result<int>
+{
     if (v.count("settings") + v.count("template") == 0)
-        return leaf::new_error(usage_error{"check --settings or --template"});
+        return leaf::new_error(usage_error{
+            "check: no file is given\nsee knapweedstream check --help"});
     auto errors = ini_errors{};
-    auto const check = [&](char const* name, auto parse) -> leaf::result<void>
-    {
-        if (v.count(name) == 0)
-            return {};
-        for (auto const& path : v[name].template as<list>())
-        {
-            BOOST_LEAF_AUTO(text, read_file(path));
-            BOOST_LEAF_CHECK(leaf::try_handle_some(
-                [&]() -> leaf::result<void>
-                {
-                    BOOST_LEAF_CHECK(parse(path, text));
-                    std::cout << path << ": good\n";
-                    return {};
-                },
-                [&](ini_errors const& e) -> leaf::result<void>
-                {
-                    errors.list.insert(
-                        errors.list.end(), e.list.begin(), e.list.end());
-                    return {};
-                }));
-        }
-        return {};
-    };
-    BOOST_LEAF_CHECK(check("settings", parse_any_settings));
-    BOOST_LEAF_CHECK(check("template", parse_template));
+    BOOST_LEAF_CHECK(
+        check_each(files_of(v, "settings"), parse_any_settings, errors));
+    BOOST_LEAF_CHECK(
+        check_each(files_of(v, "template"), parse_template, errors));
     if (!errors.list.empty())
         return leaf::new_error(errors);
     return 0;
