A stopping instance refuses at-most-once requests that its exit would cut short

Cause: from SIGTERM until one second before the exit every request was taken with its deadline cut to the exit. An at-most-once request whose target was slow was then answered 504: its caller cannot know whether it ran, and may not repeat it, while another instance would have finished it.

Change: an at-most-once request is refused as not run unless the whole time that its caller and route allow lies before the exit. Idempotent ones are taken as before, since they can be repeated.

--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -42,12 +42,17 @@
     return services_of(r);
 }
 
+/// Time that the caller and the route allow for a request.
+auto time_allowed(routed_request const& r, route const& matched) -> duration
+{
+    auto const timeout = duration{matched.timeout};
+    return r.deadline ? std::min(duration{*r.deadline}, timeout) : timeout;
+}
+
 auto make_open_request(dispatch_state& s, caller_request const& e,
     route const& r, time_point now) -> open_request
 {
-    auto const timeout = duration{r.timeout};
-    auto const stated =
-        e.request->deadline ? duration{*e.request->deadline} : timeout;
+    auto const allowed = time_allowed(*e.request, r);
     auto const objective = duration{r.latency_objective};
     auto const margin = duration{s.init.limits.answer_margin};
     auto v = open_request{};
@@ -57,13 +62,26 @@
     v.matched_route = &r;
     v.started = now;
     v.deadline = std::min(exit_deadline(s) - margin,
-        now + std::max(duration{0}, std::min(stated, timeout) - margin));
+        now + std::max(duration{0}, allowed - margin));
     v.objective =
         std::min(v.deadline, now + std::max(duration{0}, objective - margin));
     v.queue_until = std::min(v.deadline, now + objective / queue_divisor);
     return v;
 }
 
+/// True if the exit of this instance cuts short the time that an at-most-once
+/// request may take. It is refused before it is sent: at another instance it
+/// runs to its end, while here its outcome might stay unknown.
+auto is_cut_short(
+    dispatch_state const& s, open_request const& v, time_point now) -> bool
+{
+    if (v.matched_route->delivery != delivery_semantics::at_most_once)
+        return false;
+    auto const margin = duration{s.init.limits.answer_margin};
+    auto const allowed = time_allowed(*v.request, *v.matched_route);
+    return s.stop.requested && allowed > exit_deadline(s) - margin - now;
+}
+
 /// Reason to refuse a new request at once, if there is one: too few parts have
 /// a usable target or would be sent within the queue limit, or too many
 /// requests are open.
@@ -219,6 +237,11 @@
         return refuse(s, e, r, {refusal_reason::deadly, {}}, out);
     auto entry = request_entry{};
     entry.value = make_open_request(s, e, *r, now);
+    if (is_cut_short(s, entry.value, now))
+        return refuse(s, e, r,
+            {refusal_reason::not_ready,
+                retry_delay(s, refusal_reason::not_ready)},
+            out);
     for (auto const& name : needed_services(s, *r))
     {
         auto p = part{};
