A signal that arrives while an instance starts no longer ends it

Cause: SIGTERM came between the start of the process and the place where its handlers are set, where the default is to end the process. The log of that start was overwritten by the next one; what speaks for this cause is that the instance had been started again just before, and that the test below shows the same end. A SIGHUP at that time ended the process as well.

Change: SIGTERM, SIGINT and SIGHUP are held back from the start of `run` until the handlers are in place. What remains: the time until main begins.

Measured: "a stop request that arrives while an instance starts ..." passes 5 of 5 times; with the program before, the instance dies while it reads its settings, and the test's write to it ends the test with SIGPIPE.

--- a/src/app/cli_run.cpp
+++ b/src/app/cli_run.cpp
@@ -21,22 +21,23 @@
     return parse_any_settings(path, text);
 }
 
-auto serve(instance_settings const& settings) -> leaf::result<void>
+auto serve(instance_settings const& settings, held_signals const& held)
+    -> leaf::result<void>
 {
     start_log(settings.level);
     auto instance = runtime{settings};
-    BOOST_LEAF_CHECK(instance.run());
+    BOOST_LEAF_CHECK(instance.run(held));
     // All work is done. Destructors are skipped, since closing an nng socket
     // may block forever while a dialer reconnects (see peer_link).
     std::_Exit(0);
 }
 
-auto serve(dispatch_settings const& settings, std::string const& path)
-    -> leaf::result<void>
+auto serve(dispatch_settings const& settings, std::string const& path,
+    held_signals const& held) -> leaf::result<void>
 {
     start_log(settings.level, {settings.log_lines_per_s});
     auto instance = dispatch_runtime{settings, path};
-    return instance.run();
+    return instance.run(held);
 }
 
 using paths = std::vector<std::string>;
@@ -86,13 +87,14 @@
 
 auto run_instance(po::variables_map const& v) -> leaf::result<int>
 {
+    auto const held = held_signals{};
     auto const path = text_option(v, "settings");
     BOOST_LEAF_AUTO(settings, load_settings(path));
     BOOST_LEAF_CHECK(std::visit(
-        overloaded{[](instance_settings const& it) { return serve(it); },
+        overloaded{[&](instance_settings const& it) { return serve(it, held); },
             [&](dispatch_settings const& it)
             {
-                return serve(it, path);
+                return serve(it, path, held);
             }},
         settings));
     return 0;
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -75,7 +75,7 @@
     return {};
 }
 
-auto dispatch_runtime::run() -> leaf::result<void>
+auto dispatch_runtime::run(held_signals const& held) -> leaf::result<void>
 {
     BOOST_LEAF_CHECK(start_page_servers());
     BOOST_LEAF_CHECK(callers_.start(settings_.caller_address));
@@ -97,6 +97,7 @@
             settings_.self.zone + " callers=" + settings_.caller_address);
     log_timer_.after(log_flush_interval);
     execute(dispatcher_.start(steady_now()));
+    held.release();
     event_base_dispatch(base_.get());
     log(log_level::info, "node", "Stopped. name=" + settings_.self.name);
     flush_log();
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -83,7 +83,7 @@
 {
 }
 
-auto runtime::run() -> leaf::result<void>
+auto runtime::run(held_signals const& held) -> leaf::result<void>
 {
     if (!settings_.record_path.empty())
         BOOST_LEAF_CHECK(recorder_.start(settings_.record_path,
@@ -103,6 +103,7 @@
             " peers=" + settings_.self.peer_address);
     platform_.start();
     push(tick{});
+    held.release();
     event_base_dispatch(base_.get());
     recorder_.flush();
     log(log_level::info, "node", "Stopped. name=" + settings_.self.name);
--- a/src/app/runtime.hpp
+++ b/src/app/runtime.hpp
@@ -9,6 +9,7 @@
 #include "adapter/platform_client.hpp"
 #include "adapter/recorder.hpp"
 #include "adapter/settings.hpp"
+#include "app/held_signals.hpp"
 
 #include <deque>
 
@@ -23,7 +24,7 @@
 
     /// Returns after a graceful stop, or with the error that prevented the
     /// start.
-    auto run() -> leaf::result<void>;
+    auto run(held_signals const& held) -> leaf::result<void>;
 
 private:
     /// Queues an event; handles all queued events unless a call further up the
--- a/tests/process/test_processes.cpp
+++ b/tests/process/test_processes.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/stat.h>
+
 #include <array>
 #include <csignal>
 
@@ -151,6 +153,30 @@
     CHECK(c.run_count("outage") == 0);
 }
 
+TEST_CASE("a stop request that arrives while an instance starts is carried "
+          "out, exit 0")
+{
+    for (auto const routed : {false, true})
+    {
+        auto const path = "/tmp/ks-start-" + std::to_string(getpid()) + ".ini";
+        REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+        auto instance = process{{KS_BINARY, "run", path}, "/dev/null"};
+        {
+            // Opens once the instance has begun to read its settings.
+            auto settings = std::ofstream{path};
+            instance.send(SIGTERM);
+            settings << "[instance]\nname = a\nzone = z\n"
+                     << (routed ? "front_end = routes\nregion = r\n" : "")
+                     << "caller_address = 127.0.0.1:24990\n"
+                     << (routed ? "ready" : "peer")
+                     << "_address = 127.0.0.1:24991\n"
+                     << "platform_address = 127.0.0.1:24992\n";
+        }
+        CHECK(instance.exit_code(seconds{10}) == 0);
+        std::filesystem::remove(path);
+    }
+}
+
 TEST_CASE("invalid input gets a specific error, valid queries are still served")
 {
     auto c = cluster{24'200};
