A channel for one HTTP call at a time, apart from the client of the store

Cause: questions to other instances need the same connection handling as calls to the store. No behaviour changes. Change: call_channel is taken out of store_client.

--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -7,10 +7,6 @@
 {
 
 constexpr auto call_timeout = seconds{3}; ///< Until the response.
-constexpr auto unacked_timeout = milliseconds{2'000};
-constexpr auto keepalive_idle = seconds{2};
-constexpr auto max_reply_header = std::size_t{64} << 10;
-constexpr auto max_reply_body = std::size_t{8} << 20;
 
 /// Wait of the watch that a check sends: the store answers practically at once.
 constexpr auto check_wait = milliseconds{1};
@@ -48,6 +44,14 @@
     };
 }
 
+auto failure_of(link_end how, bool in_time) -> store_failure
+{
+    if (!in_time)
+        return store_failure::timeout;
+    return how == link_end::garbled ? store_failure::unreadable
+                                    : store_failure::unreachable;
+}
+
 } // namespace
 
 store_client::store_client(event_base* base, std::string const& address,
@@ -138,70 +142,19 @@
     -> void
 {
     ++calls_;
-    auto& c = channels_[name];
-    if (c.call_pending)
-        drop_link(c); // The new call replaces the pending one.
-    c.call_pending = true;
-    c.decode_reply = std::move(decode_reply);
-    c.make_failure = std::move(make_failure);
-    if (c.timeout == nullptr)
-        c.timeout = std::make_unique<loop_event>(
-            base_, [this, name] { fail_call(name, store_failure::timeout); });
-    c.timeout->after(limit);
-    if (c.link == nullptr || !c.link->is_open())
-        connect(name, c);
-    auto request = m;
-    request.fields.push_back({"Host", address_});
-    c.link->send(request_text(request));
-}
-
-auto store_client::connect(std::string const& name, channel& c) -> void
-{
-    drop_link(c);
-    c.link = std::make_unique<http_link>(base_, address_,
-        stream_options{unacked_timeout, keepalive_idle},
-        read_limits{max_reply_header, max_reply_body},
-        http_link::callbacks{{},
-            [this, name](http_message const& m, bool reusable)
-            { on_replied(name, m, reusable); },
-            [this, name](link_end how)
-            {
-                fail_call(name, how == link_end::garbled
-                                    ? store_failure::unreadable
-                                    : store_failure::unreachable);
-            }});
-}
-
-auto store_client::on_replied(
-    std::string const& name, http_message const& m, bool reusable) -> void
-{
-    auto& c = channels_.at(name);
-    if (!c.call_pending)
-        return;
-    c.call_pending = false;
-    c.timeout->stop();
-    auto e = c.decode_reply(m);
-    if (!reusable)
-        drop_link(c);
-    sink_(std::move(e));
-}
-
-auto store_client::fail_call(std::string const& name, store_failure why) -> void
-{
-    auto& c = channels_.at(name);
-    drop_link(c);
-    if (!c.call_pending)
-        return;
-    c.call_pending = false;
-    sink_(c.make_failure(why));
-}
-
-auto store_client::drop_link(channel& c) -> void
-{
-    if (c.link == nullptr)
-        return;
-    c.link->close();
-    closed_.push_back(std::move(c.link));
+    auto& c = channels_.try_emplace(name, base_, address_).first->second;
+    c.call(
+        m, limit,
+        [this, decode_reply = std::move(decode_reply)](http_message const& it)
+        { sink_(decode_reply(it)); },
+        [this, make_failure = std::move(make_failure)](link_end how,
+            bool in_time) { sink_(make_failure(failure_of(how, in_time))); });
+}
+
+auto store_client::free_closed() -> void
+{
+    for (auto& [name, it] : channels_)
+        it.free_closed();
 }
 
 } // namespace knapweedstream
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -3,12 +3,10 @@
 #ifndef KNAPWEEDSTREAM_ADAPTER_STORE_CLIENT_HPP
 #define KNAPWEEDSTREAM_ADAPTER_STORE_CLIENT_HPP
 
-#include "adapter/http_link.hpp"
+#include "adapter/call_channel.hpp"
 #include "adapter/target_links.hpp"
 
 #include <map>
-#include <memory>
-#include <vector>
 
 namespace knapweedstream
 {
@@ -64,39 +62,23 @@
     auto calls() const -> std::uint64_t { return calls_; }
 
     /// Frees closed connections; must not be called from the callback of one.
-    auto free_closed() -> void { closed_.clear(); }
+    auto free_closed() -> void;
 
 private:
     using reply_decoder = std::function<dispatch::event(http_message const&)>;
     using failure_builder = std::function<dispatch::event(store_failure)>;
 
-    /// A connection that carries at most one call at a time.
-    struct channel
-    {
-        std::unique_ptr<http_link> link;
-        std::unique_ptr<loop_event> timeout;
-        reply_decoder decode_reply;
-        failure_builder make_failure;
-        bool call_pending = false; ///< A call awaits its response.
-    };
-
     auto call(std::string const& name, http_message const& m, duration limit,
         reply_decoder decode_reply, failure_builder make_failure) -> void;
     auto write(std::string const& channel_key, store_kind kind,
         std::string const& name, http_message const& m) -> void;
-    auto connect(std::string const& name, channel& c) -> void;
-    auto fail_call(std::string const& name, store_failure why) -> void;
-    auto on_replied(
-        std::string const& name, http_message const& m, bool reusable) -> void;
-    auto drop_link(channel& c) -> void;
 
     event_base* base_;
     std::string address_;
     store_codec codec_;
     dispatch_sink sink_;
     std::uint64_t calls_ = 0;
-    std::map<std::string, channel> channels_; ///< By use, such as `write`.
-    std::vector<std::unique_ptr<http_link>> closed_; ///< Not yet freed.
+    std::map<std::string, call_channel> channels_; ///< By use, as `write`.
 };
 
 } // namespace knapweedstream
