Relays: a few instances of each zone call the store for all others

Change: in a zone of seven instances or more two relays, found by hashing names, call the store; the others ask them for changes by one waiting question over HTTP (value_codec over evhttp, no new protocol). Whoever is asked becomes a relay, so that views of the fleet need not agree and no cycle can arise. A relay says when it has lost the store. An instance whose relay is silent, gone or without the store asks a second one and then calls the store itself, within half of the drain time. Relays wait 0.5 s between watches instead of 2 s and check them twice as often. An instance that is cut off from the store but hears a relay stays up to date. Kinds that an unknown message names are refused.

Also here, since the checks of relays need it: a check is sent when it is due, not at the next of fixed times, which could double the time until a silent watch was found ("store: a silent watch of the targets ..." demands it now).

--- a/include/knapweedstream/registration.hpp
+++ b/include/knapweedstream/registration.hpp
@@ -42,6 +42,9 @@
     std::string name;
     std::string zone;
     std::string region;
+    /// Where other instances ask it for changes of the store's objects; empty
+    /// if it does not pass them on.
+    std::string relay_address = {};
 
     auto operator<=>(instance_record const&) const = default;
 };
--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -175,6 +175,15 @@
            " changes=" + std::to_string(it.changes);
 }
 
+auto line_of(dispatch::store_source_changed const& it) -> std::string
+{
+    return "Store followed " +
+           (it.relay.empty() ? std::string{"directly."}
+                             : "through a relay. relay=" + it.relay) +
+           " reason=\"" + it.reason +
+           "\" revision=" + std::to_string(it.revision);
+}
+
 auto line_of(dispatch::rollout_progressed const& it) -> std::string
 {
     return "Rollout updated. service=" + it.service + " version=" + it.version +
@@ -248,6 +257,8 @@
             [](dispatch::watch_stalled const&) -> log_category {
                 return {"store", log_level::warning};
             },
+            [](dispatch::store_source_changed const&) -> log_category
+            { return {"store"}; },
             [](dispatch::rollout_progressed const&) -> log_category
             { return {"rollout"}; },
             [](dispatch::crash_suspected const&) -> log_category {
--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -44,6 +44,8 @@
         entry{"target_connects_total", &d::connects},
         entry{"target_connect_failures_total", &d::connect_failures},
         entry{"store_failures_total", &d::store_failures},
+        entry{"relay_failures_total", &d::relay_failures},
+        entry{"relay_answers_total", &d::relay_answers},
         entry{"configs_total", &d::configs}};
     auto text = std::string{};
     for (auto const& it : table)
--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -48,6 +48,11 @@
         address_key("ready_address", &s::ready_address, true),
         address_key("metrics_address", &s::metrics_address, false),
         address_key("platform_address", &s::platform_address, true),
+        {"relay_address", "an IPv4 address and port, or nothing",
+            [](auto const& t, s& o)
+            {
+                return t.empty() || read_address(t, o.self.relay_address);
+            }},
         {"log_level", "debug, info, warning or error",
             [](auto const& t, s& o)
             {
@@ -158,6 +163,7 @@
         of("watch_wait_ms", &l::watch_wait),
         of("watch_pause_ms", &l::watch_pause),
         of("targets_pause_ms", &l::targets_pause),
+        of("relay_pause_ms", &l::relay_pause),
         of("poll_first_ms", &l::poll_first), of("poll_most_ms", &l::poll_most),
         of("store_retry_first_ms", &l::store_retry_first),
         of("store_retry_most_ms", &l::store_retry_most),
--- a/src/adapter/dispatch_settings.hpp
+++ b/src/adapter/dispatch_settings.hpp
@@ -15,7 +15,8 @@
 /// Settings of an instance that dispatches by routes.
 struct dispatch_settings
 {
-    instance_record self;         ///< Name, availability zone and region.
+    /// Name, availability zone, region, and where others ask for changes.
+    instance_record self;
     std::string caller_address;   ///< Where callers connect.
     std::string ready_address;    ///< Readiness page for the load balancer.
     std::string metrics_address;  ///< Metrics page; not served if empty.
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -41,6 +41,9 @@
       store_(base_.get(), settings.platform_address,
           platform::make_store_dialect(),
           [this](dispatch::event e) { push(std::move(e)); }),
+      relays_(base_.get(), [this](dispatch::event e) { push(std::move(e)); }),
+      relay_server_(
+          base_.get(), [this](dispatch::event e) { push(std::move(e)); }),
       callers_(base_.get(), platform::make_caller_dialect(),
           [this](dispatch::event e) { push(std::move(e)); }),
       readiness_server_(
@@ -72,6 +75,8 @@
     if (!settings_.metrics_address.empty())
         BOOST_LEAF_CHECK(
             metrics_server_.start(settings_.metrics_address, "metrics"));
+    if (!settings_.self.relay_address.empty())
+        BOOST_LEAF_CHECK(relay_server_.start(settings_.self.relay_address));
     return {};
 }
 
@@ -129,6 +134,7 @@
     end_turn_scheduled_ = false;
     targets_.free_closed();
     store_.free_closed();
+    relays_.free_closed();
     callers_.free_closed();
 }
 
@@ -157,6 +163,8 @@
             [this](dispatch::store_delete_record const& it) { store_.run(it); },
             [this](dispatch::store_write_report const& it) { store_.run(it); },
             [this](dispatch::store_delete_report const& it) { store_.run(it); },
+            [this](dispatch::ask_relay const& it) { relays_.run(it); },
+            [this](dispatch::answer_relay const& it) { relay_server_.run(it); },
             [this](dispatch::set_ready const& it)
             {
                 ready_ = it.ready;
--- a/src/app/dispatch_runtime.hpp
+++ b/src/app/dispatch_runtime.hpp
@@ -6,6 +6,7 @@
 #include "adapter/dispatch_metrics.hpp"
 #include "adapter/dispatch_settings.hpp"
 #include "adapter/page_server.hpp"
+#include "adapter/relay_link.hpp"
 #include "adapter/route_server.hpp"
 #include "adapter/store_client.hpp"
 #include "app/held_signals.hpp"
@@ -48,6 +49,8 @@
     dispatch::dispatcher dispatcher_;
     target_links targets_;
     store_client store_;
+    relay_client relays_;
+    relay_server relay_server_;
     route_server callers_;
     page_server readiness_server_;
     page_server metrics_server_;
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -308,6 +308,12 @@
     return names;
 }
 
+/// True if other instances may ask this one for the store's objects.
+auto passes_on(dispatch_state const& s) -> bool
+{
+    return !s.init.self.relay_address.empty();
+}
+
 auto apply_change(dispatch_state& s, store_kind kind, stored_change const& c,
     time_point now, commands& out) -> void
 {
@@ -340,9 +346,11 @@
 }
 
 auto apply_list(dispatch_state& s, store_kind kind,
-    std::span<stored_object const> objects, time_point now, commands& out)
-    -> void
+    std::span<stored_object const> objects, std::uint64_t revision,
+    time_point now, commands& out) -> void
 {
+    if (passes_on(s))
+        record_list(s.replicas[kind], objects, revision, now);
     auto listed = std::set<std::string>{};
     for (auto const& it : objects)
     {
@@ -363,6 +371,8 @@
     std::span<stored_change const> changes, time_point now, commands& out)
     -> void
 {
+    if (passes_on(s))
+        record_changes(s.replicas[kind], changes, now);
     for (auto const& it : changes)
         apply_change(s, kind, it, now, out);
     if (kind == store_kind::targets)
--- a/src/core/dispatch/catalog.hpp
+++ b/src/core/dispatch/catalog.hpp
@@ -13,8 +13,8 @@
 
 /// Applies a complete list: objects that it lacks were deleted.
 auto apply_list(dispatch_state& s, store_kind kind,
-    std::span<stored_object const> objects, time_point now, commands& out)
-    -> void;
+    std::span<stored_object const> objects, std::uint64_t revision,
+    time_point now, commands& out) -> void;
 
 /// Applies changes that a watch or a check returned.
 auto apply_changes(dispatch_state& s, store_kind kind,
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/attempts.hpp"
 #include "core/dispatch/catalog.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/requests.hpp"
 #include "core/dispatch/rollout_orders.hpp"
@@ -51,6 +52,7 @@
             [&](follow_due const& e) { on_follow_due(s, e, now, out); },
             [&](shift_due const& e) { on_shift_due(s, e, now, out); },
             [&](check_due const&) { on_check_due(s, now, out); },
+            [&](relay_due const&) { on_relay_due(s, now, out); },
             [&](report_due const&) { on_report_due(s, now, out); },
             [&](stop_due const&)
             {
@@ -101,7 +103,14 @@
             [&](store_compacted const& it) { on_compacted(s, it, now, out); },
             [&](store_failed const& it) { on_store_failed(s, it, now, out); },
             [&](store_written const& it) { on_written(s, it, now, out); },
-            [&](stop_requested const&) { on_stop(s, now, out); },
+            [&](relay_asked const& it) { on_relay_asked(s, it, now, out); },
+            [&](relay_replied const& it) { on_relay_replied(s, it, now, out); },
+            [&](relay_failed const& it) { on_relay_failed(s, it, now, out); },
+            [&](stop_requested const&)
+            {
+                on_stop(s, now, out);
+                answer_relay_callers(s, now, out);
+            },
             [&](tick const&)
             {
                 // The tick may have come early; another one is then asked for.
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -56,7 +56,9 @@
     std::uint64_t connects = 0;
     std::uint64_t connect_failures = 0;
     std::uint64_t store_failures = 0;
-    std::uint64_t configs = 0; ///< Configurations that were applied.
+    std::uint64_t relay_failures = 0; ///< Relays that did not serve.
+    std::uint64_t relay_answers = 0;  ///< Questions answered as a relay.
+    std::uint64_t configs = 0;        ///< Configurations that were applied.
 
     auto operator<=>(dispatch_stats const&) const = default;
 };
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -18,8 +18,9 @@
 /// Time until the answer of a probe. A store that is silent is called again
 /// soon, since it answers only calls that come after its return.
 constexpr auto probe_timeout = milliseconds{700};
-/// One of so many probes waits longer, for a store that answers slowly.
-constexpr auto patient_probes = 4u;
+/// After so many failures each second probe waits longer, for a store that
+/// answers slowly.
+constexpr auto impatient_probes = 12u;
 /// Time until the answer of a call that the store answers at once. Also added
 /// to the wait of a watch.
 constexpr auto call_timeout = milliseconds{2'000};
@@ -33,14 +34,31 @@
 /// Time until the answer of a watch.
 auto watch_timeout(follow_state const& f, milliseconds wait) -> milliseconds
 {
-    auto const impatient = f.failures % patient_probes != 0;
-    return impatient ? probe_timeout : wait + call_timeout;
+    auto const patient =
+        f.failures == 0 ? !f.unsure
+                        : f.failures >= impatient_probes && f.failures % 2 == 0;
+    return !patient ? probe_timeout : wait + call_timeout;
+}
+
+/// True if a relay keeps the kind up to date, so that no call is needed.
+auto is_relayed(follow_state const& f) -> bool
+{
+    return f.attached && f.revision != 0;
+}
+
+auto wait_for_relay(follow_state f) -> follow_step
+{
+    f.phase = relaying{};
+    f.failures = 0;
+    return {std::move(f), {}};
 }
 
 auto watch(follow_state f, by_watch const& policy, time_point now)
     -> follow_step
 {
-    auto const probing = f.failures > 0; // Does the store answer again?
+    if (is_relayed(f))
+        return wait_for_relay(std::move(f));
+    auto const probing = f.failures > 0 || f.unsure; // Does the store answer?
     auto const wait = probing ? probe_wait : policy.wait;
     auto const stale = probing || (policy.may_be_stale && !f.require_fresh);
     f.phase = watching{};
@@ -104,6 +122,8 @@
     auto const* paused = std::get_if<pausing>(&f.phase);
     if (paused == nullptr || now < paused->until)
         return {f, {}};
+    if (is_relayed(f))
+        return wait_for_relay(f);
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched != nullptr && f.revision != 0)
@@ -123,6 +143,7 @@
         pages->revision = page.revision;
     auto const policy = policy_of(f.kind, limits);
     f.failures = 0;
+    f.unsure = false;
     if (!page.next.empty())
     {
         pages->objects.insert(
@@ -150,13 +171,15 @@
         return {f, {}};
     auto next = f;
     next.failures = 0;
+    next.unsure = false;
     next.revision = std::max(f.revision, e.revision);
     next.confirmed = std::max(f.confirmed, next.revision);
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched == nullptr)
         return {f, {}};
-    if (e.changes.empty() || e.changes.size() >= large_batch)
+    if (is_relayed(next) || e.changes.empty() ||
+        e.changes.size() >= large_batch)
         return watch(std::move(next), *watched, now);
     auto const times = f.low_priority ? low_priority_pauses : 1;
     return pause(std::move(next), now + times * watched->pause);
@@ -247,15 +270,44 @@
     return without_history(f, limits, now);
 }
 
+auto with_relay(follow_state f) -> follow_state
+{
+    f.attached = true;
+    if (std::holds_alternative<pausing>(f.phase) && is_relayed(f))
+        return wait_for_relay(std::move(f)).next;
+    return f;
+}
+
+auto without_relay(follow_state f, time_point until) -> follow_state
+{
+    f.attached = false;
+    f.unsure = true;
+    auto const paused = std::holds_alternative<pausing>(f.phase);
+    if (std::holds_alternative<relaying>(f.phase) ||
+        (paused && f.failures == 0))
+        f.phase = pausing{until};
+    return f;
+}
+
+auto with_relayed(follow_state f, std::uint64_t revision) -> follow_state
+{
+    f.revision = std::max(f.revision, revision);
+    f.confirmed = std::max(f.confirmed, f.revision);
+    return f;
+}
+
 auto with_failure(follow_state const& f, dispatch_limits const& limits,
     double jitter, time_point now) -> follow_step
 {
+    if (is_relayed(f))
+        return wait_for_relay(f);
     auto const most =
         f.revision == 0 ? limits.store_retry_most : limits.store_retry_known;
     auto const wait = backoff_delay(limits.store_retry_first, f.failures, most);
     auto const spread = scaled(wait, 0.75 + jitter / 2);
     auto next = f;
     ++next.failures;
+    next.unsure = false;
     // A probe that failed late has used up part of the time between probes.
     auto const probed =
         f.failures > 0 && !std::holds_alternative<pausing>(f.phase);
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -28,6 +28,12 @@
     auto operator<=>(watching const&) const = default;
 };
 
+/// A relay passes changes on; no call to the store is needed.
+struct relaying
+{
+    auto operator<=>(relaying const&) const = default;
+};
+
 /// No call to the store is waiting; the next one is made at `until`.
 struct pausing
 {
@@ -65,7 +71,7 @@
 auto check_interval(store_kind kind, dispatch_limits const& limits)
     -> milliseconds;
 
-using follow_phase = std::variant<pausing, listing, watching>;
+using follow_phase = std::variant<pausing, listing, watching, relaying>;
 
 /// State of following one kind of objects.
 struct follow_state
@@ -80,6 +86,11 @@
     bool low_priority = false;
     /// Lists must not return stale data, as no later watch would complete them.
     bool list_fresh = false;
+    /// A relay passes changes on, so that no new call is made once the pending
+    /// one has ended.
+    bool attached = false;
+    /// The next call finds out first whether the store answers at all.
+    bool unsure = false;
     time_point called_at;       ///< When the last list or watch was called.
     time_point checked_at;      ///< When the waiting watch was last checked.
     bool check_pending = false; ///< A check awaits its answer.
@@ -147,6 +158,16 @@
 auto relisted(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
+/// Follows a kind through a relay.
+auto with_relay(follow_state f) -> follow_state;
+
+/// Follows a kind by own calls again, from `until` on. The first one is a
+/// probe, since the relay may have failed together with the store.
+auto without_relay(follow_state f, time_point until) -> follow_state;
+
+/// Takes note that a relay has passed on all changes up to a revision.
+auto with_relayed(follow_state f, std::uint64_t revision) -> follow_state;
+
 /// Schedules the next call after a failed one, with exponential backoff.
 ///
 /// @param[in] jitter From 0 to 1; spreads the calls of the instances.
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -94,6 +94,8 @@
     milliseconds report_interval{500};
     /// The same delay for watches of target registrations.
     milliseconds targets_pause{2'000};
+    /// The same delay at an instance from which others get the changes.
+    milliseconds relay_pause{500};
     /// Delay between the first two lists of instances; doubles with each list
     /// up to `poll_most`.
     milliseconds poll_first{1'500};
@@ -107,7 +109,7 @@
     /// read, and up to `store_retry_known` afterwards.
     milliseconds store_retry_first{200};
     milliseconds store_retry_most{500};
-    milliseconds store_retry_known{900};
+    milliseconds store_retry_known{740};
 
     auto operator<=>(dispatch_limits const&) const = default;
 };
--- a/src/core/dispatch/store_contact.cpp
+++ b/src/core/dispatch/store_contact.cpp
@@ -31,7 +31,7 @@
 auto with_failed_call(store_contact c, follow_state const& f, store_failure why,
     time_point now) -> store_contact
 {
-    if (!is_contact_lost(why))
+    if (!is_contact_lost(why) || f.attached)
         return c;
     // A kind that fails time and again says nothing new about the others.
     if (f.failures == 0)
@@ -43,18 +43,24 @@
 
 auto is_in_doubt(store_contact const& c, follow_state const& f) -> bool
 {
-    auto const pending = !std::holds_alternative<pausing>(f.phase);
+    auto const pending = std::holds_alternative<watching>(f.phase) ||
+                         std::holds_alternative<listing>(f.phase);
     return pending && f.called_at <= c.doubt_since;
 }
 
+auto check_time(follow_state const& f, dispatch_limits const& limits)
+    -> time_point
+{
+    return std::max(f.called_at, f.checked_at) + check_interval(f.kind, limits);
+}
+
 auto needs_check(store_contact const& c, follow_state const& f,
     dispatch_limits const& limits, time_point now) -> bool
 {
     auto const waits = std::holds_alternative<watching>(f.phase);
-    if (!waits || f.failures > 0 || f.check_pending)
+    if (!waits || f.failures > 0 || f.check_pending || f.attached)
         return false;
-    auto const interval = check_interval(f.kind, limits);
-    if (now - std::max(f.called_at, f.checked_at) < duration{interval})
+    if (now < check_time(f, limits))
         return false;
     return f.kind == store_kind::targets || c.newest > f.confirmed;
 }
--- a/src/core/dispatch/store_contact.hpp
+++ b/src/core/dispatch/store_contact.hpp
@@ -38,6 +38,10 @@
 /// True if the kind's call has been pending since before calls began to fail.
 auto is_in_doubt(store_contact const& c, follow_state const& f) -> bool;
 
+/// When the kind's watch is checked if it stays quiet until then.
+auto check_time(follow_state const& f, dispatch_limits const& limits)
+    -> time_point;
+
 /// True if it is time to check the waiting watch of a kind. That of the targets
 /// is checked whenever it has been quiet for the kind's interval; the others
 /// only if the store has changed since they were last confirmed.
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/store_events.hpp"
 
 #include "core/dispatch/catalog.hpp"
+#include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/stop.hpp"
 
@@ -123,15 +124,23 @@
 /// Checks the waiting watches that need it.
 auto check_watches(dispatch_state& s, time_point now, commands& out) -> void
 {
+    auto const limits = follow_limits(s, now);
     for (auto const kind : checked_kinds)
-        if (needs_check(s.contact, s.follows[kind], s.init.limits, now))
-            apply_step(s, with_check(s.follows[kind], s.init.limits, now), out);
+        if (needs_check(s.contact, s.follows[kind], limits, now))
+            apply_step(s, with_check(s.follows[kind], limits, now), out);
 }
 
-/// Interval at which the watches are looked at; the shortest of all kinds.
-auto check_timer(dispatch_limits const& limits) -> milliseconds
+/// Arms the timer of the next check: of the kind whose watch has been quiet for
+/// longest, relative to its interval.
+auto arm_check(dispatch_state& s, time_point now) -> void
 {
-    return std::min(limits.targets_check, limits.watch_check);
+    auto const limits = follow_limits(s, now);
+    auto const shortest = std::min(limits.targets_check, limits.watch_check);
+    auto when = now + shortest;
+    for (auto const kind : checked_kinds)
+        if (auto const t = check_time(s.follows[kind], limits); t > now)
+            when = std::min(when, t);
+    arm(s, when, check_due{});
 }
 
 } // namespace
@@ -146,7 +155,8 @@
         f.low_priority = kind == store_kind::targets;
         apply_step(s, resume(f, s.init.limits, now), out);
     }
-    arm(s, now + check_timer(s.init.limits), check_due{});
+    arm_check(s, now);
+    arm(s, now, relay_due{});
 }
 
 auto on_listed(dispatch_state& s, store_listed const& e, time_point now,
@@ -161,11 +171,14 @@
     {
         auto objects = list->objects;
         objects.insert(objects.end(), e.objects.begin(), e.objects.end());
-        apply_list(s, e.kind, objects, now, out);
+        apply_list(s, e.kind, objects,
+            list->revision == 0 ? e.revision : list->revision, now, out);
         after_list(s, e.kind, before.list_fresh, now, out);
     }
-    auto page = with_page(std::move(s.follows[e.kind]), e, s.init.limits, now);
+    auto page =
+        with_page(std::move(s.follows[e.kind]), e, follow_limits(s, now), now);
     apply_step(s, std::move(page), out);
+    answer_relay_callers(s, now, out);
     update_ready(s, out);
 }
 
@@ -174,9 +187,11 @@
 {
     mark_answered(s, e.kind, e.revision, now, out);
     apply_changes(s, e.kind, e.changes, now, out);
-    apply_step(s, with_changes(s.follows[e.kind], e, s.init.limits, now), out);
+    apply_step(
+        s, with_changes(s.follows[e.kind], e, follow_limits(s, now), now), out);
     if (e.kind == store_kind::targets)
         read_orders_if_needed(s, now, out);
+    answer_relay_callers(s, now, out);
     update_ready(s, out);
 }
 
@@ -190,6 +205,7 @@
     s.last_disruption[e.kind] = now;
     s.contact = with_failed_call(s.contact, f, e.failure, now);
     apply_step(s, with_failure(f, s.init.limits, draw_fraction(s), now), out);
+    answer_relay_callers(s, now, out);
 }
 
 /// While the store is unreachable only one kind calls it; the others wait until
@@ -214,8 +230,8 @@
 /// waits on a silent connection would otherwise be noticed only at its end.
 auto on_check_due(dispatch_state& s, time_point now, commands& out) -> void
 {
-    arm(s, now + check_timer(s.init.limits), check_due{});
     check_watches(s, now, out);
+    arm_check(s, now);
 }
 
 /// A check that fails says as much as a watch that fails: the kind is called
@@ -240,6 +256,7 @@
     apply_step(s, with_checked(s.follows[e.kind], e, s.init.limits, now), out);
     mark_reachable(s, {}, e.revision, now, out);
     check_watches(s, now, out);
+    answer_relay_callers(s, now, out);
     update_ready(s, out);
 }
 
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -12,6 +12,7 @@
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
 #include "core/dispatch/observations.hpp"
+#include "core/dispatch/replica.hpp"
 #include "core/dispatch/store_contact.hpp"
 #include "core/dispatch/target_notices.hpp"
 #include "core/dispatch/timers.hpp"
@@ -234,6 +235,40 @@
     auto operator<=>(stop_progress const&) const = default;
 };
 
+/// A question of another instance that waits for a change.
+struct relay_question
+{
+    relay_caller_id caller;
+    std::vector<relay_position> known;
+    time_point until; ///< When it is answered at the latest.
+
+    auto operator<=>(relay_question const&) const = default;
+};
+
+/// What this instance does for others as a relay.
+struct relay_duty
+{
+    time_point until; ///< It is a relay until then, unless it is asked again.
+    std::vector<relay_question> questions;
+
+    auto operator<=>(relay_duty const&) const = default;
+};
+
+/// The relay through which this instance follows the store.
+struct relay_source
+{
+    bool active = false;        ///< The relay is used instead of own calls.
+    bool pending = false;       ///< A question awaits its answer.
+    std::uint32_t failures = 0; ///< Relays in a row that have not served.
+    std::string name;           ///< Of the instance asked last.
+    std::string address;
+    time_point retry_at; ///< When relays are looked for next.
+    /// Until when instances that have failed are not asked, by name.
+    std::map<std::string, time_point> avoided;
+
+    auto operator<=>(relay_source const&) const = default;
+};
+
 /// The whole state of a dispatcher.
 struct dispatch_state
 {
@@ -254,6 +289,9 @@
     std::uint64_t config_revision = 0;
     std::map<store_kind, follow_state> follows;
     store_contact contact;
+    std::map<store_kind, replica> replicas;
+    relay_duty relaying;
+    relay_source source;
     /// When calls for a kind last failed or succeeded again, or the store had
     /// discarded changes of it that this instance had not read.
     std::map<store_kind, time_point> last_disruption;
--- a/src/core/dispatch/timers.hpp
+++ b/src/core/dispatch/timers.hpp
@@ -69,6 +69,12 @@
     auto operator<=>(check_due const&) const = default;
 };
 
+/// A relay is to be asked, or the wait of a question ends.
+struct relay_due
+{
+    auto operator<=>(relay_due const&) const = default;
+};
+
 /// The graceful stop is to be checked for progress.
 struct stop_due
 {
@@ -82,7 +88,7 @@
 };
 
 using timer = std::variant<request_due, abandoned_due, link_due, target_due,
-    follow_due, check_due, shift_due, report_due, stop_due>;
+    follow_due, check_due, relay_due, shift_due, report_due, stop_due>;
 
 /// An armed timer; timers of equal time fire in the order of arming.
 struct timer_entry
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -116,6 +116,23 @@
     auto operator<=>(store_delete_report const&) const = default;
 };
 
+/// Asks another instance for changes of the store's objects.
+struct ask_relay
+{
+    std::string address;
+    relay_request request;
+    milliseconds timeout{0}; ///< Until the answer; it fails without one.
+    auto operator<=>(ask_relay const&) const = default;
+};
+
+/// Answers questions of other instances.
+struct answer_relay
+{
+    std::vector<relay_caller_id> callers;
+    relay_reply reply;
+    auto operator<=>(answer_relay const&) const = default;
+};
+
 /// Sets the limits on callers' requests and connections.
 struct set_caller_limits
 {
@@ -160,8 +177,8 @@
 using command = std::variant<answer_caller, open_connection, close_connection,
     send_request, store_list, store_watch, store_check, store_write_record,
     store_write_order_state, store_delete_record, store_write_report,
-    store_delete_report, set_caller_limits, set_ready, drain_callers, exit_now,
-    wake_at, report_fact>;
+    store_delete_report, ask_relay, answer_relay, set_caller_limits, set_ready,
+    drain_callers, exit_now, wake_at, report_fact>;
 
 using commands = std::vector<command>;
 
--- a/src/port/dispatch_event.hpp
+++ b/src/port/dispatch_event.hpp
@@ -3,6 +3,7 @@
 #ifndef KNAPWEEDSTREAM_PORT_DISPATCH_EVENT_HPP
 #define KNAPWEEDSTREAM_PORT_DISPATCH_EVENT_HPP
 
+#include "port/relay.hpp"
 #include "port/store.hpp"
 
 #include <knapweedstream/exchange.hpp>
@@ -121,6 +122,29 @@
     auto operator<=>(store_written const&) const = default;
 };
 
+/// Another instance asks for changes of the store's objects.
+struct relay_asked
+{
+    relay_caller_id caller;
+    relay_request request;
+    auto operator<=>(relay_asked const&) const = default;
+};
+
+/// A relay has answered.
+struct relay_replied
+{
+    std::string address; ///< Of the relay.
+    relay_reply reply;
+    auto operator<=>(relay_replied const&) const = default;
+};
+
+/// A relay has not answered in time, or with something unreadable.
+struct relay_failed
+{
+    std::string address; ///< Of the relay.
+    auto operator<=>(relay_failed const&) const = default;
+};
+
 /// The time requested by `wake_at` has come.
 struct tick
 {
@@ -136,8 +160,8 @@
 /// Any event of the dispatcher.
 using event = std::variant<caller_request, caller_gone, connection_opened,
     connection_closed, target_replied, store_listed, store_changed,
-    store_checked, store_compacted, store_failed, store_written, tick,
-    stop_requested>;
+    store_checked, store_compacted, store_failed, store_written, relay_asked,
+    relay_replied, relay_failed, tick, stop_requested>;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -186,6 +186,16 @@
     auto operator<=>(watch_stalled const&) const = default;
 };
 
+/// This instance follows the store through another instance, or by its own
+/// calls again.
+struct store_source_changed
+{
+    std::string relay;          ///< Name of the other instance; empty: none.
+    std::string reason;         ///< Why it changed.
+    std::uint64_t revision = 0; ///< Newest revision of the store seen.
+    auto operator<=>(store_source_changed const&) const = default;
+};
+
 /// A zone was evacuated or returned to service.
 struct zone_changed
 {
@@ -235,8 +245,9 @@
 /// Any fact that the dispatcher reports.
 using fact = std::variant<extra_sent, attempt_failed, budget_exhausted,
     request_ended, target_condition_changed, config_applied, config_ignored,
-    object_skipped, store_availability_changed, watch_stalled, zone_changed,
-    rollout_progressed, crash_suspected, statement_ignored, readiness_changed>;
+    object_skipped, store_availability_changed, watch_stalled,
+    store_source_changed, zone_changed, rollout_progressed, crash_suspected,
+    statement_ignored, readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
--- a/tests/dispatch/harness.cpp
+++ b/tests/dispatch/harness.cpp
@@ -23,7 +23,11 @@
 
 harness::harness(
     dispatch_limits const& limits, std::string zone, std::string name)
-    : core(make_init(limits, zone, name))
+    : harness(make_init(limits, zone, name))
+{
+}
+
+harness::harness(dispatcher_init const& init) : core(init)
 {
     carry_out(core.start(now));
 }
--- a/tests/dispatch/harness.hpp
+++ b/tests/dispatch/harness.hpp
@@ -47,6 +47,7 @@
 public:
     explicit harness(dispatch_limits const& limits = {}, std::string zone = "a",
         std::string name = "me");
+    explicit harness(dispatcher_init const& init);
 
     /// Advances the clock by 30 s, so that limits which grow after a start,
     /// such as the retry budget, have their full value.
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -230,12 +230,20 @@
         r.core.reconfigure({}, bounds);
         r.finish_startup();
         r.feed_lists(config_of(single_route("s")), three_targets("s"));
-        r.advance(drain / 2);
-        REQUIRE(!r.commands_of<store_check>().empty());
-        // Nor does the check's own connection answer: the time it waits and the
-        // time until it was sent fit into half of the bound.
-        auto const c = r.commands_of<store_check>().at(0);
-        CHECK(c.timeout <= drain / 4);
+        // The check is sent after a quarter of the bound, whatever the time at
+        // which the watch began to wait, and may take another quarter.
+        for (auto i = 0; i < 10; ++i)
+        {
+            r.advance(milliseconds{137});
+            r.feed(store_changed{ks::store_kind::targets, {}, 2'000});
+            auto const before = r.commands_of<store_check>().size();
+            r.advance(drain / 4 + milliseconds{10});
+            auto const all = r.commands_of<store_check>();
+            REQUIRE(all.size() > before);
+            CHECK(all.back().timeout <= drain / 4);
+            r.feed(store_checked{
+                ks::store_kind::targets, all.back().revision, {}, 2'000, {}});
+        }
     }
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -13,6 +13,8 @@
 constexpr auto no_request = ~std::size_t{0};
 constexpr auto min_served_share = 0.95; ///< Once all faults have ended.
 constexpr auto zones = std::array{"a", "b", "c"};
+/// So many instances are placed in one zone, where some are relays.
+constexpr auto relay_fleet = std::size_t{7};
 
 } // namespace
 
@@ -54,13 +56,15 @@
 auto soak_run::start_instance(std::size_t i) -> void
 {
     auto const path = settings_.dir + "/i" + std::to_string(i);
-    auto const zone = zones.at(i % zones.size());
+    auto const one_zone = settings_.instances >= relay_fleet;
+    auto const zone = zones.at(one_zone ? 0 : i % zones.size());
     std::ofstream{path + ".ini"}
         << "[instance]\nfront_end = routes\nname = i" << i
         << "\nzone = " << zone << "\nregion = r" << zone
         << "\ncaller_address = 127.0.0.1:" << port(i)
         << "\nready_address = 127.0.0.1:" << port(i) + 1
         << "\nplatform_address = 127.0.0.1:" << settings_.first_port
+        << "\nrelay_address = 127.0.0.1:" << settings_.first_port + 300 + i
         << "\n[zones]\na = ra\nb = rb\nc = rc\n";
     auto& it = instances_[i];
     it.running = std::make_unique<processes::process>(
