Deadlines and claims count the time for which the machine was suspended

Other operators' report: a process that had been paused acted on a permission that had run out meanwhile. Our clock was CLOCK_MONOTONIC, which stands still while a machine is suspended: on waking, deadlines, connections' idle times and claims looked younger than they were by the length of the suspension.

Change: steady_now reads CLOCK_BOOTTIME, which goes on.

Measured: no failure shown. Suspected, from the clocks' definitions.

--- a/src/adapter/event_loop.cpp
+++ b/src/adapter/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <ctime>
 
 namespace knapweedstream
 {
@@ -55,8 +56,12 @@
 
 auto steady_now() -> time_point
 {
-    auto const t = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point{std::chrono::duration_cast<duration>(t)};
+    // Unlike CLOCK_MONOTONIC it counts the time for which the machine was
+    // suspended, so that deadlines and claims of before are seen to be over.
+    auto t = timespec{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return time_point{std::chrono::duration_cast<duration>(
+        seconds{t.tv_sec} + std::chrono::nanoseconds{t.tv_nsec})};
 }
 
 auto wall_seconds() -> std::int64_t
--- a/src/adapter/event_loop.hpp
+++ b/src/adapter/event_loop.hpp
@@ -72,8 +72,8 @@
     event_ptr event_;
 };
 
-/// Current time of the monotonic clock that the node's timers and deadlines
-/// use.
+/// Current time of the clock that the node's timers and deadlines use; it never
+/// goes back, and counts the time for which the machine is suspended.
 auto steady_now() -> time_point;
 
 /// Current time in seconds since 1970 (Unix time).
