A check that finds the changes discarded renews the watch

Cause: the watch of the targets was on a silent connection when the store dropped its history; the checks were answered "history gone", which was ignored, and the targets of 16:02:43 were used until the watch ended at 16:02:59 (log of i2).

Change: such an answer renews the watch, which then lists the kind if its history is gone. The soak's logs are appended when an instance starts again; the end of the start before was lost until now.

--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -143,6 +143,18 @@
     arm(s, when, check_due{});
 }
 
+/// A kind whose watch may wait in vain is called for again at once: after a
+/// loss of contact, and if the store has discarded the changes since its
+/// revision, when the check cannot say whether the watch has missed some.
+auto on_check_failed(dispatch_state& s, store_kind kind, store_failure why,
+    time_point now, commands& out) -> void
+{
+    if (is_contact_lost(why))
+        on_store_failed(s, {kind, why}, now, out);
+    else if (why == store_failure::missing)
+        apply_step(s, renewed(s.follows[kind], s.init.limits, now), out);
+}
+
 } // namespace
 
 auto start_following(dispatch_state& s, time_point now, commands& out) -> void
@@ -243,8 +255,8 @@
     auto const f = s.follows[e.kind];
     if (e.failure)
     {
-        if (is_check_of_watch(f, e) && is_contact_lost(*e.failure))
-            on_store_failed(s, {e.kind, *e.failure}, now, out);
+        if (is_check_of_watch(f, e))
+            on_check_failed(s, e.kind, *e.failure, now, out);
         return;
     }
     if (has_missed_changes(f, e))
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -164,6 +164,24 @@
     CHECK(again.back().revision == since);
 }
 
+TEST_CASE("store: a watch is renewed if its check finds that the store has "
+          "discarded the changes since its revision")
+{
+    auto r = harness{};
+    r.finish_startup();
+    r.feed_lists(config_of(single_route("s")), three_targets("s"));
+    r.advance(ks::seconds{2});
+    auto const watches = r.commands_of<store_watch>().size();
+    auto const since = r.commands_of<store_check>().at(0).revision;
+    r.feed(store_checked{
+        ks::store_kind::targets, since, {}, 0, ks::store_failure::missing});
+    auto const again = r.commands_of<store_watch>();
+    REQUIRE(again.size() == watches + 1);
+    CHECK(again.back().kind == ks::store_kind::targets);
+    // That is no loss of contact.
+    CHECK(r.facts<store_availability_changed>().empty());
+}
+
 TEST_CASE("store: the watch of the targets is checked also while another kind "
           "fails")
 {
--- a/tests/process/processes.hpp
+++ b/tests/process/processes.hpp
@@ -59,7 +59,7 @@
             argv.push_back(const_cast<char*>(it.c_str()));
         argv.push_back(nullptr);
         auto const log_fd =
-            open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+            open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log_fd, STDOUT_FILENO);
         dup2(log_fd, STDERR_FILENO);
         execv(argv[0], argv.data());
