--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/rollout_orders.hpp"
 #include "core/dispatch/route_table.hpp"
@@ -308,12 +309,6 @@
     return names;
 }
 
-/// True if other instances may ask this one for the store's objects.
-auto passes_on(dispatch_state const& s) -> bool
-{
-    return !s.init.self.relay_address.empty();
-}
-
 auto apply_change(dispatch_state& s, store_kind kind, stored_change const& c,
     time_point now, commands& out) -> void
 {
--- a/src/core/dispatch/relays.cpp
+++ b/src/core/dispatch/relays.cpp
@@ -218,6 +218,11 @@
     return zone;
 }
 
+auto passes_on(dispatch_state const& s) -> bool
+{
+    return !s.init.self.relay_address.empty();
+}
+
 auto is_relay(dispatch_state const& s, time_point now) -> bool
 {
     return now < s.relaying.until;
--- a/src/core/dispatch/relays.hpp
+++ b/src/core/dispatch/relays.hpp
@@ -20,7 +20,7 @@
     std::map<std::string, instance_record> const& instances)
     -> std::vector<instance_record>;
 
-/// Answers another instance's question, now or when there is something to tell.
+/// Answers another instance's question, now or when there are changes.
 auto on_relay_asked(dispatch_state& s, relay_asked const& e, time_point now,
     commands& out) -> void;
 
@@ -35,11 +35,14 @@
 /// Asks a relay if it is time to; ends the wait of questions.
 auto on_relay_due(dispatch_state& s, time_point now, commands& out) -> void;
 
-/// Answers the waiting questions that there is something to tell about, or all
-/// of them if this instance can no longer pass changes on.
+/// Answers the waiting questions for which there are changes, or all of them if
+/// this instance can no longer pass changes on.
 auto answer_relay_callers(dispatch_state& s, time_point now, commands& out)
     -> void;
 
+/// True if other instances may ask this one for the store's objects.
+auto passes_on(dispatch_state const& s) -> bool;
+
 /// True if other instances get changes from this one.
 auto is_relay(dispatch_state const& s, time_point now) -> bool;
 
--- a/tests/dispatch/test_relays.cpp
+++ b/tests/dispatch/test_relays.cpp
@@ -108,7 +108,7 @@
             f.run(seconds{length} - milliseconds{100});
             f.change_target();
             f.run(milliseconds{1'100});
-            f.run(seconds{1}); // Later knowledge is measured, too.
+            f.run(seconds{1}); // So that a later time is seen, too.
             CHECK(f.longest_lag() <= milliseconds{1'100});
         }
 }
