Each instance lists the instances itself, also when it follows a relay

Cause, suspected: budgets and connections are divided by the number of instances that one knows. Each instance had polled their list at its own times, so that errors in that number averaged out.

Change: only watched kinds are passed on; the list of instances is polled as before relays.

--- a/src/core/dispatch/relays.cpp
+++ b/src/core/dispatch/relays.cpp
@@ -89,11 +89,20 @@
                              { return it.complete || !it.changes.empty(); });
 }
 
+/// True if relays pass a kind on. Each instance lists the instances itself:
+/// they share budgets and connections by their number, and a wrong number that
+/// all have at the same time would add up.
+auto is_passed_on(dispatch_state const& s, store_kind kind) -> bool
+{
+    return std::holds_alternative<by_watch>(policy_of(kind, s.init.limits));
+}
+
 auto positions_of(dispatch_state const& s) -> std::vector<relay_position>
 {
     auto out = std::vector<relay_position>{};
     for (auto const& [kind, f] : s.follows)
-        out.push_back({kind, f.revision});
+        if (is_passed_on(s, kind))
+            out.push_back({kind, f.revision});
     return out;
 }
 
@@ -115,6 +124,8 @@
         return;
     for (auto& [kind, f] : s.follows)
     {
+        if (!f.attached)
+            continue;
         f = without_relay(f, now + scaled(direct_spread, draw_fraction(s)));
         if (auto const* it = std::get_if<pausing>(&f.phase))
             arm(s, it->until, follow_due{kind});
@@ -129,7 +140,8 @@
         return;
     s.source.active = true;
     for (auto& [kind, f] : s.follows)
-        f = with_relay(f);
+        if (is_passed_on(s, kind))
+            f = with_relay(f);
     report_source(s, "served", out);
 }
 
@@ -294,7 +306,7 @@
     s.source.pending = false;
     s.source.failures = 0;
     for (auto const& it : e.reply.updates)
-        if (s.follows.contains(it.kind))
+        if (is_passed_on(s, it.kind))
             apply_update(s, it, now, out);
     if (s.relaying.until > now || s.stop.requested)
         return follow_directly(s, "asked by another instance", now, out);
--- a/tests/dispatch/test_relays.cpp
+++ b/tests/dispatch/test_relays.cpp
@@ -113,6 +113,20 @@
         }
 }
 
+TEST_CASE("relays: each instance lists the instances itself")
+{
+    auto f = store_fleet{setup_of(40, 2)};
+    f.run(seconds{45});
+    CHECK(f.attached() == 36);
+    for (std::size_t i = 0; i < 40; ++i)
+    {
+        auto lists = 0;
+        for (auto const& it : f.core(i).commands_of<store_list>())
+            lists += it.kind == ks::store_kind::instances ? 1 : 0;
+        CHECK(lists >= 5); // After 0, 1.5, 4.5, 10.5, 22.5, 42.5 s.
+    }
+}
+
 TEST_CASE("relays: a zone with few instances needs none")
 {
     auto f = store_fleet{setup_of(12, 2)};
