--- a/src/app/cli_options.hpp
+++ b/src/app/cli_options.hpp
@@ -25,7 +25,7 @@
 /// @returns The parsed options, or `usage_error`, which names the wrong option
 ///     and the nearest one that exists.
 auto parse_options(arguments const& args, char const* name,
-    po::options_description const& options, char const* positional)
+    po::options_description const& options, char const* positional = nullptr)
     -> leaf::result<po::variables_map>;
 
 /// Value of a text option; empty if it is not given.
