--- a/review/kit/deployment.hpp
+++ b/review/kit/deployment.hpp
@@ -6,6 +6,8 @@
 #include "store.hpp"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 
 #include <filesystem>
@@ -103,6 +105,7 @@
         pid_ = ::fork();
         if (pid_ != 0)
             return;
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the script.
         auto const fd = ::open(log.c_str(), O_CREAT | O_WRONLY, 0600);
         ::dup2(fd, 1);
         ::dup2(fd, 2);
@@ -397,6 +400,8 @@
     if (fd >= 0)
     {
         auto s = stream{fd};
+        auto const patience = timeval{deadline_ms / 1'000 + 1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
         s.send_all(request_text(method, target, id, deadline_ms, body));
         if (auto const m = s.read())
         {
