--- a/review/kit/deployment.hpp
+++ b/review/kit/deployment.hpp
@@ -83,8 +83,9 @@
         : root_(a.root), name_(std::move(name)), caller_port_(free_port()),
           ready_port_(free_port())
     {
-        char path[] = "/tmp/knapweed-review-XXXXXX";
-        folder_ = ::mkdtemp(path);
+        auto path =
+            (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        folder_ = ::mkdtemp(path.data());
         settings_ = folder_ + "/settings.ini";
         std::ofstream{settings_} << filled_template(store_port);
     }
