Review: the cases stay inside the figures of the site files

Case 1: leafs queue 8. Case 4: one leaf of eight leaves (scale_in 0.13). Case 5: one leaf of three is replaced (release 0.45), 120 ms.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -18,10 +18,10 @@
 constexpr auto faulty_leafs = 1; ///< Share 0.5; in the site files up to 0.6.
 constexpr auto instance_count = 6;
 constexpr auto slots = 2;
-constexpr auto queued = 2;
+constexpr auto queued = 8;
 constexpr auto work_ms = 60;
 constexpr auto length_ms = std::int64_t{85'000};
-constexpr auto callers = 14;
+constexpr auto callers = 40;
 constexpr auto pause_ms = 20;
 
 /// A leaf that rejects requests beyond its slots, as not run.
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -15,7 +15,8 @@
 /// The last requests before the leaf leaves.
 constexpr auto last_requests_ms = std::int64_t{7'900};
 constexpr auto leafs_of_others = 50;
-constexpr auto clients = 12;
+constexpr auto leaf_count = 8;
+constexpr auto clients = 32;
 
 } // namespace
 
@@ -40,7 +41,7 @@
         platform.put("servers", id_of("a-", 100 + i),
             registration{"meldkamer", free_port()}.text());
     auto leafs = std::vector<std::unique_ptr<leaf>>{};
-    for (auto i = 0; i < 3; ++i)
+    for (auto i = 0; i < leaf_count; ++i)
     {
         auto const id = id_of("i-", i);
         leafs.push_back(std::make_unique<leaf>(id, 0, log, work));
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -9,9 +9,10 @@
 
 constexpr auto service = "bestel";
 constexpr auto drain_ms = std::int64_t{4'000};
-constexpr auto first_requests_after_ms = std::int64_t{4'200};
+constexpr auto work_ms = 120; ///< Mean of order-fetch in the site file.
+constexpr auto first_requests_after_ms = std::int64_t{4'400};
 constexpr auto leaf_serves_ms = std::int64_t{4'500};
-constexpr auto clients = 8;
+constexpr auto clients = 12;
 
 } // namespace
 
@@ -24,7 +25,7 @@
     auto platform = store{};
     auto const work = [](http_text const&)
     {
-        sleep_ms(600);
+        sleep_ms(work_ms);
         return leaf_reply{};
     };
     auto leafs = std::vector<std::unique_ptr<leaf>>{};
@@ -38,6 +39,7 @@
     };
     add_leaf();
     add_leaf();
+    add_leaf();
     platform.put("config", "main",
         config_text(1, route_text("/order/", "unsafe", service),
             service_text(service)));
@@ -52,7 +54,7 @@
     if (args.trouble)
     {
         add_leaf();
-        note("store: i-2 has registered");
+        note("store: i-3 has registered");
         sleep_ms(100);
         auto r = registration{service, leafs[0]->port(), "draining", 0, 2};
         r.slots = 2;
@@ -60,15 +62,16 @@
         note("store: i-0 is draining, acknowledged");
     }
     auto const drained = now_ms();
-    sleep_until_ms(drained + first_requests_after_ms);
     auto answers = std::vector<client_answer>(clients);
     auto threads = std::vector<std::thread>{};
     for (auto i = 0; i < clients; ++i)
         threads.emplace_back(
             [&, i]
             {
-                answers[i] = ask(machine.caller_port(), "POST", "/order/1",
-                    id_of("a", i), 3'000, "order");
+                auto const fd = connect_to(machine.caller_port());
+                sleep_until_ms(drained + first_requests_after_ms);
+                answers[i] = ask_on(
+                    fd, "POST", "/order/1", id_of("a", i), 3'000, "order");
             });
     if (args.trouble)
     {
--- a/review/kit/deployment.hpp
+++ b/review/kit/deployment.hpp
@@ -390,14 +390,13 @@
            "\r\n" + body;
 }
 
-/// Sends one request on a new connection.
-inline auto ask(std::uint16_t port, std::string const& method,
-    std::string const& target, std::string const& id, int deadline_ms,
-    std::string const& body = {}) -> client_answer
+/// Sends one request on a connection, which is closed afterwards.
+inline auto ask_on(int fd, std::string const& method, std::string const& target,
+    std::string const& id, int deadline_ms, std::string const& body = {})
+    -> client_answer
 {
     auto const begun = now_ms();
     auto a = client_answer{};
-    auto const fd = connect_to(port);
     if (fd >= 0)
     {
         auto s = stream{fd};
@@ -416,6 +415,14 @@
     return a;
 }
 
+/// Sends one request on a new connection.
+inline auto ask(std::uint16_t port, std::string const& method,
+    std::string const& target, std::string const& id, int deadline_ms,
+    std::string const& body = {}) -> client_answer
+{
+    return ask_on(connect_to(port), method, target, id, deadline_ms, body);
+}
+
 inline auto id_of(char const* prefix, int n) -> std::string
 {
     return prefix + std::to_string(n);
