--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -98,14 +98,17 @@
            " kind=" + name_of(it.kind) + " service=" + it.service +
            " target=" + it.target + " waited_ms=" + ms(it.waited) +
            " patience_ms=" + ms(it.hedge_delay) +
-           " budget_left=" + decimal(it.budget);
+           " budget_left=" + decimal(it.budget) +
+           " connection=" + std::to_string(it.connection.value);
 }
 
 auto line_of(dispatch::attempt_failed const& it) -> std::string
 {
     return "Attempt failed. id=" + it.request + " how=" + name_of(it.how) +
            " service=" + it.service + " target=" + it.target +
-           " status=" + std::to_string(it.status) + " after_ms=" + ms(it.after);
+           " status=" + std::to_string(it.status) +
+           " after_ms=" + ms(it.after) +
+           " connection=" + std::to_string(it.connection.value);
 }
 
 auto line_of(dispatch::budget_exhausted const& it) -> std::string
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -67,7 +67,7 @@
     count_extra(s.stats, a.kind);
     out.push_back(report_fact{extra_sent{e.value.request->id, t.info.service,
         t.info.name, a.kind, now - p.first_sent, a.hedge_delay,
-        budget_left(s, p.service, now)}});
+        budget_left(s, p.service, now), a.connection}});
 }
 
 auto send(dispatch_state& s, part_key const& key, target_entry& t,
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -47,6 +47,7 @@
     duration waited{0};      ///< Since the first attempt for the part.
     duration hedge_delay{0}; ///< Time after which this attempt is slow.
     double budget = 0;       ///< Extra requests left in the budget.
+    connection_id connection;
     auto operator<=>(extra_sent const&) const = default;
 };
 
@@ -59,6 +60,7 @@
     attempt_end how = attempt_end::failure;
     std::uint32_t status = 0; ///< HTTP status of a failure; otherwise 0.
     duration after{0};        ///< Time since it was sent.
+    connection_id connection;
     auto operator<=>(attempt_failed const&) const = default;
 };
 
