Log the revisions of a list's pages, and how old the targets are at the first request

Change: `List read` (pages, least and greatest revision, revision watched from), and `First request between watches of targets` (age and revision).

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -170,6 +170,22 @@
            " revision=" + std::to_string(it.revision);
 }
 
+auto line_of(dispatch::list_read const& it) -> std::string
+{
+    return std::string{"List read. kind="} + store_kind_name(it.kind) +
+           " pages=" + std::to_string(it.pages) +
+           " objects=" + std::to_string(it.objects) +
+           " revision=" + std::to_string(it.revision) +
+           " oldest=" + std::to_string(it.oldest) +
+           " newest=" + std::to_string(it.newest);
+}
+
+auto line_of(dispatch::targets_known_late const& it) -> std::string
+{
+    return "First request between watches of targets. age_ms=" + ms(it.age) +
+           " revision=" + std::to_string(it.revision);
+}
+
 auto line_of(dispatch::watch_stalled const& it) -> std::string
 {
     return std::string{"Watch missed changes. kind="} +
@@ -257,6 +273,10 @@
             [](dispatch::store_availability_changed const& e) -> log_category {
                 return {"store", e.lost ? log_level::warning : log_level::info};
             },
+            [](dispatch::list_read const&) -> log_category
+            { return {"store"}; },
+            [](dispatch::targets_known_late const&) -> log_category
+            { return {"store"}; },
             [](dispatch::watch_stalled const&) -> log_category {
                 return {"store", log_level::warning};
             },
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -133,23 +133,31 @@
     return list(std::move(next), policy, {}, now);
 }
 
+auto with_added(listing pages, store_listed const& page) -> listing
+{
+    auto const first = pages.pages == 0;
+    pages.revision = first ? page.revision : pages.revision;
+    pages.oldest =
+        first ? page.revision : std::min(pages.oldest, page.revision);
+    pages.newest = std::max(pages.newest, page.revision);
+    ++pages.pages;
+    pages.objects.insert(
+        pages.objects.end(), page.objects.begin(), page.objects.end());
+    return pages;
+}
+
 auto with_page(follow_state f, store_listed const& page,
     dispatch_limits const& limits, time_point now) -> follow_step
 {
     auto* pages = std::get_if<listing>(&f.phase);
     if (pages == nullptr)
         return {std::move(f), {}};
-    if (pages->revision == 0)
-        pages->revision = page.revision;
+    *pages = with_added(std::move(*pages), page);
     auto const policy = policy_of(f.kind, limits);
     f.failures = 0;
     f.unsure = false;
     if (!page.next.empty())
-    {
-        pages->objects.insert(
-            pages->objects.end(), page.objects.begin(), page.objects.end());
         return list(std::move(f), policy, page.next, now);
-    }
     f.revision = pages->revision;
     f.confirmed = f.revision;
     auto const before = f.lists++;
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -18,6 +18,9 @@
 struct listing
 {
     std::uint64_t revision = 0; ///< Of the first page; 0 until it is read.
+    std::uint64_t oldest = 0;   ///< Least revision of the pages read.
+    std::uint64_t newest = 0;   ///< Greatest revision of the pages read.
+    std::size_t pages = 0;      ///< Pages read.
     std::vector<stored_object> objects;
     auto operator<=>(listing const&) const = default;
 };
@@ -92,6 +95,7 @@
     /// The next call finds out first whether the store answers at all.
     bool unsure = false;
     time_point called_at;       ///< When the last list or watch was called.
+    time_point answered_at;     ///< When one was last answered.
     time_point checked_at;      ///< When the waiting watch was last checked.
     bool check_pending = false; ///< A check awaits its answer.
     /// Revision of the store up to which all changes of the kind are known; at
@@ -112,6 +116,9 @@
 auto resume(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
+/// Adds a page to the pages read so far.
+auto with_added(listing pages, store_listed const& page) -> listing;
+
 /// Adds a page to the list that is being read.
 ///
 /// @returns The next step; the list is complete if its phase is not `listing`.
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -80,6 +80,7 @@
         s.last_disruption[kind] = now;
         report_availability(s, kind, false, store_failure::unreachable, out);
     }
+    s.follows[kind].answered_at = now;
     mark_reachable(s, kind, revision, now, out);
 }
 
@@ -106,6 +107,12 @@
             relisted(s.follows[store_kind::rollouts], s.init.limits, now), out);
 }
 
+auto report_list(store_kind kind, listing const& l, commands& out) -> void
+{
+    out.push_back(report_fact{list_read{
+        kind, l.pages, l.objects.size(), l.revision, l.oldest, l.newest}});
+}
+
 /// Handles a complete list: one of the orders that is not stale explains all
 /// versions that targets have.
 auto after_list(dispatch_state& s, store_kind kind, bool fresh, time_point now,
@@ -181,10 +188,9 @@
         return;
     if (e.next.empty())
     {
-        auto objects = list->objects;
-        objects.insert(objects.end(), e.objects.begin(), e.objects.end());
-        apply_list(s, e.kind, objects,
-            list->revision == 0 ? e.revision : list->revision, now, out);
+        auto const all = with_added(*list, e);
+        apply_list(s, e.kind, all.objects, all.revision, now, out);
+        report_list(e.kind, all, out);
         after_list(s, e.kind, before.list_fresh, now, out);
     }
     auto page =
@@ -234,8 +240,12 @@
     -> void
 {
     auto const& f = s.follows[store_kind::targets];
-    if (f.low_priority)
-        apply_step(s, prioritized(f, s.init.limits, now), out);
+    if (!f.low_priority)
+        return;
+    if (std::holds_alternative<pausing>(f.phase) && f.revision != 0)
+        out.push_back(
+            report_fact{targets_known_late{now - f.answered_at, f.revision}});
+    apply_step(s, prioritized(f, s.init.limits, now), out);
 }
 
 /// Checks the waiting watches, also while another kind fails: a watch that
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -178,6 +178,28 @@
     auto operator<=>(store_availability_changed const&) const = default;
 };
 
+/// All pages of a list were read. Each shows the store at a revision of its
+/// own, as stale reads differ in age.
+struct list_read
+{
+    store_kind kind = store_kind::configuration;
+    std::size_t pages = 0;
+    std::size_t objects = 0;
+    std::uint64_t revision = 0; ///< From which changes are watched.
+    std::uint64_t oldest = 0;   ///< Least revision of a page.
+    std::uint64_t newest = 0;   ///< Greatest revision of a page.
+    auto operator<=>(list_read const&) const = default;
+};
+
+/// The first request came while no watch of the targets was waiting, so that
+/// the targets are known as they were some time ago.
+struct targets_known_late
+{
+    duration age{0}; ///< Since the last answer on targets.
+    std::uint64_t revision = 0;
+    auto operator<=>(targets_known_late const&) const = default;
+};
+
 /// A pending watch has not delivered changes that the store has.
 struct watch_stalled
 {
@@ -247,9 +269,9 @@
 /// Any fact that the dispatcher reports.
 using fact = std::variant<extra_sent, attempt_failed, budget_exhausted,
     request_ended, target_condition_changed, config_applied, config_ignored,
-    object_skipped, store_availability_changed, watch_stalled,
-    store_source_changed, zone_changed, rollout_progressed, crash_suspected,
-    statement_ignored, readiness_changed>;
+    object_skipped, store_availability_changed, list_read, targets_known_late,
+    watch_stalled, store_source_changed, zone_changed, rollout_progressed,
+    crash_suspected, statement_ignored, readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
