A repeated at-most-once request never returns to a connection it has used

Cause: a reply is matched by the id of the caller's request. After a rejection the request was sent again on the connection that had carried it; a second copy of the rejection, sent late where the next reply is due, has the same id and was taken for the reply to the repeat: not run, so sent a third time, or refused. Change: a part remembers the connections on which it was answered without success; an at-most-once request takes none of them again, an idempotent one prefers others. If the target may have no further connection, a used one is replaced.

--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -108,10 +108,9 @@
     auto const t = s.targets.find(a.target);
     if (r == s.requests.end() || t == s.targets.end())
         return;
-    out.push_back(report_fact{
-        attempt_failed{r->second.value.request->id, t->second.info.service,
-            t->second.info.name, m.how, m.status, now - a.sent_at,
-            a.connection}});
+    out.push_back(report_fact{attempt_failed{r->second.value.request->id,
+        t->second.info.service, t->second.info.name, m.how, m.status,
+        now - a.sent_at, a.connection}});
 }
 
 /// Applies the outcome of an attempt to its part: answers, retries or fails it.
@@ -137,6 +136,8 @@
         accept(s, a, good->message, now);
         return answer_if_due(s, a.part.request, now, out);
     }
+    if (reply != nullptr)
+        p.replied_on.push_back(a.connection);
     report_failure(s, a, m, now, out);
     auto const not_received =
         m.how == attempt_end::unsent || m.how == attempt_end::turned_away;
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -170,7 +170,7 @@
             !is_version_allowed(s, p, t, now) || !warmup_allows(s, t, now) ||
             !notices_allow(s, t, now))
             continue;
-        auto const connection = take_idle(s, t, false, now);
+        auto const connection = take_idle(s, t, p, r.delivery, now);
         if (connection == connection_id{})
             continue;
         return send(s, key, t, connection, attempt_kind::probe, now, out);
@@ -205,9 +205,8 @@
         enqueue(s, key, p, kind, e.value.matched_route->priority);
         return place_result::queued;
     }
-    auto const fresh =
-        e.value.matched_route->delivery == delivery_semantics::at_most_once;
-    auto const connection = take_idle(s, *t, fresh, now);
+    auto const connection =
+        take_idle(s, *t, p, e.value.matched_route->delivery, now);
     if (connection != connection_id{})
     {
         send(s, key, *t, connection, kind, now, out);
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -76,17 +76,25 @@
     return calm ? target_condition::recovered : t.logged_condition;
 }
 
-auto find_idle(dispatch_state const& s, target_entry const& t, bool fresh,
-    time_point now) -> connection_id
+auto has_replied_on(part const& p, connection_id id) -> bool
 {
+    return std::find(p.replied_on.begin(), p.replied_on.end(), id) !=
+           p.replied_on.end();
+}
+
+auto find_idle(dispatch_state const& s, target_entry const& t, part const& p,
+    delivery_semantics how, time_point now) -> connection_id
+{
+    auto const once = how == delivery_semantics::at_most_once;
     auto found = connection_id{};
     for (auto it = t.idle.rbegin(); it != t.idle.rend(); ++it)
     {
         auto const& l = s.links.at(*it);
         auto const old = now - l.since > duration{s.init.limits.fresh_for};
-        if (now >= l.usable_until || (fresh && old))
+        auto const used = has_replied_on(p, l.id);
+        if (now >= l.usable_until || (once && (old || used)))
             continue;
-        if (l.replied || !fresh)
+        if (once ? l.replied : !used)
             return *it;
         if (found == connection_id{})
             found = *it;
@@ -185,10 +193,16 @@
         close_link(s, id, out);
 }
 
-auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now)
-    -> connection_id
+auto has_idle(dispatch_state const& s, target_entry const& t, part const& p,
+    delivery_semantics how, time_point now) -> bool
+{
+    return find_idle(s, t, p, how, now) != connection_id{};
+}
+
+auto take_idle(dispatch_state& s, target_entry& t, part const& p,
+    delivery_semantics how, time_point now) -> connection_id
 {
-    auto const id = find_idle(s, t, fresh, now);
+    auto const id = find_idle(s, t, p, how, now);
     std::erase(t.idle, id);
     return id;
 }
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -51,14 +51,23 @@
 /// Closes all idle connections of a target.
 auto close_idle(dispatch_state& s, target_entry& t, commands& out) -> void;
 
-/// Takes an idle connection for a request, the most recently used one first.
+/// True if `take_idle` would find a connection for the part.
+auto has_idle(dispatch_state const& s, target_entry const& t, part const& p,
+    delivery_semantics how, time_point now) -> bool;
+
+/// Takes an idle connection for a part, the most recently used one first.
+///
+/// The target may send a second copy of a reply late, where the next one is
+/// expected, and the copy of a reply to the same request cannot be told from
+/// the reply to its repeat. So a connection on which the target has already
+/// replied to the part is the last choice, and none for an at-most-once
+/// request. Such a request also takes only a connection that became idle a
+/// short time ago, which the target is unlikely to have closed, and prefers one
+/// that has carried a reply, since the target may still reset a new one.
 ///
-/// @param[in] fresh Take only a connection that became idle a short time ago,
-///     which the target is unlikely to have closed. One that has carried a
-///     reply is preferred, since the target may still reset a new one.
 /// @returns The connection, or 0 if there is none.
-auto take_idle(dispatch_state& s, target_entry& t, bool fresh, time_point now)
-    -> connection_id;
+auto take_idle(dispatch_state& s, target_entry& t, part const& p,
+    delivery_semantics how, time_point now) -> connection_id;
 
 /// Opens a connection for a request that found no usable one. If `may_open`
 /// does not hold, an idle connection is closed first; the only connection to a
--- a/src/core/dispatch/search.cpp
+++ b/src/core/dispatch/search.cpp
@@ -34,8 +34,8 @@
     return milliseconds{60};
 }
 
-auto candidate_of(dispatch_state& s, target_entry& t, route const& r,
-    bool fresh, time_point now) -> candidate
+auto candidate_of(dispatch_state& s, target_entry& t, part const& p,
+    route const& r, time_point now) -> candidate
 {
     auto const& limits = s.init.limits;
     auto const e = estimate_for(s, r, t.distance);
@@ -49,9 +49,7 @@
     c.stall_after = hedge_delay_for(e, limits);
     c.penalty = t.distance == proximity::far ? duration{limits.far_penalty}
                                              : duration{0};
-    c.idle =
-        !t.idle.empty() && (!fresh || now - s.links.at(t.idle.back()).since <=
-                                          duration{limits.fresh_for});
+    c.idle = has_idle(s, t, p, r.delivery, now);
     c.may_open = may_open(s, t, now) || t.links == 0;
     c.connect_time = t.connect_time == duration{0}
                          ? duration{default_connect_time}
@@ -272,13 +270,11 @@
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool none_running, time_point now) -> target_entry*
 {
-    auto const fresh =
-        r.matched_route->delivery == delivery_semantics::at_most_once;
     auto const targets =
         eligible_targets(s, p, *r.matched_route, none_running, now);
     auto from = std::vector<candidate>{};
     for (auto* it : targets)
-        from.push_back(candidate_of(s, *it, *r.matched_route, fresh, now));
+        from.push_back(candidate_of(s, *it, p, *r.matched_route, now));
     auto const best = choose(from, s.random);
     return best ? targets[*best] : nullptr;
 }
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -117,6 +117,8 @@
     std::uint32_t runs = 0;
     std::array<attempt_id, max_running> running{};
     std::array<target_id, max_tried> tried{};
+    /// Connections on which a target has replied to it without success.
+    std::vector<connection_id> replied_on;
     target_id last_target; ///< The target that answered, or the one asked last.
     time_point first_sent;
     time_point hedge_after; ///< Earliest time of the next hedge.
--- a/tests/dispatch/test_interleavings.cpp
+++ b/tests/dispatch/test_interleavings.cpp
@@ -88,6 +88,10 @@
 
     auto check_drained_targets() const -> void { RC_ASSERT(late_sends_ == 0); }
 
+    /// An at-most-once request uses each connection once, so that a late copy
+    /// of a rejection cannot answer a repeat.
+    auto check_connections() const -> void { RC_ASSERT(reused_links_ == 0); }
+
 private:
     auto random_below(int n) -> int
     {
@@ -161,7 +165,12 @@
             late_sends_ +=
                 left != no_sends_after_.end() && it.at > left->second;
             if (is_once(it.request))
+            {
                 ++once_runs_[it.request];
+                auto const fresh =
+                    used_links_.insert({it.request, it.connection}).second;
+                reused_links_ += fresh ? 0 : 1;
+            }
             awaiting_reply_.push_back(it);
         }
     }
@@ -327,6 +336,9 @@
     std::vector<ks::caller_id> open_callers_;
     std::vector<sent_request> awaiting_reply_;
     int late_sends_ = 0;
+    /// Connections on which each at-most-once request was sent.
+    std::set<std::pair<std::string, ks::connection_id>> used_links_;
+    int reused_links_ = 0;
 };
 
 } // namespace
@@ -342,5 +354,6 @@
             s.check_answers();
             s.check_at_most_once();
             s.check_drained_targets();
+            s.check_connections();
         }));
 }
