A watch begins at the least revision of the list's pages

Cause: pages of a stale list differ in age. The list kept the revision of its first page; what changed between that of an older page and it was never told.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -175,7 +175,6 @@
     return std::string{"List read. kind="} + store_kind_name(it.kind) +
            " pages=" + std::to_string(it.pages) +
            " objects=" + std::to_string(it.objects) +
-           " revision=" + std::to_string(it.revision) +
            " oldest=" + std::to_string(it.oldest) +
            " newest=" + std::to_string(it.newest);
 }
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -135,10 +135,8 @@
 
 auto with_added(listing pages, store_listed const& page) -> listing
 {
-    auto const first = pages.pages == 0;
-    pages.revision = first ? page.revision : pages.revision;
-    pages.oldest =
-        first ? page.revision : std::min(pages.oldest, page.revision);
+    pages.oldest = pages.pages == 0 ? page.revision
+                                    : std::min(pages.oldest, page.revision);
     pages.newest = std::max(pages.newest, page.revision);
     ++pages.pages;
     pages.objects.insert(
@@ -158,7 +156,7 @@
     f.unsure = false;
     if (!page.next.empty())
         return list(std::move(f), policy, page.next, now);
-    f.revision = pages->revision;
+    f.revision = pages->oldest;
     f.confirmed = f.revision;
     auto const before = f.lists++;
     auto const again = [&](by_poll const& it)
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -17,10 +17,10 @@
 /// The pages of a list are being read.
 struct listing
 {
-    std::uint64_t revision = 0; ///< Of the first page; 0 until it is read.
-    std::uint64_t oldest = 0;   ///< Least revision of the pages read.
-    std::uint64_t newest = 0;   ///< Greatest revision of the pages read.
-    std::size_t pages = 0;      ///< Pages read.
+    /// Least revision of the pages read: a change after it may be missing.
+    std::uint64_t oldest = 0;
+    std::uint64_t newest = 0; ///< Greatest revision of the pages read.
+    std::size_t pages = 0;    ///< Pages read.
     std::vector<stored_object> objects;
     auto operator<=>(listing const&) const = default;
 };
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -109,8 +109,8 @@
 
 auto report_list(store_kind kind, listing const& l, commands& out) -> void
 {
-    out.push_back(report_fact{list_read{
-        kind, l.pages, l.objects.size(), l.revision, l.oldest, l.newest}});
+    out.push_back(report_fact{
+        list_read{kind, l.pages, l.objects.size(), l.oldest, l.newest}});
 }
 
 /// Handles a complete list: one of the orders that is not stale explains all
@@ -189,7 +189,7 @@
     if (e.next.empty())
     {
         auto const all = with_added(*list, e);
-        apply_list(s, e.kind, all.objects, all.revision, now, out);
+        apply_list(s, e.kind, all.objects, all.oldest, now, out);
         report_list(e.kind, all, out);
         after_list(s, e.kind, before.list_fresh, now, out);
     }
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -185,9 +185,8 @@
     store_kind kind = store_kind::configuration;
     std::size_t pages = 0;
     std::size_t objects = 0;
-    std::uint64_t revision = 0; ///< From which changes are watched.
-    std::uint64_t oldest = 0;   ///< Least revision of a page.
-    std::uint64_t newest = 0;   ///< Greatest revision of a page.
+    std::uint64_t oldest = 0; ///< Least revision of a page; watched from it.
+    std::uint64_t newest = 0; ///< Greatest revision of a page.
     auto operator<=>(list_read const&) const = default;
 };
 
