A list that is older than what is known of an object does not remove it

Effect: the instances are listed now and then, partly from data that is seconds old. A record that such a list did not hold yet was removed, so that for up to 20 s an instance divided budgets and connections by too small a fleet. Cause: what a list does not hold counted as gone, whatever its revision. Change: an object known from a later revision than the list's stays. Evidence: "store: an instance that a stale list does not hold yet stays known" failed before (1 instance instead of 2) and passes now.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -309,6 +309,18 @@
     return names;
 }
 
+/// True if an object is known from a later revision than that of a list, so
+/// that the list says nothing of it.
+auto is_newer(dispatch_state const& s, store_kind kind, std::string const& name,
+    std::uint64_t revision) -> bool
+{
+    auto const known = s.revisions.find(kind);
+    if (known == s.revisions.end())
+        return false;
+    auto const it = known->second.find(name);
+    return it != known->second.end() && it->second > revision;
+}
+
 auto apply_change(dispatch_state& s, store_kind kind, stored_change const& c,
     time_point now, commands& out) -> void
 {
@@ -353,7 +365,7 @@
         apply_change(s, kind, {it, false}, now, out);
     }
     for (auto const& name : known_names(s, kind))
-        if (!listed.contains(name))
+        if (!listed.contains(name) && !is_newer(s, kind, name, revision))
         {
             s.revisions[kind].erase(name);
             drop_object(s, kind, name, 0, now, out);
--- a/tests/dispatch/test_stale_lists.cpp
+++ b/tests/dispatch/test_stale_lists.cpp
@@ -197,3 +197,25 @@
             RC_ASSERT(r.core.gauges().targets == h.at(h.newest()).size());
         }));
 }
+
+TEST_CASE("store: an instance that a stale list does not hold yet stays known")
+{
+    auto r = harness{};
+    r.finish_startup();
+    auto const record = [](std::string const& name, std::uint64_t revision)
+    {
+        return ks::stored_object{
+            name, revision, ks::instance_record{name, "a", "north"}};
+    };
+    r.feed(store_listed{ks::store_kind::instances, {record("me", 20)}, "", 50});
+    r.advance(ks::seconds{2});
+    r.feed(store_listed{ks::store_kind::instances,
+        {record("i1", 60), record("me", 20)}, "", 70});
+    REQUIRE(r.core.gauges().instances == 2);
+    r.advance(ks::seconds{4});
+    r.feed(store_listed{ks::store_kind::instances, {record("me", 20)}, "", 55});
+    CHECK(r.core.gauges().instances == 2);
+    r.advance(ks::seconds{7});
+    r.feed(store_listed{ks::store_kind::instances, {record("me", 20)}, "", 80});
+    CHECK(r.core.gauges().instances == 1);
+}
