Pauses between watches of targets stay within the drain time before the first request

Cause: the pause was limited to two fifths of the drain time and then tripled until the first request: 4.8 s with a drain time of 4 s. Change: that pause is a limit of its own (targets_idle_pause_ms, 6 s), limited in the same way.

--- a/src/adapter/dispatch_settings.cpp
+++ b/src/adapter/dispatch_settings.cpp
@@ -163,6 +163,7 @@
         of("watch_wait_ms", &l::watch_wait),
         of("watch_pause_ms", &l::watch_pause),
         of("targets_pause_ms", &l::targets_pause),
+        of("targets_idle_pause_ms", &l::targets_idle_pause),
         of("relay_pause_ms", &l::relay_pause),
         of("poll_first_ms", &l::poll_first), of("poll_most_ms", &l::poll_most),
         of("store_retry_first_ms", &l::store_retry_first),
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -20,18 +20,21 @@
 namespace
 {
 
-/// Limits adjusted to the bounds: the pause between watches of registrations is
+/// Limits adjusted to the bounds: pauses between watches of registrations are
 /// kept well below the drain time, so that this instance learns in time that a
-/// target is draining. A watch that falls silent is found within half of the
-/// bound of its kind: a quarter until the check, a quarter for its answer.
+/// target is draining, also before its first request. A watch that falls silent
+/// is found within half of the bound of its kind: a quarter until the check, a
+/// quarter for its answer.
 auto clamped(dispatch_limits limits, dispatch_bounds const& bounds)
     -> dispatch_limits
 {
     constexpr auto drain_parts = 5;
     constexpr auto pause_parts = 2;
     constexpr auto check_parts = 4;
-    limits.targets_pause = std::min(
-        limits.targets_pause, bounds.drain * pause_parts / drain_parts);
+    auto const longest_pause = bounds.drain * pause_parts / drain_parts;
+    limits.targets_pause = std::min(limits.targets_pause, longest_pause);
+    limits.targets_idle_pause =
+        std::min(limits.targets_idle_pause, longest_pause);
     limits.targets_check =
         std::min(limits.watch_check, bounds.drain / check_parts);
     limits.watch_check = std::min(limits.watch_check,
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -26,8 +26,6 @@
 constexpr auto call_timeout = milliseconds{2'000};
 /// Number of changes in a batch from which more may be waiting in the store.
 constexpr auto large_batch = 200u;
-/// Factor of the pause between watches at low priority.
-constexpr auto low_priority_pauses = 3;
 /// Number, from 0, of the polled list that must not be stale.
 constexpr auto fresh_list_index = 1u;
 
@@ -187,8 +185,9 @@
     if (is_relayed(next) || e.changes.empty() ||
         e.changes.size() >= large_batch)
         return watch(std::move(next), *watched, now);
-    auto const times = f.low_priority ? low_priority_pauses : 1;
-    return pause(std::move(next), now + times * watched->pause);
+    auto const length =
+        f.low_priority ? limits.targets_idle_pause : watched->pause;
+    return pause(std::move(next), now + length);
 }
 
 auto prioritized(follow_state const& f, dispatch_limits const& limits,
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -85,7 +85,8 @@
     std::uint32_t failures = 0; ///< Failed calls in a row.
     std::uint32_t lists = 0;    ///< Number of complete lists read.
     bool require_fresh = false; ///< Watches must not return stale data.
-    /// No request needs the data yet; the pauses between watches are longer.
+    /// Only for targets: no request needs them yet; the pauses between watches
+    /// are longer.
     bool low_priority = false;
     /// Lists must not return stale data, as no later watch would complete them.
     bool list_fresh = false;
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -94,6 +94,8 @@
     milliseconds report_interval{500};
     /// The same delay for watches of target registrations.
     milliseconds targets_pause{2'000};
+    /// The same delay until the first request needs the targets.
+    milliseconds targets_idle_pause{6'000};
     /// The same delay at an instance from which others get the changes.
     milliseconds relay_pause{500};
     /// Delay between the first two lists of instances; doubles with each list
