Queries, bookings and the command line read replies by the code of routed requests

Shown here for searches and bookings: a line of chunk sizes, or a chunk extension, without end was kept as long as it came (31 MB in 3 s); interim responses were read without end (2.7 GB in 3 s), and the call did not end within these 3 s. Cause: evhttp limits heads and bodies, but neither of these; and nothing limited the sum over connections. Change: http_connection uses http_link and http_reader, which limit both, and leaf_client shares reply_memory among its connections. A reply is limited to its timeout as a whole now, not by the pauses in it.

--- a/src/adapter/http_client.cpp
+++ b/src/adapter/http_client.cpp
@@ -1,9 +1,6 @@
 #include "adapter/http_client.hpp"
 
-#include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
-
-#include <algorithm>
+#include <utility>
 
 namespace knapweedstream
 {
@@ -11,103 +8,139 @@
 namespace
 {
 
-constexpr auto max_reply_bytes = ev_ssize_t{8} << 20;
-constexpr auto max_header_bytes = ev_ssize_t{64} << 10;
+constexpr auto max_reply_bytes = std::size_t{8} << 20;
+constexpr auto max_header_bytes = std::size_t{64} << 10;
 
-} // namespace
+auto method_name(evhttp_cmd_type method) -> char const*
+{
+    switch (method)
+    {
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    default:
+        return "GET";
+    }
+}
 
-struct http_connection::pending
+auto text_of(http_request const& r, std::string const& address) -> std::string
 {
-    http_connection* owner;
-    on_reply f;
-};
+    auto m = http_message{};
+    m.method = method_name(r.method);
+    m.target = r.path;
+    m.fields.push_back({"Host", address});
+    for (auto const& it : r.fields)
+        m.fields.push_back({std::string{it.name}, it.value});
+    m.body = r.body;
+    return request_text(m);
+}
+
+} // namespace
 
 auto http_reply::status() const -> std::uint32_t
 {
-    return raw_ == nullptr ? 0
-                           : static_cast<std::uint32_t>(
-                                 evhttp_request_get_response_code(raw_));
+    return message_ == nullptr ? 0 : message_->status;
 }
 
 auto http_reply::field(char const* name) const -> std::string_view
 {
-    if (raw_ == nullptr)
-        return {};
-    auto const* v =
-        evhttp_find_header(evhttp_request_get_input_headers(raw_), name);
-    return v == nullptr ? std::string_view{} : std::string_view{v};
+    return message_ == nullptr ? std::string_view{}
+                               : find_field(*message_, name);
 }
 
 auto http_reply::body() const -> std::string_view
 {
-    if (raw_ == nullptr)
-        return {};
-    auto* buf = evhttp_request_get_input_buffer(raw_);
-    auto const n = evbuffer_get_length(buf);
-    auto const* data = evbuffer_pullup(buf, -1);
-    return n == 0 ? std::string_view{}
-                  : std::string_view{reinterpret_cast<char const*>(data), n};
+    return message_ == nullptr ? std::string_view{} : message_->body;
 }
 
 http_connection::http_connection(event_base* base, std::string const& address,
-    duration timeout, on_close closed)
-    : on_close_(std::move(closed))
-{
-    auto const to = split_address(address);
-    host_ = address;
-    raw_ = evhttp_connection_base_new(base, nullptr, to.host.c_str(), to.port);
-    auto const us = timeout.count();
-    auto const tv = timeval{us / 1'000'000, us % 1'000'000};
-    evhttp_connection_set_timeout_tv(raw_, &tv);
-    evhttp_connection_set_max_body_size(raw_, max_reply_bytes);
-    evhttp_connection_set_max_headers_size(raw_, max_header_bytes);
-    if (on_close_)
-        evhttp_connection_set_closecb(raw_, on_closed, this);
+    duration timeout, http_connection_callbacks f)
+    : base_(base), address_(address), timeout_(timeout),
+      callbacks_(std::move(f)), timer_(base, [this] { refuse_reply(); }),
+      free_dropped_(base, [this] { dropped_.clear(); })
+{
 }
 
-http_connection::~http_connection()
+auto http_connection::send(http_request const& r, on_reply f) -> void
 {
-    on_close_ = {};
-    for (auto const& it : pending_)
-        it->owner = nullptr;
-    auto const kept_alive = std::move(pending_);
-    evhttp_connection_free(raw_);
+    queue_.push_back(
+        {text_of(r, address_), r.method == EVHTTP_REQ_HEAD, std::move(f)});
+    start_next();
 }
 
-auto http_connection::on_closed(evhttp_connection*, void* arg) -> void
+auto http_connection::partial_bytes() const -> std::size_t
 {
-    auto* self = static_cast<http_connection*>(arg);
-    if (self->on_close_ && self->pending_.empty())
-        self->on_close_();
+    return link_ == nullptr ? 0 : link_->partial_bytes();
 }
 
-auto http_connection::on_done(evhttp_request* raw, void* arg) -> void
+auto http_connection::refuse_reply() -> void
 {
-    auto* p = static_cast<pending*>(arg);
-    auto* self = p->owner;
-    if (self == nullptr)
+    drop_link();
+    if (in_flight_)
+        finish(nullptr);
+}
+
+auto http_connection::start_next() -> void
+{
+    if (in_flight_ || queue_.empty())
         return;
-    auto const it = std::find_if(self->pending_.begin(), self->pending_.end(),
-        [&](auto const& q) { return q.get() == p; });
-    auto const request = std::move(*it);
-    self->pending_.erase(it);
-    request->f(http_reply{raw});
+    if (link_ == nullptr || !link_->is_open())
+        connect();
+    in_flight_ = true;
+    timer_.after(timeout_);
+    link_->send(queue_.front().text, queue_.front().is_head);
 }
 
-auto http_connection::send(http_request const& r, on_reply f) -> void
+auto http_connection::connect() -> void
 {
-    auto p = std::make_unique<pending>(pending{this, std::move(f)});
-    auto* raw = evhttp_request_new(on_done, p.get());
-    auto* fields = evhttp_request_get_output_headers(raw);
-    evhttp_add_header(fields, "Host", host_.c_str());
-    for (auto const& it : r.fields)
-        evhttp_add_header(
-            fields, std::string(it.name).c_str(), it.value.c_str());
-    if (!r.body.empty())
-        evbuffer_add(evhttp_request_get_output_buffer(raw), r.body.data(),
-            r.body.size());
-    pending_.push_back(std::move(p));
-    evhttp_make_request(raw_, raw, r.method, r.path.c_str());
+    drop_link();
+    link_ = std::make_unique<http_link>(base_, address_, stream_options{},
+        read_limits{max_header_bytes, max_reply_bytes},
+        http_link::callbacks{{},
+            [this](http_message const& m, bool reusable)
+            { on_replied(m, reusable); },
+            [this](link_end) { on_ended(); }, callbacks_.grew});
+}
+
+auto http_connection::drop_link() -> void
+{
+    if (link_ == nullptr)
+        return;
+    link_->close();
+    dropped_.push_back(std::move(link_));
+    free_dropped_.activate();
+}
+
+auto http_connection::on_replied(http_message const& m, bool reusable) -> void
+{
+    if (!reusable)
+        drop_link();
+    finish(&m);
+}
+
+auto http_connection::on_ended() -> void
+{
+    drop_link();
+    if (in_flight_)
+        finish(nullptr);
+    else if (callbacks_.closed)
+        callbacks_.closed();
+}
+
+/// Ends the request in flight and sends the next one.
+auto http_connection::finish(http_message const* m) -> void
+{
+    timer_.stop();
+    in_flight_ = false;
+    auto const done = std::move(queue_.front());
+    queue_.pop_front();
+    start_next();
+    done.f(http_reply{m});
 }
 
 } // namespace knapweedstream
--- a/src/adapter/http_client.hpp
+++ b/src/adapter/http_client.hpp
@@ -1,16 +1,19 @@
-/// HTTP client connections with request queues: RAII over libevent's evhttp.
+/// HTTP client connections with request queues.
 #ifndef KNAPWEEDSTREAM_ADAPTER_HTTP_CLIENT_HPP
 #define KNAPWEEDSTREAM_ADAPTER_HTTP_CLIENT_HPP
 
 #include "adapter/event_loop.hpp"
+#include "adapter/http_link.hpp"
+
+#include <knapweedstream/time.hpp>
 
 #include <event2/http.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace knapweedstream
@@ -36,7 +39,8 @@
 class http_reply
 {
 public:
-    explicit http_reply(evhttp_request* raw) : raw_(raw) {}
+    /// @param[in] m Null if there was no reply.
+    explicit http_reply(http_message const* m) : message_(m) {}
 
     /// HTTP status; 0 if there was no reply.
     auto status() const -> std::uint32_t;
@@ -47,23 +51,29 @@
     auto body() const -> std::string_view;
 
 private:
-    evhttp_request* raw_;
+    http_message const* message_;
+};
+
+/// What a connection reports besides replies; each callback is optional.
+struct http_connection_callbacks
+{
+    /// The connection closed while no request was pending.
+    std::function<void()> closed = {};
+    /// A part of a reply was received, but not all of it.
+    std::function<void()> grew = {};
 };
 
-/// A connection that sends its requests one after the other, in order.
+/// A connection that sends its requests one after the other, in order. It is
+/// opened again if it has closed. A callback must not destroy it.
 class http_connection
 {
 public:
     using on_reply = std::function<void(http_reply const&)>;
-    using on_close = std::function<void()>;
 
     /// @param[in] address IP address and port.
-    /// @param[in] timeout Limit for connecting and for each reply.
-    /// @param[in] closed Called when the connection closes while no request is
-    ///     pending.
+    /// @param[in] timeout Limit for each reply, with connecting.
     http_connection(event_base* base, std::string const& address,
-        duration timeout, on_close closed = {});
-    ~http_connection();
+        duration timeout, http_connection_callbacks f = {});
     http_connection(http_connection const&) = delete;
     auto operator=(http_connection const&) -> http_connection& = delete;
 
@@ -71,15 +81,37 @@
     /// does not run after this object is destroyed.
     auto send(http_request const& r, on_reply f) -> void;
 
+    /// Bytes kept of a reply that is not complete.
+    auto partial_bytes() const -> std::size_t;
+
+    /// Ends the connection, since the reply must not grow any further.
+    auto refuse_reply() -> void;
+
 private:
-    struct pending;
-    static auto on_done(evhttp_request* raw, void* arg) -> void;
-    static auto on_closed(evhttp_connection* raw, void* arg) -> void;
-
-    std::string host_;
-    evhttp_connection* raw_;
-    on_close on_close_;
-    std::vector<std::unique_ptr<pending>> pending_;
+    struct pending
+    {
+        std::string text; ///< Of the request.
+        bool is_head = false;
+        on_reply f;
+    };
+
+    auto start_next() -> void;
+    auto connect() -> void;
+    auto drop_link() -> void;
+    auto on_replied(http_message const& m, bool reusable) -> void;
+    auto on_ended() -> void;
+    auto finish(http_message const* m) -> void;
+
+    event_base* base_;
+    std::string address_;
+    duration timeout_;
+    http_connection_callbacks callbacks_;
+    std::deque<pending> queue_; ///< The first one may be in flight.
+    bool in_flight_ = false;
+    std::unique_ptr<http_link> link_;
+    std::vector<std::unique_ptr<http_link>> dropped_; ///< Not yet freed.
+    loop_event timer_; ///< Limits the request in flight.
+    loop_event free_dropped_;
 };
 
 } // namespace knapweedstream
--- a/src/adapter/leaf_client.cpp
+++ b/src/adapter/leaf_client.cpp
@@ -89,8 +89,13 @@
 auto leaf_client::run(leaf_open const& c) -> void
 {
     auto const id = c.connection;
-    auto it = std::make_unique<http_connection>(
-        base_, c.address, request_timeout, [this, id] { close(id, false); });
+    auto it =
+        std::make_unique<http_connection>(base_, c.address, request_timeout,
+            http_connection_callbacks{[this, id] { close(id, false); },
+                [this, id]
+                {
+                    limit_reply(id);
+                }});
     auto& stored = *connections_.emplace(id, std::move(it)).first->second;
     stored.send({EVHTTP_REQ_GET, "/v1/hello", {}, {}},
         [this, id](http_reply const& r) { on_hello(id, r); });
@@ -101,6 +106,7 @@
     auto const it = connections_.find(c.connection);
     if (it == connections_.end())
         return;
+    reply_memory_.forget(c.connection);
     closed_.push_back(std::move(it->second));
     connections_.erase(it);
 }
@@ -156,6 +162,7 @@
 
 auto leaf_client::on_hello(connection_id id, http_reply const& r) -> void
 {
+    reply_memory_.forget(id);
     if (r.status() == 200)
         sink_(leaf_opened{id, report_of(r)});
     else
@@ -165,6 +172,7 @@
 auto leaf_client::on_answer(connection_id id, http_reply const& r, bool booking)
     -> void
 {
+    reply_memory_.forget(id);
     if (r.status() == 0)
         return close(id, false);
     constexpr auto none = std::uint64_t{0};
@@ -173,6 +181,16 @@
     sink_(leaf_answered{id, attempt, report_of(r), outcome_of(r, booking)});
 }
 
+auto leaf_client::limit_reply(connection_id id) -> void
+{
+    auto const it = connections_.find(id);
+    if (it == connections_.end())
+        return;
+    reply_memory_.set(id, it->second->partial_bytes());
+    while (auto const largest = reply_memory_.largest_beyond_limit())
+        connections_.at(*largest)->refuse_reply();
+}
+
 auto leaf_client::close(connection_id id, bool refused) -> void
 {
     run(leaf_close{id});
--- a/src/adapter/leaf_client.hpp
+++ b/src/adapter/leaf_client.hpp
@@ -3,6 +3,7 @@
 #define KNAPWEEDSTREAM_ADAPTER_LEAF_CLIENT_HPP
 
 #include "adapter/http_client.hpp"
+#include "adapter/reply_memory.hpp"
 #include "port/command.hpp"
 #include "port/event.hpp"
 
@@ -35,11 +36,15 @@
     /// @param[in] booking The request was a booking, not a search.
     auto on_answer(connection_id id, http_reply const& r, bool booking) -> void;
     auto close(connection_id id, bool refused) -> void;
+    /// Takes note that a reply has grown, and refuses the largest ones if all
+    /// partial replies take too much memory.
+    auto limit_reply(connection_id id) -> void;
 
     event_base* base_;
     event_sink sink_;
     std::unordered_map<connection_id, std::unique_ptr<http_connection>>
         connections_;
+    reply_memory reply_memory_;
     /// By address; cancellations do not queue behind the requests they cancel.
     std::map<std::string, std::unique_ptr<http_connection>> cancel_connections_;
     std::vector<std::unique_ptr<http_connection>> closed_; ///< Not yet freed.
--- a/tests/unit/test_reply_streams.cpp
+++ b/tests/unit/test_reply_streams.cpp
@@ -242,3 +242,20 @@
         }
     }
 }
+
+TEST_CASE("replies: bytes without end are cut off for queries and bookings too")
+{
+    constexpr auto most = std::size_t{24} << 20;
+    for (auto const booking : {false, true})
+        for (auto const& it : endless_replies())
+        {
+            CAPTURE(booking);
+            CAPTURE(it.text);
+            CAPTURE(it.repeated.substr(0, 12));
+            auto written = std::size_t{0};
+            auto const outcome = ask_leaf(it, booking, &written);
+            CHECK((std::holds_alternative<ks::leaf_failed>(outcome) ||
+                   it.text == framed_head));
+            CHECK(written < most);
+        }
+}
