--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -1,9 +1,9 @@
 #include "core/dispatch/catalog.hpp"
 
-#include "core/dispatch/crashes.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
+#include "core/dispatch/registrations.hpp"
 #include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/rollout_orders.hpp"
@@ -24,157 +24,6 @@
     return s.evacuated.contains(zone);
 }
 
-auto region_of(dispatch_state const& s, std::string const& zone) -> std::string
-{
-    auto const it = s.init.regions.find(zone);
-    return it == s.init.regions.end() ? std::string{} : it->second;
-}
-
-auto proximity_to(dispatch_state const& s, std::string const& zone) -> proximity
-{
-    if (zone == s.init.self.zone)
-        return proximity::zone;
-    return region_of(s, zone) == s.init.self.region ? proximity::region
-                                                    : proximity::far;
-}
-
-auto report_target(
-    target_entry const& t, target_condition condition, commands& out) -> void
-{
-    out.push_back(report_fact{target_condition_changed{t.info.name,
-        t.info.service, t.info.address, condition,
-        "zone=" + t.info.zone + " version=" + t.info.version, t.revision}});
-}
-
-/// How long the notices of a target are kept after its registration has gone.
-constexpr auto departed_kept = seconds{60};
-
-/// Keeps the notices of a target that is removed.
-auto keep_notices(dispatch_state& s, target_entry const& t, time_point now)
-    -> void
-{
-    std::erase_if(s.departed, [&](auto const& it)
-        { return now - it.second.at > duration{departed_kept}; });
-    if (!is_empty(t.notices, now))
-        s.departed[t.id] = {t.info.started_ms, t.notices, now};
-}
-
-/// Notices of a target that registers: those from before if it is the same
-/// start.
-auto kept_notices(dispatch_state& s, target_id id, std::int64_t started_ms)
-    -> target_notices
-{
-    auto const it = s.departed.find(id);
-    if (it == s.departed.end())
-        return {};
-    auto const n = it->second.started_ms == started_ms ? it->second.notices
-                                                       : target_notices{};
-    s.departed.erase(it);
-    return n;
-}
-
-/// Updates which versions a service's targets have.
-auto update_versions(dispatch_state& s, service_entry& service, time_point now)
-    -> void
-{
-    auto versions = std::set<std::string>{};
-    for (auto const id : service.targets)
-        versions.insert(s.targets.at(id).info.version);
-    service.versions = with_present(service.versions, versions, now);
-}
-
-auto remove_target(
-    dispatch_state& s, target_id id, time_point now, commands& out) -> void
-{
-    auto const it = s.targets.find(id);
-    if (it == s.targets.end())
-        return;
-    auto& t = it->second;
-    close_idle(s, t, out);
-    keep_notices(s, t, now);
-    note_ended(s, t, now, out);
-    report_target(t, target_condition::gone, out);
-    auto const service = t.service;
-    std::erase(s.services.at(service).targets, id);
-    update_versions(s, s.services.at(service), now);
-    invalidate_shares(s, service);
-    t.listed = false;
-    if (t.links == 0)
-        s.targets.erase(it);
-    else
-        t.info.draining = true;
-    serve_queue(s, service, now, out);
-}
-
-/// Removes a target whose registration vanished; shortly after a store outage
-/// only when the grace period since the store's return has ended, as the
-/// registration may come back until then.
-auto deregister_target(
-    dispatch_state& s, target_id id, time_point now, commands& out) -> void
-{
-    auto const it = s.targets.find(id);
-    if (it == s.targets.end() || it->second.lapses_at != time_point::max())
-        return;
-    auto const disruption = s.last_disruption.find(store_kind::targets);
-    auto const until = disruption == s.last_disruption.end()
-                           ? now
-                           : disruption->second + s.init.limits.lapse_grace;
-    if (now >= until)
-        return remove_target(s, id, now, out);
-    it->second.lapses_at = until;
-    arm(s, it->second.lapses_at, target_due{id});
-}
-
-auto is_restart(target_registration const& a, target_registration const& b)
-    -> bool
-{
-    return a.started_ms != b.started_ms || a.address != b.address ||
-           a.service != b.service;
-}
-
-auto apply_target(dispatch_state& s, target_registration const& r,
-    std::uint64_t revision, time_point now, commands& out) -> void
-{
-    auto const id = id_of<target_id>(r.name);
-    auto const known = s.targets.find(id);
-    auto const restarted =
-        known != s.targets.end() && is_restart(known->second.info, r);
-    if (restarted)
-        remove_target(s, id, now, out);
-    auto const [it, fresh] = s.targets.try_emplace(id);
-    auto& t = it->second;
-    if (fresh || !t.listed)
-        t.notices = kept_notices(s, id, r.started_ms);
-    auto const drains = r.draining && !t.info.draining;
-    if (fresh || !t.listed)
-    {
-        auto& service = service_entry_of(s, r.service);
-        t.id = id;
-        t.service = id_of<service_id>(r.service);
-        service.targets.push_back(id);
-        t.listed = true;
-        invalidate_shares(s, t.service);
-    }
-    t.info = r;
-    update_versions(s, s.services.at(t.service), now);
-    t.revision = revision;
-    t.distance = proximity_to(s, r.zone);
-    t.region = region_of(s, r.zone);
-    t.evacuated = is_evacuated(s, r.zone);
-    t.displaced = false;
-    t.lapses_at = time_point::max();
-    t.cold_until = now + r.warmup_left;
-    if (fresh)
-        report_target(t, target_condition::registered, out);
-    if (drains)
-        report_target(t, target_condition::draining, out);
-    if (!is_usable(t, now))
-    {
-        close_idle(s, t, out);
-        invalidate_shares(s, t.service);
-    }
-}
-
 auto update_services(dispatch_state& s) -> void
 {
     for (auto& [id, it] : s.services)
--- a/src/core/dispatch/catalog.hpp
+++ b/src/core/dispatch/catalog.hpp
@@ -11,7 +11,10 @@
 namespace knapweedstream::dispatch
 {
 
-/// Applies a complete list: objects that it lacks were deleted.
+/// Applies a complete list: objects that it lacks were deleted, unless they are
+/// known from a later revision.
+///
+/// @param[in] revision That the whole list has reached.
 auto apply_list(dispatch_state& s, store_kind kind,
     std::span<stored_object const> objects, std::uint64_t revision,
     time_point now, commands& out) -> void;
