A link that was closed while it delivered a reply reports no end

Effect: a call that was made from the handler of a reply that ends with its connection failed at once: the end of the old connection was taken for that of the new one. Cause: http_link reported the end after the reply, though its owner had closed it in between; its contract says that it does not. Change: it does not. Evidence: "replies: a call made while a reply ends with its connection ..." failed before on call_channel and on http_connection, and passes now; "replies: *" and "http*" 14 of 14.

--- a/src/adapter/http_link.cpp
+++ b/src/adapter/http_link.cpp
@@ -31,6 +31,12 @@
     stream_.write(text);
 }
 
+auto http_link::close() -> void
+{
+    closed_ = true;
+    stream_.close();
+}
+
 auto http_link::is_unsent() const -> bool
 {
     return busy_ && stream_.unwritten() >= request_bytes_;
@@ -70,6 +76,8 @@
         reader_.end();
         if (reader_.is_complete())
             deliver(false);
+        if (closed_)
+            return;
     }
     callbacks_.ended(
         how == stream_end::closed ? link_end::closed : link_end::reset);
--- a/src/adapter/http_link.hpp
+++ b/src/adapter/http_link.hpp
@@ -49,7 +49,7 @@
     /// @param[in] head_request The method is HEAD: the response has no body.
     auto send(std::string_view text, bool head_request = false) -> void;
 
-    auto close() -> void { stream_.close(); }
+    auto close() -> void;
     /// Ends the connection, since the response must not grow any further.
     auto refuse_response() -> void { finish(link_end::garbled); }
 
@@ -78,6 +78,7 @@
     std::size_t request_bytes_ = 0;
     bool busy_ = false;
     bool opened_ = false;
+    bool closed_ = false; ///< By `close`.
 };
 
 } // namespace knapweedstream
--- a/tests/unit/test_reply_streams.cpp
+++ b/tests/unit/test_reply_streams.cpp
@@ -1,3 +1,4 @@
+#include "adapter/call_channel.hpp"
 #include "adapter/leaf_client.hpp"
 #include "adapter/target_links.hpp"
 #include "platform/targets.hpp"
@@ -259,3 +260,48 @@
             CHECK(written < most);
         }
 }
+
+TEST_CASE(
+    "replies: a call made while a reply ends with its connection does not "
+    "fail with that connection")
+{
+    auto const script = reply_script{std::string{unframed_head} + "abcd", ""};
+    {
+        auto l = loop{};
+        auto target = scripted_target{l.base.get(), script};
+        auto bodies = std::vector<std::string>{};
+        auto failed = 0;
+        auto channel = ks::call_channel{l.base.get(), address};
+        auto request = ks::http_message{};
+        request.method = "GET";
+        request.target = "/x";
+        std::function<void()> call = [&]
+        {
+            channel.call(
+                request, seconds{1},
+                [&](ks::http_message const& m)
+                {
+                    bodies.push_back(m.body);
+                    if (bodies.size() < 3)
+                        call();
+                },
+                [&](ks::link_end, bool) { ++failed; });
+        };
+        call();
+        CHECK(l.run_until([&] { return bodies.size() == 3 || failed > 0; }));
+        CHECK(bodies == std::vector<std::string>(3, "abcd"));
+    }
+    {
+        auto l = loop{};
+        auto target = scripted_target{l.base.get(), script};
+        auto bodies = std::vector<std::string>{};
+        auto connection =
+            ks::http_connection{l.base.get(), address, seconds{1}};
+        for (auto i = 0; i < 3; ++i)
+            connection.send({EVHTTP_REQ_GET, "/x", {}, {}},
+                [&](ks::http_reply const& r)
+                { bodies.emplace_back(r.body()); });
+        CHECK(l.run_until([&] { return bodies.size() == 3; }));
+        CHECK(bodies == std::vector<std::string>(3, "abcd"));
+    }
+}
