--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -384,6 +384,7 @@
     CHECK(r.take_sent()[0].target == "s-a");
 }
 
+// Guards against TWICE: the copy was taken for the reply to the repeat.
 TEST_CASE("routed: a late copy of a rejection cannot answer a repeat: an "
           "at-most-once request uses each connection once")
 {
--- a/tests/dispatch/test_stale_lists.cpp
+++ b/tests/dispatch/test_stale_lists.cpp
@@ -140,6 +140,7 @@
 
 } // namespace
 
+// Guards against DRAIN: what changed between two pages was never learned.
 TEST_CASE("store: a target that drains between the revisions of two pages of a "
           "stale list is not used on")
 {
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -307,6 +307,7 @@
     CHECK(target_watches(r) == before + 2);
 }
 
+// Guards against DRAIN: the pause before the first request was too long.
 TEST_CASE("store: an instance that had no request yet knows within half of the "
           "drain time that a target drains")
 {
--- a/tests/unit/test_reply_streams.cpp
+++ b/tests/unit/test_reply_streams.cpp
@@ -206,6 +206,7 @@
     }
 }
 
+// Guards against a process that runs out of memory.
 TEST_CASE("replies: many bodies without end at once stay within the memory for "
           "them")
 {
@@ -244,6 +245,7 @@
     }
 }
 
+// Guards against a process that runs out of memory.
 TEST_CASE("replies: bytes without end are cut off for queries and bookings too")
 {
     constexpr auto most = std::size_t{24} << 20;
