Closed links free their partial reply at once; limits count the memory that it takes

Cause: a link that is refused or closed is freed at the end of the loop's turn, with its reply: up to 89 of them at a time, some 50 MB; and a limit that counts the bytes received leaves out the capacity of the buffers. Change: http_link drops its partial reply when it is closed; the capacity counts. Evidence: "replies: a link that is closed keeps no memory ..." failed before (2,586,565 bytes kept) and passes now. Also two comments in plainer words.

--- a/src/adapter/http_link.cpp
+++ b/src/adapter/http_link.cpp
@@ -35,6 +35,7 @@
 {
     closed_ = true;
     stream_.close();
+    reader_.discard(); // The link itself may be freed much later.
 }
 
 auto http_link::is_unsent() const -> bool
@@ -86,6 +87,7 @@
 auto http_link::finish(link_end how) -> void
 {
     stream_.close();
+    reader_.discard();
     callbacks_.ended(how);
 }
 
--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -100,6 +100,13 @@
     return std::exchange(message_, {});
 }
 
+auto http_reader::discard() -> void
+{
+    // Assigning an empty message would keep the capacity of the body.
+    auto const freed = std::exchange(message_, {});
+    header_bytes_ = 0;
+}
+
 auto http_reader::fail(read_error why) -> int
 {
     error_ = why;
--- a/src/adapter/http_reader.hpp
+++ b/src/adapter/http_reader.hpp
@@ -74,12 +74,15 @@
     /// The message parsed so far; use only while `has_head`.
     auto head() const -> http_message const& { return message_; }
 
-    /// Bytes of the partial message that are kept.
+    /// Memory that the partial message takes, in bytes.
     auto partial_bytes() const -> std::size_t
     {
-        return complete_ ? 0 : header_bytes_ + message_.body.size();
+        return complete_ ? 0 : header_bytes_ + message_.body.capacity();
     }
 
+    /// Frees the memory of the partial message. No more bytes may be parsed.
+    auto discard() -> void;
+
     /// Sets whether the next response answers a HEAD request and so has no
     /// body.
     auto expect_no_body(bool it) -> void { no_body_ = it; }
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -57,13 +57,13 @@
 
 /// Takes an idle connection for a part, the most recently used one first.
 ///
-/// The target may send a second copy of a reply late, where the next one is
-/// expected, and the copy of a reply to the same request cannot be told from
-/// the reply to its repeat. So a connection on which the target has already
-/// replied to the part is the last choice, and none for an at-most-once
-/// request. Such a request also takes only a connection that became idle a
-/// short time ago, which the target is unlikely to have closed, and prefers one
-/// that has carried a reply, since the target may still reset a new one.
+/// A target may send a duplicate reply late. A retry has the same request ID,
+/// so on the same connection the duplicate would be accepted as the reply to
+/// the retry. A connection on which the target has already replied to the part
+/// is therefore used last, and never for an at-most-once request. Such a
+/// request also takes only a connection that became idle a short time ago,
+/// which the target is unlikely to have closed, and prefers one that has
+/// carried a reply, since the target may still reset a new one.
 ///
 /// @returns The connection, or 0 if there is none.
 auto take_idle(dispatch_state& s, target_entry& t, part const& p,
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -322,7 +322,7 @@
         r.feed_lists(config_of(single_route("s")), three_targets("s"));
         notify_change(r, 1'000);
         auto const before = target_watches(r);
-        // A target drains now; the next watch tells it.
+        // A target starts to drain here; the next watch returns the change.
         r.advance(drain / 2);
         CHECK(target_watches(r) == before + 1);
         auto t = make_registration("s-a", "s", "a");
--- a/tests/unit/test_reply_streams.cpp
+++ b/tests/unit/test_reply_streams.cpp
@@ -307,3 +307,26 @@
         CHECK(bodies == std::vector<std::string>(3, "abcd"));
     }
 }
+
+// Guards against a process that runs out of memory: closed links are freed
+// late.
+TEST_CASE("replies: a link that is closed keeps no memory of a partial reply")
+{
+    constexpr auto grown = std::size_t{1} << 20;
+    constexpr auto small = std::size_t{1} << 10;
+    for (auto const refused : {false, true})
+    {
+        auto l = loop{};
+        auto target = scripted_target{
+            l.base.get(), {unframed_head, std::string(1'000, 'b')}};
+        auto link = ks::http_link{l.base.get(), address, {}, {},
+            {{}, [](ks::http_message&&, bool) {}, [](ks::link_end) {}, {}}};
+        link.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(l.run_until([&] { return link.partial_bytes() > grown; }));
+        if (refused)
+            link.refuse_response();
+        else
+            link.close();
+        CHECK(link.partial_bytes() < small);
+    }
+}
