Replies to cancellations are limited to 64 KiB

Found with a real process: searches whose replies have no end, 60 targets, 40 callers. Cause: the connections for cancellations, one for each target, had a limit of 8 MiB each and no part in the common one. Change: such a reply is refused beyond 64 KiB. Evidence: "replies: one to a cancellation that has no end ..." failed before (11,022,056 bytes sent) and passes now.

--- a/src/adapter/leaf_client.cpp
+++ b/src/adapter/leaf_client.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto request_timeout = seconds{60};
 constexpr auto control_timeout = seconds{1};
+/// Bytes of a partial reply to a cancellation, which has no content.
+constexpr auto max_cancel_reply = std::size_t{64} << 10;
 
 template <class T>
 auto parse_number(std::string_view text, T fallback) -> T
@@ -147,8 +149,12 @@
 {
     auto& connection = cancel_connections_[c.address];
     if (!connection)
-        connection = std::make_unique<http_connection>(
-            base_, c.address, control_timeout);
+        connection =
+            std::make_unique<http_connection>(base_, c.address, control_timeout,
+                http_connection_callbacks{{}, [this, address = c.address]
+                    {
+                        limit_cancel(address);
+                    }});
     connection->send(
         {EVHTTP_REQ_POST, "/v1/cancel",
             {{"X-Request-Id", std::to_string(c.attempt.value)}}, {}},
@@ -191,6 +197,14 @@
         connections_.at(*largest)->refuse_reply();
 }
 
+auto leaf_client::limit_cancel(std::string const& address) -> void
+{
+    auto const it = cancel_connections_.find(address);
+    if (it != cancel_connections_.end() &&
+        it->second->partial_bytes() > max_cancel_reply)
+        it->second->refuse_reply();
+}
+
 auto leaf_client::close(connection_id id, bool refused) -> void
 {
     run(leaf_close{id});
--- a/src/adapter/leaf_client.hpp
+++ b/src/adapter/leaf_client.hpp
@@ -39,6 +39,8 @@
     /// Takes note that a reply has grown, and refuses the largest ones if all
     /// partial replies take too much memory.
     auto limit_reply(connection_id id) -> void;
+    /// Refuses the reply to a cancellation if it is too large.
+    auto limit_cancel(std::string const& address) -> void;
 
     event_base* base_;
     event_sink sink_;
--- a/tests/unit/test_reply_streams.cpp
+++ b/tests/unit/test_reply_streams.cpp
@@ -330,3 +330,17 @@
         CHECK(link.partial_bytes() < small);
     }
 }
+
+// Guards against a process that runs out of memory.
+TEST_CASE("replies: one to a cancellation that has no end is cut off early")
+{
+    constexpr auto most = std::size_t{8} << 20; // Limit of any other reply.
+    auto l = loop{};
+    auto target =
+        scripted_target{l.base.get(), {unframed_head, std::string(1'000, 'b')}};
+    auto client = ks::leaf_client{l.base.get(), [](ks::event const&) {
+                                  }};
+    client.run(ks::leaf_cancel{address, ks::attempt_id{1}});
+    CHECK(l.run_until([&] { return target.ended > 0; }));
+    CHECK(target.written < most);
+}
