--- a/include/knapweedstream/booking.hpp
+++ b/include/knapweedstream/booking.hpp
@@ -19,7 +19,7 @@
 {
     std::string customer;
     std::string service;
-    std::string key;          ///< Idempotency key chosen by the caller.
+    std::string key;          ///< Idempotency key from the caller.
     std::string item;         ///< Hashed to select the shard.
     std::string text;         ///< Forwarded to the target unchanged.
     milliseconds deadline{0}; ///< 0 selects the service's default.
--- a/include/knapweedstream/limits.hpp
+++ b/include/knapweedstream/limits.hpp
@@ -1,4 +1,4 @@
-/// Limits of an instance, with defaults; settings can override most of them.
+/// Limits of an instance, with defaults; most can be changed by settings.
 #ifndef KNAPWEEDSTREAM_LIMITS_HPP
 #define KNAPWEEDSTREAM_LIMITS_HPP
 
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -28,7 +28,7 @@
 /// How long an idempotent attempt may go on after its caller hung up.
 constexpr auto hang_up_timeout = milliseconds{200};
 
-/// Services that a request is sent to; for a split, the one chosen by weight.
+/// Services that a request is sent to; for a split, one of them by weight.
 auto needed_services(dispatch_state& s, route const& r)
     -> std::vector<std::string>
 {
--- a/src/core/dispatch/search.hpp
+++ b/src/core/dispatch/search.hpp
@@ -21,7 +21,7 @@
 /// Chooses the target that is expected to answer a part first.
 ///
 /// @param[in] none_running True if no attempt of the part is in flight; then a
-///     target that was already tried may be chosen if there is no other.
+///     target that was already tried is admitted if there is no other.
 /// @returns The target, or null if none is eligible.
 auto choose_target(dispatch_state& s, part const& p, open_request const& r,
     bool none_running, time_point now) -> target_entry*;
--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -12,7 +12,7 @@
 namespace knapweedstream
 {
 
-/// An instance that may be chosen as an owner.
+/// An instance that may become an owner.
 struct rendezvous_node
 {
     instance_id instance;
--- a/src/core/selector.hpp
+++ b/src/core/selector.hpp
@@ -53,7 +53,7 @@
 using selector =
     std::variant<pick_random, pick_round_robin, pick_two_choices, pick_credit>;
 
-/// A chosen candidate, with the states for the next choice.
+/// The selected candidate, with the states for the next choice.
 struct selection
 {
     std::size_t index = 0;
