--- a/src/adapter/http_message.cpp
+++ b/src/adapter/http_message.cpp
@@ -1,7 +1,11 @@
 #include "adapter/http_message.hpp"
 
+#include <event2/http.h>
+
 #include <algorithm>
 #include <array>
+#include <cstdlib>
+#include <memory>
 
 namespace knapweedstream
 {
@@ -109,6 +113,14 @@
     return std::move(m.fields);
 }
 
+auto uri_encoded(std::string const& text) -> std::string
+{
+    auto const size = static_cast<ev_ssize_t>(text.size());
+    auto const it = std::unique_ptr<char, void (*)(void*)>{
+        evhttp_uriencode(text.data(), size, 0), std::free};
+    return it == nullptr ? std::string{} : std::string{it.get()};
+}
+
 auto add_field(std::string& out, std::string_view name, std::string_view value)
     -> void
 {
--- a/src/adapter/http_message.hpp
+++ b/src/adapter/http_message.hpp
@@ -49,6 +49,10 @@
     std::vector<header_field> const& fields, std::size_t body_bytes)
     -> std::string;
 
+/// Text as part of a path or a query: all bytes but letters, digits and `-._~`
+/// are percent-encoded.
+auto uri_encoded(std::string const& text) -> std::string;
+
 /// Appends the line of a field, with its line break.
 auto add_field(std::string& out, std::string_view name, std::string_view value)
     -> void;
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -13,6 +13,7 @@
 constexpr auto page_size = std::size_t{50};
 constexpr auto sweep_interval = ks::milliseconds{20};
 constexpr auto prefix = std::string_view{"/objects/"};
+constexpr auto status_suffix = std::string_view{"/status"};
 
 auto mode_from_name(std::string const& name) -> store_mode
 {
@@ -222,7 +223,11 @@
     auto const rest = path.substr(prefix.size());
     auto const slash = std::min(rest.find('/'), rest.size());
     auto const kind = rest.substr(0, slash);
-    auto const name = rest.substr(std::min(slash + 1, rest.size()));
+    auto name = rest.substr(std::min(slash + 1, rest.size()));
+    auto const sets_status = name.ends_with(status_suffix);
+    if (sets_status)
+        name.resize(name.size() - status_suffix.size());
+    name = unescaped(name, false);
     if (m.method == "GET")
         return get(id, kind, name, m.target);
     if (m.method == "DELETE")
@@ -231,7 +236,7 @@
         notify_watches();
         return reply(id, removed ? 200 : 404, json::object{});
     }
-    write(id, kind, name, m);
+    write(id, kind, name, sets_status ? "status" : "spec", m);
 }
 
 auto store_server::get(client_id id, std::string const& kind,
@@ -275,18 +280,13 @@
 }
 
 auto store_server::write(client_id id, std::string const& kind,
-    std::string name, ks::http_message const& m) -> void
+    std::string name, std::string const& part, ks::http_message const& m)
+    -> void
 {
     auto const body = parse(m.body);
     auto const* meta = body.if_contains("meta");
     auto const meta_fields =
         meta == nullptr ? json::object{} : meta->as_object();
-    auto part = std::string{"spec"};
-    if (auto const at = name.find("/status"); at != std::string::npos)
-    {
-        name.resize(at);
-        part = "status";
-    }
     if (m.method == "POST" && meta_fields.contains("name"))
         name = std::string(meta_fields.at("name").as_string());
     auto const exists = table_.find(kind, name) != nullptr;
--- a/tests/standin/store.hpp
+++ b/tests/standin/store.hpp
@@ -103,7 +103,7 @@
     auto get(client_id id, std::string const& kind, std::string const& name,
         std::string const& target) -> void;
     auto write(client_id id, std::string const& kind, std::string name,
-        ks::http_message const& m) -> void;
+        std::string const& part, ks::http_message const& m) -> void;
     auto answer_watch(waiting_watch const& w, bool even_if_empty) -> bool;
     auto reply(client_id id, std::uint32_t status, json::value const& body)
         -> void;
--- a/tests/standin/wire_server.hpp
+++ b/tests/standin/wire_server.hpp
@@ -5,6 +5,7 @@
 
 #include "adapter/http_reader.hpp"
 #include "adapter/tcp_stream.hpp"
+#include "uri.hpp"
 
 #include <cstdlib>
 #include <functional>
@@ -149,10 +150,11 @@
 };
 
 /// Value of a query parameter in a request target such as `/a?x=1&y=2`; empty
-/// if absent.
-inline auto query_param(std::string const& target, std::string const& key)
-    -> std::string
+/// if absent. A fragment (`#z`) is not part of the query.
+inline auto query_param(
+    std::string const& request_target, std::string const& key) -> std::string
 {
+    auto const target = request_target.substr(0, request_target.find('#'));
     auto at = target.find('?');
     while (at != std::string::npos)
     {
@@ -161,7 +163,7 @@
         auto const pair = target.substr(from, at - from);
         auto const equals = pair.find('=');
         if (pair.substr(0, equals) == key && equals != std::string::npos)
-            return pair.substr(equals + 1);
+            return unescaped(pair.substr(equals + 1), true);
     }
     return {};
 }
