A reply with a status outside 100 to 599 is malformed

Seen by callers: an answer of a target with the status 099, 20, 600 or 999 was passed on with that status. 000 was not, on the routed path: a failure with the status 0 counts as one without an answer there. A query or a booking got 000 as a failure that the target reports, a call to the store or another instance as a reply, and the command line as a lost connection.

Cause: the parser takes up to three digits, and http_reader, through which every reply is read (routed, gathered, queries, bookings, store, relays, command line), checked none of them.

Change: on_head ends a response with such a status as malformed.

Evidence: "http: a response without a valid status ..." and "replies: one that is no valid HTTP ..." (routed, query, booking, store and command line) failed before for 000, 001, 099, 00, 0, 20, 600 and 999, and pass now; 599 is still accepted.

--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -20,6 +20,9 @@
     return static_cast<http_reader*>(p->data);
 }
 
+constexpr auto min_status = 100u;
+constexpr auto max_status = 599u;
+
 /// True if a field name contains white space, which the parser accepts.
 auto has_bad_name(http_message const& m) -> bool
 {
@@ -168,7 +171,9 @@
         m.method = http_method_str(static_cast<http_method>(p->method));
     else
         m.status = p->status_code;
-    if (has_bad_name(m))
+    auto const bad_status = self->kind_ == message_kind::response &&
+                            (m.status < min_status || m.status > max_status);
+    if (bad_status || has_bad_name(m))
         return self->fail(read_error::malformed);
     self->head_done_ = true;
     auto const limit = self->limits_.body_bytes;
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -31,11 +31,18 @@
     "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
 
-auto is_refused(std::string_view text) -> bool
+auto is_refused(std::string_view text,
+    ks::message_kind kind = ks::message_kind::request) -> bool
 {
-    auto r = ks::http_reader{ks::message_kind::request, {}};
-    read_all(r, text, text.size());
-    return r.error() == ks::read_error::malformed;
+    auto refused = true;
+    for (auto const n : {text.size(), std::size_t{1}})
+    {
+        auto r = ks::http_reader{kind, {}};
+        auto const all = read_all(r, text, n);
+        refused =
+            refused && all.empty() && r.error() == ks::read_error::malformed;
+    }
+    return refused;
 }
 
 } // namespace
@@ -123,3 +130,23 @@
     REQUIRE(r.is_complete());
     CHECK(r.take().status == 200);
 }
+
+TEST_CASE("http: a response without a valid status is malformed")
+{
+    for (std::string const status : {"000", "001", "099", "00", "0", "20",
+             "600", "999", "1000", "2x0", "-20", "", "+200"})
+    {
+        CAPTURE(status);
+        CHECK(is_refused(
+            "HTTP/1.1 " + status + " OK\r\nContent-Length: 1\r\n\r\nx",
+            ks::message_kind::response));
+    }
+    for (auto const status : {200u, 299u, 404u, 599u})
+    {
+        auto r = ks::http_reader{ks::message_kind::response, {}};
+        r.feed("HTTP/1.1 " + std::to_string(status) +
+               " OK\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(r.is_complete());
+        CHECK(r.take().status == status);
+    }
+}
--- a/tests/unit/test_reply_streams.cpp
+++ b/tests/unit/test_reply_streams.cpp
@@ -30,6 +30,7 @@
 {
     bool ended = false; ///< A reply or the end of the connection was reported.
     bool success = false;
+    bool failure = false; ///< A failure to pass on to the caller.
     std::string body;
     std::size_t written = 0; ///< Bytes that the target has sent.
     bool closed = false;     ///< The target saw the connection's end.
@@ -56,6 +57,8 @@
                 result.ended = true;
                 auto const* good = std::get_if<ks::reply_success>(&it->reply);
                 result.success = good != nullptr;
+                result.failure =
+                    std::holds_alternative<ks::reply_failure>(it->reply);
                 result.body = good == nullptr ? "" : good->message.body;
             }
         }};
@@ -113,6 +116,51 @@
 constexpr auto unframed_head =
     "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: q1\r\n\r\n";
 
+/// Status that a call to the store or to another instance gets; 0: it failed.
+auto status_of_call(reply_script const& script) -> std::uint32_t
+{
+    auto l = loop{};
+    auto target = scripted_target{l.base.get(), script};
+    auto channel = ks::call_channel{l.base.get(), address};
+    auto request = ks::http_message{};
+    request.method = "GET";
+    request.target = "/x";
+    auto status = std::optional<std::uint32_t>{};
+    channel.call(
+        request, seconds{1},
+        [&](ks::http_message const& m) { status = m.status; },
+        [&](ks::link_end, bool) { status = 0; });
+    CHECK(l.run_until([&] { return status.has_value(); }));
+    return status.value_or(0);
+}
+
+/// Status that the command line gets; 0: no reply.
+auto status_of_connection(reply_script const& script) -> std::uint32_t
+{
+    auto l = loop{};
+    auto target = scripted_target{l.base.get(), script};
+    auto connection = ks::http_connection{l.base.get(), address, seconds{1}};
+    auto status = std::optional<std::uint32_t>{};
+    connection.send({EVHTTP_REQ_GET, "/x", {}, {}},
+        [&](ks::http_reply const& r) { status = r.status(); });
+    CHECK(l.run_until([&] { return status.has_value(); }));
+    return status.value_or(0);
+}
+
+/// Replies that are no valid HTTP.
+///
+/// @param[in] fields Lines of a valid head.
+/// @param[in] rest The length, the end of the head and the body.
+auto invalid_replies(std::string const& fields, std::string const& rest)
+    -> std::vector<std::string>
+{
+    auto all = std::vector<std::string>{};
+    for (auto const* status : {"000", "001", "099", "20", "600", "999"})
+        all.push_back(
+            std::string{"HTTP/1.1 "} + status + " OK\r\n" + fields + rest);
+    return all;
+}
+
 /// Replies whose head or body has no end.
 auto endless_replies() -> std::vector<reply_script>
 {
@@ -206,6 +254,28 @@
     }
 }
 
+TEST_CASE("replies: one that is no valid HTTP is never passed on as an answer")
+{
+    auto const fields = std::string{"X-Server-Stamp: s\r\nX-Request-Id: q1\r\n"
+                                    "X-Boot-Id: 7\r\nX-Reference: r\r\n"};
+    auto const rest = std::string{"Content-Length: 4\r\n\r\nabcd"};
+    REQUIRE(ask_routed({"HTTP/1.1 200 OK\r\n" + fields + rest, ""}).success);
+    REQUIRE(ask_routed({"HTTP/1.1 500 No\r\n" + fields + rest, ""}).failure);
+    for (auto const& text : invalid_replies(fields, rest))
+    {
+        CAPTURE(text);
+        auto const r = ask_routed({text, ""});
+        CHECK(r.ended);
+        CHECK(!r.success);
+        CHECK(!r.failure);
+        for (auto const booking : {false, true})
+            CHECK(ask_leaf({text, ""}, booking) ==
+                  ks::leaf_outcome{ks::leaf_failed{0}});
+        CHECK(status_of_call({text, ""}) == 0);
+        CHECK(status_of_connection({text, ""}) == 0);
+    }
+}
+
 // Guards against a process that runs out of memory.
 TEST_CASE("replies: many bodies without end at once stay within the memory for "
           "them")
