A field that continues on another line is malformed

Seen: a line of an answer that began with a blank or a tab was taken as more of the value before it and passed on. A head with "X-A: 1" and " Content-Length: 2" gave the caller "X-A: 1 Content-Length: 2", and the body to the end of the connection: four bytes where the target had stated two. Requests were read the same way.

Cause: the parser joins folded lines with a blank, as RFC 9112 (5.2) allows, and http_reader had no rule against them. A gateway may also refuse them; a target that sends them is in trouble, since it has no reason to fold a line.

Change: on_value refuses text that only blanks separate from a line break, also where the line break came with an earlier piece.

--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -68,8 +68,11 @@
 {
     if (complete_ || error_ || bytes.empty())
         return 0;
+    piece_ = bytes;
     auto const n =
         http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
+    line_begins_ = begins_line(bytes.data() + n);
+    piece_ = {};
     auto const code = HTTP_PARSER_ERRNO(&parser_);
     if (complete_)
     {
@@ -110,6 +113,13 @@
     header_bytes_ = 0;
 }
 
+auto http_reader::begins_line(char const* at) const -> bool
+{
+    while (at != piece_.data() && (at[-1] == ' ' || at[-1] == '\t'))
+        --at;
+    return at == piece_.data() ? line_begins_ : at[-1] == '\n';
+}
+
 auto http_reader::fail(read_error why) -> int
 {
     error_ = why;
@@ -155,6 +165,8 @@
 auto http_reader::on_value(http_parser* p, char const* at, std::size_t n) -> int
 {
     auto* self = self_of(p);
+    if (n > 0 && self->begins_line(at)) // A folded line (RFC 9112, 5.2).
+        return self->fail(read_error::malformed);
     self->in_value_ = true;
     if (!self->message_.fields.empty())
         self->message_.fields.back().value.append(at, n);
--- a/src/adapter/http_reader.hpp
+++ b/src/adapter/http_reader.hpp
@@ -101,13 +101,18 @@
     static auto on_complete(http_parser* p) -> int;
     auto fail(read_error why) -> int;
     auto add_header_bytes(std::size_t n) -> bool;
+    /// True if only blanks stand between the last line break and a byte of
+    /// `piece_`, or its end.
+    auto begins_line(char const* at) const -> bool;
 
     message_kind kind_;
     read_limits limits_;
     http_parser parser_{};
     http_message message_;
     std::size_t header_bytes_ = 0;
-    std::size_t interim_ = 0; ///< Interim responses since the last response.
+    std::size_t interim_ = 0;  ///< Interim responses since the last response.
+    std::string_view piece_;   ///< Bytes that are being parsed.
+    bool line_begins_ = false; ///< `begins_line` for the byte after them.
     bool in_value_ = false;
     bool begun_ = false;
     bool head_done_ = false;
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -150,3 +150,43 @@
         CHECK(r.take().status == status);
     }
 }
+
+TEST_CASE("http: a field that continues on another line is malformed")
+{
+    auto const heads = std::vector<std::pair<ks::message_kind, std::string>>{
+        {ks::message_kind::response, "HTTP/1.1 200 OK\r\n"},
+        {ks::message_kind::request, "POST / HTTP/1.1\r\nHost: h\r\n"}};
+    for (auto const& [kind, start] : heads)
+        for (std::string const field :
+            {"X-A: 1\r\n Content-Length: 9", "X-A:\r\n\tb", "X-A: \r\n \r\n b",
+                "X-A: 1\r\n\t X-B: 2", "X-A: 1\n b"})
+        {
+            CAPTURE(field);
+            CHECK(is_refused(
+                start + field + "\r\nContent-Length: 1\r\n\r\nx", kind));
+            CHECK(is_refused(start + "Transfer-Encoding: chunked\r\n\r\n" +
+                                 "1\r\nx\r\n0\r\n" + field + "\r\n\r\n",
+                kind));
+        }
+}
+
+TEST_CASE("http: blanks around and in a field's value are accepted")
+{
+    auto const text =
+        std::string{"HTTP/1.1 200 OK\r\nX-A:   a b\t c  \r\nX-B:\r\nX-C: \t\r\n"
+                    "Content-Length: 3\r\n\r\n\n x"};
+    for (std::size_t n = 1; n <= text.size(); ++n)
+    {
+        CAPTURE(n);
+        auto r = ks::http_reader{ks::message_kind::response, {}};
+        auto const all = read_all(r, text + text, n);
+        REQUIRE(all.size() == 2);
+        for (auto const& it : all)
+        {
+            CHECK(ks::find_field(it, "X-A").starts_with("a b\t c"));
+            CHECK(ks::find_field(it, "X-B").empty());
+            CHECK(ks::find_field(it, "X-C").empty());
+            CHECK(it.body == "\n x");
+        }
+    }
+}
