Names of fields after the body are checked as those in the head

Seen: with a chunked answer, a line after the body whose name held a blank ("X B: 2", "X-A : 1") was passed on to the caller as a field of the head. In a head such an answer was refused before.

Cause: names were checked once, at the end of the head; the fields after a chunked body came later. Control bytes and other bytes that no name may hold are refused by the parser itself, in both places.

Change: on_complete checks the names of all fields before the message is delivered. Responses and requests share the code.

Evidence: "http: a byte that no field's name may hold ..." tries each of the 256 bytes before, in and after a name, in the head and after the body, whole and byte by byte.

--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -208,6 +208,8 @@
 auto http_reader::on_complete(http_parser* p) -> int
 {
     auto* self = self_of(p);
+    if (has_bad_name(self->message_)) // Of a field after the body.
+        return self->fail(read_error::malformed);
     if (self->kind_ == message_kind::response && is_interim(*p))
     {
         self->take();
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -45,6 +45,22 @@
     return refused;
 }
 
+/// True if a byte may stand in the name of a field (RFC 9110, `tchar`).
+auto is_name_byte(unsigned char c) -> bool
+{
+    constexpr auto marks = std::string_view{"!#$%&'*+-.^_`|~"};
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') ||
+           marks.find(static_cast<char>(c)) != std::string_view::npos;
+}
+
+/// Names of a field with one byte before, in or after a valid name.
+auto names_with(char c) -> std::vector<std::string>
+{
+    return {std::string{c} + "X-A", std::string{"X"} + c + "A",
+        std::string{"X-A"} + c, std::string{c}};
+}
+
 } // namespace
 
 TEST_CASE("http: requests are parsed however their bytes are split")
@@ -151,6 +167,34 @@
     }
 }
 
+TEST_CASE(
+    "http: a byte that no field's name may hold is malformed, in the head "
+    "and after the body")
+{
+    auto const heads = std::vector<std::pair<ks::message_kind, std::string>>{
+        {ks::message_kind::response, "HTTP/1.1 200 OK\r\n"},
+        {ks::message_kind::request, "POST / HTTP/1.1\r\nHost: h\r\n"}};
+    for (auto const& [kind, start] : heads)
+        for (auto i = 0; i < 256; ++i)
+        {
+            auto const c = static_cast<char>(i);
+            // These bytes end a line, or the name.
+            if (is_name_byte(static_cast<unsigned char>(i)) || c == '\r' ||
+                c == '\n' || c == ':')
+                continue;
+            for (auto const& name : names_with(c))
+            {
+                CAPTURE(i);
+                CAPTURE(name.size());
+                CHECK(is_refused(
+                    start + name + ": 1\r\nContent-Length: 1\r\n\r\nx", kind));
+                CHECK(is_refused(start + "Transfer-Encoding: chunked\r\n\r\n" +
+                                     "1\r\nx\r\n0\r\n" + name + ": 1\r\n\r\n",
+                    kind));
+            }
+        }
+}
+
 TEST_CASE("http: a field that continues on another line is malformed")
 {
     auto const heads = std::vector<std::pair<ks::message_kind, std::string>>{
