Fields after the body are not taken for fields of the head

Seen: "X-Not-Executed: 1" after a chunked body made a reply to a request that had run count as a rejection, so that an at-most-once request was sent again; any other field there was passed on in the head, or read as if it were (signature, request id, pause).

Cause: http_reader kept the fields before and after the body in one list.

Change: fields after the body are checked and then dropped, in responses and in requests, as RFC 9110 (6.5.1) allows.

Evidence: "http: fields after the body ..." failed before in all 8 checks, for responses and requests, whole and byte by byte. That a request is sent again was not run; it follows from decode_target_reply.

--- a/src/adapter/http_reader.cpp
+++ b/src/adapter/http_reader.cpp
@@ -188,6 +188,7 @@
     if (bad_status || has_bad_name(m))
         return self->fail(read_error::malformed);
     self->head_done_ = true;
+    self->head_fields_ = m.fields.size();
     auto const limit = self->limits_.body_bytes;
     auto const has_length = (p->flags & F_CONTENTLENGTH) != 0;
     if (limit != 0 && has_length && p->content_length > limit)
@@ -208,8 +209,11 @@
 auto http_reader::on_complete(http_parser* p) -> int
 {
     auto* self = self_of(p);
+    if (self->error_) // In the head; the parser has skipped the body.
+        return stop_parsing;
     if (has_bad_name(self->message_)) // Of a field after the body.
         return self->fail(read_error::malformed);
+    self->message_.fields.resize(self->head_fields_);
     if (self->kind_ == message_kind::response && is_interim(*p))
     {
         self->take();
--- a/src/adapter/http_reader.hpp
+++ b/src/adapter/http_reader.hpp
@@ -110,6 +110,7 @@
     http_parser parser_{};
     http_message message_;
     std::size_t header_bytes_ = 0;
+    std::size_t head_fields_ = 0; ///< Those after the body are not kept.
     std::size_t interim_ = 0;  ///< Interim responses since the last response.
     std::string_view piece_;   ///< Bytes that are being parsed.
     bool line_begins_ = false; ///< `begins_line` for the byte after them.
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -234,3 +234,27 @@
         }
     }
 }
+
+// Guards against TWICE: a field after the body said that nothing had run.
+TEST_CASE("http: fields after the body are not taken for fields of the head")
+{
+    auto const body = std::string{
+        "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-B: 2\r\n"
+        "X-Not-Executed: 1\r\nConnection: close\r\nContent-Length: 7\r\n\r\n"};
+    auto const heads = std::vector<std::pair<ks::message_kind, std::string>>{
+        {ks::message_kind::response, "HTTP/1.1 200 OK\r\nX-A: 1\r\n"},
+        {ks::message_kind::request, "POST / HTTP/1.1\r\nX-A: 1\r\n"}};
+    for (auto const& [kind, start] : heads)
+        for (auto const n : {std::size_t{1}, std::size_t{1'000}})
+        {
+            auto r = ks::http_reader{kind, {}};
+            auto const all = read_all(r, start + body + start + body, n);
+            REQUIRE(all.size() == 2);
+            for (auto const& it : all)
+            {
+                CHECK(it.fields == std::vector<ks::header_field>{{"X-A", "1"},
+                                       {"Transfer-Encoding", "chunked"}});
+                CHECK(it.body == "x");
+            }
+        }
+}
