Test with real processes: answers that are no valid HTTP

A target on a plain socket answers an instance in 15 invalid ways; a client must get none of it, and a valid answer afterwards. Each answer is known to have reached the instance.

--- a/tests/process/test_odd_entries.cpp
+++ b/tests/process/test_odd_entries.cpp
@@ -2,6 +2,7 @@
 /// of targets that are no valid HTTP.
 #include "adapter/http_link.hpp"
 #include "processes.hpp"
+#include "unit/scripted_target.hpp"
 
 #include <doctest/doctest.h>
 
@@ -37,20 +38,48 @@
     routed_pair(routed_pair const&) = delete;
     auto operator=(routed_pair const&) -> routed_pair& = delete;
 
-    /// Writes an entry that names no usable target; false if refused.
-    auto write_odd_entry(std::string const& name) const -> bool
+    /// Creates an object in the store; false if that is refused.
+    auto create(std::string const& kind, std::string const& name,
+        json::object const& spec) const -> bool
     {
         auto const body = json::object{
-            {"meta", json::object{{"name", name}}}, {"spec", json::object{}}};
+            {"meta", json::object{{"name", name}}}, {"spec", spec}};
         return wait_for(seconds{10},
             [&]
             {
                 return send_http(address(0), EVHTTP_REQ_POST,
-                           "/objects/servers", json::serialize(body))
+                           "/objects/" + kind, json::serialize(body))
                            .status == 200;
             });
     }
 
+    /// Writes an entry that names no usable target; false if refused.
+    auto write_odd_entry(std::string const& name) const -> bool
+    {
+        return create("servers", name, {});
+    }
+
+    /// Sends `/odd/` to the only target of a service of its own.
+    auto add_route_to(std::string const& target_address) const -> bool
+    {
+        auto const route = json::object{{"name", "odd"},
+            {"hostname", "h.example"}, {"path_prefix", "/odd/"},
+            {"route_type", "safe"}, {"timeout_ms", 1'000}, {"service", "odd"}};
+        auto const config =
+            json::object{{"version", 2}, {"routes", json::array{route}},
+                {"services", json::array{json::object{
+                                 {"name", "odd"}, {"max_connections", 10}}}}};
+        auto const target = json::object{{"service", "odd"},
+            {"address", target_address}, {"zone", "a"}, {"version", "v1"},
+            {"slots", 2}, {"state", "ready"}, {"sequence", 1}};
+        auto const body = json::object{
+            {"meta", json::object{{"name", "main"}}}, {"spec", config}};
+        return create("servers", "odd-1", target) &&
+               send_http(address(0), EVHTTP_REQ_PUT, "/objects/config/main",
+                   json::serialize(body))
+                       .status == 200;
+    }
+
     auto start_instance() -> void
     {
         auto const path = (dir_ / "i.ini").string();
@@ -71,25 +100,25 @@
                200;
     }
 
-    /// Status of the answer to a routed request; 0 if there was none.
-    auto ask(std::string const& path) const -> std::uint32_t
+    /// Answer to a routed request; its status is 0 if there was none.
+    auto answer_to(event_base* base, std::string const& path) const
+        -> http_message
     {
         auto m = http_message{};
         m.method = "GET";
         m.target = path;
         m.fields = {{"Host", "h.example"}, {"X-Request-Id", "q1"},
             {"X-Request-Deadline", "1000"}};
-        auto const base = make_event_base();
-        auto status = std::uint32_t{0};
+        auto answer = http_message{};
         auto const stop = [&]
         {
-            event_base_loopbreak(base.get());
+            event_base_loopbreak(base);
         };
-        auto link = http_link{base.get(), address(10), {}, {},
+        auto link = http_link{base, address(10), {}, {},
             {{},
                 [&](http_message&& it, bool)
                 {
-                    status = it.status;
+                    answer = std::move(it);
                     stop();
                 },
                 [&](link_end)
@@ -97,8 +126,14 @@
                     stop();
                 }}};
         link.send(request_text(m));
-        event_base_dispatch(base.get());
-        return status;
+        event_base_dispatch(base);
+        return answer;
+    }
+
+    /// Status of the answer to a routed request; 0 if there was none.
+    auto ask(std::string const& path) const -> std::uint32_t
+    {
+        return answer_to(make_event_base().get(), path).status;
     }
 
 private:
@@ -140,3 +175,52 @@
         }
     }
 }
+
+TEST_CASE("an answer of a target that is no valid HTTP does not reach a client")
+{
+    auto const fields =
+        std::string{"X-Server-Stamp: s\r\nX-Request-Id: q1\r\n"};
+    auto const rest = std::string{"Content-Length: 4\r\n\r\nabcd"};
+    auto const head = "HTTP/1.1 200 OK\r\n" + fields;
+    auto const chunked =
+        std::string{"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n"};
+    auto const base = make_event_base();
+    auto target = scripted::scripted_target{base.get(), {head + rest, ""}};
+    auto c = routed_pair{25'800};
+    REQUIRE(c.add_route_to(scripted::address));
+    c.start_instance();
+    REQUIRE(wait_for(seconds{5}, [&] { return c.is_ready(); }));
+    // True if the client got something of an answer that the target has given.
+    auto const is_passed_on = [&](std::string const& answer)
+    {
+        target.set_script({answer, ""});
+        auto const before = target.written;
+        auto m = http_message{};
+        CHECK(wait_for(seconds{10},
+            [&]
+            {
+                m = c.answer_to(base.get(), "/odd/x");
+                return target.written > before;
+            }));
+        return m.status < 500 || m.body == "abcd" ||
+               has_field(m, "X-Server-Stamp") || has_field(m, "X-A");
+    };
+    for (auto const& answer :
+        std::vector<std::string>{"HTTP/1.1 000 OK\r\n" + fields + rest,
+            "HTTP/1.1 099 OK\r\n" + fields + rest,
+            "HTTP/1.1 999 OK\r\n" + fields + rest, head + "X A: 1\r\n" + rest,
+            head + "X-A : 1\r\n" + rest, head + " X-A: 1\r\n" + rest,
+            head + "X\x01-A: 1\r\n" + rest, head + "X-A\x7f: 1\r\n" + rest,
+            head + "\tX-A: 1\r\n" + rest,
+            head + "Content-Length : 2\r\n" + "\r\nabcd",
+            head + " Content-Length: 2\r\n" + "\r\nabcd",
+            head + chunked + "X A: 1\r\n\r\n",
+            head + chunked + "X-A : 1\r\n\r\n",
+            head + chunked + " X-A: 1\r\n\r\n",
+            head + chunked + "X\x01: 1\r\n\r\n"})
+    {
+        CAPTURE(answer);
+        CHECK(!is_passed_on(answer));
+    }
+    CHECK(is_passed_on(head + rest));
+}
--- a/tests/unit/scripted_target.hpp
+++ b/tests/unit/scripted_target.hpp
@@ -45,6 +45,12 @@
             [] { FAIL("cannot listen"); });
     }
 
+    /// Sets how the next requests are answered.
+    auto set_script(reply_script script) -> void
+    {
+        script_ = std::move(script);
+    }
+
     std::size_t written = 0;
     std::size_t ended = 0; ///< Connections that the caller closed.
 
