A list of the store that does not go on hides nothing and is read again after a pause

Where the last entry of a page had no name, the list counted as complete, and the objects of all later pages as gone.

Cause: the next page was asked for with the name of the page's last entry, whatever that was, and nothing checked that a page leads further.

Change: a list continues after the last entry that has a name. If no entry of a page has one, or the name was on an earlier page, the list ends there: what it held is used, nothing is taken as gone, and it is read again from its start, fresh, after two seconds (list_retry). Until then the instance is ready with what it knows. The log says "List does not go on".

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -179,6 +179,13 @@
            " newest=" + std::to_string(it.newest);
 }
 
+auto line_of(dispatch::list_cut const& it) -> std::string
+{
+    return std::string{"List does not go on. kind="} +
+           store_kind_name(it.kind) + " pages=" + std::to_string(it.pages) +
+           " objects=" + std::to_string(it.objects) + " last=" + it.last;
+}
+
 auto line_of(dispatch::targets_known_late const& it) -> std::string
 {
     return "First request between watches of targets. age_ms=" + ms(it.age) +
@@ -274,6 +281,9 @@
             },
             [](dispatch::list_read const&) -> log_category
             { return {"store"}; },
+            [](dispatch::list_cut const&) -> log_category {
+                return {"store", log_level::warning};
+            },
             [](dispatch::targets_known_late const&) -> log_category
             { return {"store"}; },
             [](dispatch::watch_stalled const&) -> log_category {
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -251,7 +251,7 @@
 {
     auto const it = s.follows.find(store_kind::targets);
     return s.config != nullptr && it != s.follows.end() &&
-           it->second.revision != 0;
+           (it->second.revision != 0 || it->second.cut);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -142,6 +142,23 @@
     return pages;
 }
 
+auto is_cut(listing const& pages, store_listed const& page) -> bool
+{
+    return page.no_next ||
+           (!page.next.empty() &&
+               std::any_of(pages.objects.begin(), pages.objects.end(),
+                   [&](stored_object const& it)
+                   { return it.name == page.next; }));
+}
+
+auto with_cut_list(follow_state f, dispatch_limits const& limits,
+    time_point now) -> follow_step
+{
+    f.cut = true;
+    f.list_fresh = true;
+    return pause(std::move(f), now + limits.list_retry);
+}
+
 auto with_page(follow_state f, store_listed const& page,
     dispatch_limits const& limits, time_point now) -> follow_step
 {
@@ -154,6 +171,7 @@
     f.unsure = false;
     if (!page.next.empty())
         return list(std::move(f), policy, page.next, now);
+    f.cut = false;
     f.revision = pages->oldest;
     f.confirmed = f.revision;
     auto const before = f.lists++;
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -90,6 +90,8 @@
     bool low_priority = false;
     /// Lists must not return stale data, as no later watch would complete them.
     bool list_fresh = false;
+    /// The last list could not be read to its end; what it held is in use.
+    bool cut = false;
     /// A relay passes changes on, so that no new call is made once the pending
     /// one has ended.
     bool attached = false;
@@ -120,6 +122,15 @@
 /// Adds a page to the pages read so far.
 auto with_added(listing pages, store_listed const& page) -> listing;
 
+/// True if a list cannot go on after a page: it says that more follow, but
+/// names no object to continue from, or one that an earlier page has held.
+auto is_cut(listing const& pages, store_listed const& page) -> bool;
+
+/// Ends a list that cannot go on. It is read again later, from its start and
+/// from data that is not stale.
+auto with_cut_list(follow_state f, dispatch_limits const& limits,
+    time_point now) -> follow_step;
+
 /// Adds a page to the list that is being read.
 ///
 /// @returns The next step; the list is complete if its phase is not `listing`.
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -112,6 +112,8 @@
     milliseconds store_retry_first{200};
     milliseconds store_retry_most{500};
     milliseconds store_retry_known{740};
+    /// Delay before a list is read again that could not be read to its end.
+    milliseconds list_retry{2'000};
 
     auto operator<=>(dispatch_limits const&) const = default;
 };
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -128,6 +128,25 @@
         it.versions = with_orders_read(it.versions);
 }
 
+/// Handles a list that does not go on after a page: what it has held is used,
+/// and nothing is taken as gone.
+auto end_cut_list(dispatch_state& s, listing const& l, store_listed const& page,
+    time_point now, commands& out) -> void
+{
+    auto const all = with_added(l, page);
+    auto changes = std::vector<stored_change>{};
+    for (auto const& it : all.objects)
+        changes.push_back({it, false});
+    apply_changes(s, page.kind, changes, now, out);
+    out.push_back(report_fact{
+        list_cut{page.kind, all.pages, all.objects.size(), page.next}});
+    if (page.kind == store_kind::instances)
+        ensure_record(s, out);
+    apply_step(s,
+        with_cut_list(s.follows[page.kind], follow_limits(s, now), now), out);
+    update_ready(s, out);
+}
+
 /// Checks the waiting watches that need it.
 auto check_watches(dispatch_state& s, time_point now, commands& out) -> void
 {
@@ -186,6 +205,8 @@
     auto const* list = std::get_if<listing>(&before.phase);
     if (list == nullptr)
         return;
+    if (is_cut(*list, e))
+        return end_cut_list(s, listing{*list}, e, now, out);
     if (e.next.empty())
     {
         auto const all = with_added(*list, e);
--- a/src/port/dispatch_event.hpp
+++ b/src/port/dispatch_event.hpp
@@ -74,6 +74,9 @@
     std::vector<stored_object> objects;
     std::string next; ///< Last name if more pages follow; otherwise empty.
     std::uint64_t revision = 0; ///< Of the store when the page was read.
+    /// More pages follow, but no object of this one has a name to continue
+    /// from.
+    bool no_next = false;
     auto operator<=>(store_listed const&) const = default;
 };
 
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -190,6 +190,16 @@
     auto operator<=>(list_read const&) const = default;
 };
 
+/// A list could not be read to its end; the objects of its pages are in use.
+struct list_cut
+{
+    store_kind kind = store_kind::configuration;
+    std::size_t pages = 0;
+    std::size_t objects = 0;
+    std::string last; ///< Last name on the last page; empty if it has none.
+    auto operator<=>(list_cut const&) const = default;
+};
+
 /// The first request came while no watch of the targets was waiting, so that
 /// the targets are known as they were some time ago.
 struct targets_known_late
@@ -268,9 +278,9 @@
 /// Any fact that the dispatcher reports.
 using fact = std::variant<extra_sent, attempt_failed, budget_exhausted,
     request_ended, target_condition_changed, config_applied, config_ignored,
-    object_skipped, store_availability_changed, list_read, targets_known_late,
-    watch_stalled, store_source_changed, zone_changed, rollout_progressed,
-    crash_suspected, statement_ignored, readiness_changed>;
+    object_skipped, store_availability_changed, list_read, list_cut,
+    targets_known_late, watch_stalled, store_source_changed, zone_changed,
+    rollout_progressed, crash_suspected, statement_ignored, readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -93,6 +93,30 @@
     CHECK(std::holds_alternative<ks::target_registration>(usable[1].value));
 }
 
+TEST_CASE("platform: a list goes on after the last entry that has a name")
+{
+    auto const page = [](std::string const& items)
+    {
+        auto m = ks::http_message{};
+        m.status = 200;
+        m.body = R"({"items":[)" + items + R"(],"more":true,"at":7})";
+        auto const e = ks::platform::make_store_dialect().read_list(
+            ks::store_kind::targets, m);
+        return std::get<ks::dispatch::store_listed>(e);
+    };
+    auto const named = std::string{R"({"meta":{"name":"a&b"},"spec":{}})"};
+    for (auto const* odd : {"7", "null", "{}", R"({"meta":{"name":7}})",
+             R"({"meta":[],"spec":{}})", R"({"meta":{"name":""},"spec":{}})"})
+    {
+        CAPTURE(odd);
+        CHECK(page(named + "," + odd).next == "a&b");
+        CHECK(!page(named + "," + odd).no_next);
+        CHECK(page(odd).next.empty());
+        CHECK(page(odd).no_next);
+    }
+    CHECK(page("").no_next);
+}
+
 TEST_CASE("platform: a rollout order's state is unchanged after write and read")
 {
     auto const dialect = ks::platform::make_store_dialect();
