A string that cannot be decoded makes only its own entry unreadable

Cause: the JSON library rejects unpaired surrogates, unknown escapes and control characters in strings, whatever its options say, and with them the whole text. Only too deep values and too large numbers were cut out before a second attempt.

Change: without_excess also replaces strings that the library cannot decode, by null, or by "" where they are keys. An entry that lacks a readable name that way has none, and the list goes on after the last one that has.

--- a/src/adapter/json_fields.hpp
+++ b/src/adapter/json_fields.hpp
@@ -20,16 +20,14 @@
 namespace json = boost::json;
 
 /// Parses a JSON object; empty if the text is not one. Values that are nested
-/// too deeply or too large become null, strings may hold any bytes.
+/// too deeply, too large or cannot be decoded become null.
 inline auto parse_object_text(std::string_view text) -> json::object
 {
-    auto options = json::parse_options{};
-    options.allow_invalid_utf8 = true;
-    auto const parse = [&](std::string_view from)
+    auto const parse = [](std::string_view from)
     {
         auto ec = json::error_code{};
-        auto v = json::parse(
-            json::string_view{from.data(), from.size()}, ec, {}, options);
+        auto v = json::parse(json::string_view{from.data(), from.size()}, ec,
+            {}, lenient_options());
         return std::pair{std::move(v), ec};
     };
     auto [v, ec] = parse(text);
--- a/src/adapter/json_limits.cpp
+++ b/src/adapter/json_limits.cpp
@@ -1,5 +1,7 @@
 #include "adapter/json_limits.hpp"
 
+#include <boost/json.hpp>
+
 #include <algorithm>
 
 namespace knapweedstream
@@ -22,6 +24,28 @@
     return std::min(text.size(), end + 1) - at;
 }
 
+/// True if the library can decode a string, given with its quotes.
+auto is_decodable(std::string_view string) -> bool
+{
+    auto const is_plain = std::none_of(string.begin(), string.end(),
+        [](unsigned char c) { return c == '\\' || c < ' '; });
+    auto ec = boost::json::error_code{};
+    if (!is_plain)
+        boost::json::parse(
+            boost::json::string_view{string.data(), string.size()}, ec, {},
+            lenient_options());
+    return !ec;
+}
+
+/// Text in place of a string that cannot be decoded, which ends at `end`.
+auto replacement_of_string(std::string_view text, std::size_t end)
+    -> char const*
+{
+    auto const next = text.find_first_not_of(" \t\r\n", end);
+    auto const is_key = next != std::string_view::npos && text[next] == ':';
+    return is_key ? "\"\"" : "null";
+}
+
 /// Length of the number at `at`.
 auto number_length(std::string_view text, std::size_t at) -> std::size_t
 {
@@ -67,6 +91,13 @@
 
 } // namespace
 
+auto lenient_options() -> boost::json::parse_options
+{
+    auto options = boost::json::parse_options{};
+    options.allow_invalid_utf8 = true;
+    return options;
+}
+
 auto without_excess(std::string_view json_text) -> std::string
 {
     auto out = std::string{};
@@ -80,6 +111,8 @@
         auto const kept = depth <= max_depth;
         if (kept && is_number(token) && has_long_exponent(token))
             out.append("null");
+        else if (kept && token.front() == '"' && !is_decodable(token))
+            out.append(replacement_of_string(json_text, at + n));
         else if (kept)
             out.append(token);
         else if (is_opening(token) && depth == max_depth + 1)
--- a/src/adapter/json_limits.hpp
+++ b/src/adapter/json_limits.hpp
@@ -3,14 +3,21 @@
 #ifndef KNAPWEEDSTREAM_ADAPTER_JSON_LIMITS_HPP
 #define KNAPWEEDSTREAM_ADAPTER_JSON_LIMITS_HPP
 
+#include <boost/json/parse_options.hpp>
+
 #include <string>
 #include <string_view>
 
 namespace knapweedstream
 {
 
-/// Replaces arrays and objects below a depth limit, and numbers with an
-/// exponent beyond all use, by `null`. Text that is no JSON stays none.
+/// Options of the library: strings may hold any bytes but control characters.
+auto lenient_options() -> boost::json::parse_options;
+
+/// Replaces by `null`: arrays and objects below a depth limit, numbers with an
+/// exponent beyond all use, and strings that cannot be decoded, for example
+/// with an unpaired surrogate. Such a string as a key becomes empty. Text that
+/// is no JSON stays none.
 auto without_excess(std::string_view json_text) -> std::string;
 
 } // namespace knapweedstream
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -77,7 +77,13 @@
         spec_with("address", R"("10.0.0.999:80")"),
         spec_with("address", R"("...:80")"),
         spec_with("address", R"("10.0.0.9:80:80")"),
-        spec_with("state", "\"\xff\xfe\"")};
+        spec_with("state", "\"\xff\xfe\""), spec_with("service", R"("\ud83d")"),
+        spec_with("zone", R"("\udc00x")"),
+        spec_with("state", R"("\ud83d\ud83d")"),
+        spec_with("version", R"("\x41")"), spec_with("zone", R"("\u12g4")"),
+        spec_with("zone", "\"a\nb\""), spec_with("version", "\"\x01\""),
+        spec_with("service", R"({"\ud83d":1})"),
+        spec_with("service", R"({"a\q" : "\ud83d"})")};
     for (auto const& odd : all)
     {
         CAPTURE(odd.substr(0, 80));
@@ -93,6 +99,27 @@
     CHECK(std::holds_alternative<ks::target_registration>(usable[1].value));
 }
 
+TEST_CASE("platform: an entry whose name cannot be read hides no other")
+{
+    auto const good = std::string{
+        R"("spec":{"service":"s","address":"10.0.0.1:80","zone":"a",)"
+        R"("version":"v1","slots":2,"state":"ready","sequence":4}})"};
+    for (std::string const odd : {R"("\ud83d")", R"("a\q")", "\"\x02\"", "[]"})
+    {
+        CAPTURE(odd);
+        auto const list =
+            read_list(R"({"items":[{"meta":{"name":"t1"},)" + good +
+                      R"(,{"meta":{"name":)" + odd + "}," + good +
+                      R"(,{"meta":{"name":"t\ud83d\ude00\u0000"},)" + good +
+                      R"(],"at":7})");
+        REQUIRE(list.size() == 3);
+        CHECK(std::holds_alternative<ks::target_registration>(list[0].value));
+        CHECK(list[1].name.empty());
+        CHECK(std::holds_alternative<ks::unreadable_object>(list[1].value));
+        CHECK(list[2].name == std::string("t\xf0\x9f\x98\x80\0", 6));
+    }
+}
+
 TEST_CASE("platform: a list goes on after the last entry that has a name")
 {
     auto const page = [](std::string const& items)
