Text of any bytes is read back from messages between instances and from claims

Seen in unit tests: text that is not valid UTF-8 was written into messages between instances and into stored claims, but refused when they were read. Such a name of one entry made every reply of a relay unreadable; such a query made the peer drop the whole batch, with the parts of other callers; and such a key of a booking made its bucket of claims unreadable for all bookings in it.

Cause: callers' and the store's JSON is read with any bytes allowed in strings, the instances' own JSON was read with the library's default.

Change: all use the same options (lenient_options).

Evidence: "text of any bytes is unchanged ..." failed before for relay replies, batches and claims. Not run with real processes.

--- a/src/adapter/json_platform.cpp
+++ b/src/adapter/json_platform.cpp
@@ -262,8 +262,8 @@
 auto parse_claims(std::string_view value) -> leaf::result<std::vector<claim>>
 {
     auto ec = json::error_code{};
-    auto const v =
-        json::parse(json::string_view{value.data(), value.size()}, ec);
+    auto const v = json::parse(json::string_view{value.data(), value.size()},
+        ec, {}, lenient_options());
     if (ec || !v.is_array())
         return leaf::new_error(decode_error{"claims"});
     auto all = std::vector<claim>{};
--- a/src/adapter/value_codec.hpp
+++ b/src/adapter/value_codec.hpp
@@ -7,6 +7,7 @@
 #define KNAPWEEDSTREAM_ADAPTER_VALUE_CODEC_HPP
 
 #include "adapter/error.hpp"
+#include "adapter/json_limits.hpp"
 
 #include <boost/json.hpp>
 #include <boost/pfr/core.hpp>
@@ -219,8 +220,9 @@
 auto decode(std::string_view text, char const* what) -> leaf::result<T>
 {
     auto ec = boost::json::error_code{};
-    auto const v = boost::json::parse(
-        boost::json::string_view{text.data(), text.size()}, ec);
+    auto const v =
+        boost::json::parse(boost::json::string_view{text.data(), text.size()},
+            ec, {}, lenient_options());
     auto it = T{};
     if (ec || !detail::decode_value(v, it))
         return leaf::new_error(decode_error{what});
--- a/tests/unit/test_adapters.cpp
+++ b/tests/unit/test_adapters.cpp
@@ -2,6 +2,7 @@
 #include "adapter/ini.hpp"
 #include "adapter/json_api.hpp"
 #include "adapter/peer_link.hpp"
+#include "adapter/relay_link.hpp"
 #include "adapter/settings.hpp"
 #include "adapter/value_codec.hpp"
 
@@ -145,6 +146,36 @@
     CHECK(value_of(parse_claims(to_json(claims))) == claims);
 }
 
+TEST_CASE("text of any bytes is unchanged in messages between instances and in "
+          "claims")
+{
+    struct batch
+    {
+        instance_id from;
+        std::vector<message> messages;
+    };
+    for (std::string const text :
+        {"\xff\xfe", "\xed\xa0\xbd", "\x01\r\n", "\"\\"})
+    {
+        CAPTURE(text);
+        auto reply = dispatch::relay_reply{true, {}};
+        reply.updates.push_back({store_kind::targets, 7, false,
+            {{{text, 7, unreadable_object{"no slots"}}, false}}});
+        CHECK(value_of(parse_relay_reply(encode(reply))) == reply);
+        // The messages of one batch may come from several callers.
+        auto traffic = peer_traffic_table{};
+        auto const messages = std::vector<message>{
+            sub_query{{{5}, 1}, {6}, {1, 9}, duration{1'000}, {7}, true,
+                {{8}, {9}}, text, {{0}, {3}}},
+            heartbeat{{"a", "b", "c", true}, 1, 2, true, 3, 4}};
+        auto const bytes = encode_batch({42}, messages, traffic);
+        CHECK(value_of(decode<batch>(bytes, "batch")).messages == messages);
+        auto const claims =
+            std::vector<claim>{{text, {1}, {2}, claim_state::done, text, 5}};
+        CHECK(value_of(parse_claims(to_json(claims))) == claims);
+    }
+}
+
 TEST_CASE("bytes that are no message are refused with a typed error")
 {
     for (auto const* text : {"", "[", "[[1]]", "[[1],[[99,[]]]]",
