Names in paths of the queries' platform are percent-encoded

Seen: a template of customer "a?b" was written to, and read back from, the object of customer "a"; an instance whose name holds a blank wrote its record with a broken request line.

Cause: as in calls to the store, names went into paths as they were.

Evidence: "a customer template is applied and read back whatever its name" (real processes) failed before for "a?b": version 2 instead of 1.

--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -63,7 +63,8 @@
             announce_timer_.after(retry_interval);
     };
     send(control_connection_,
-        {EVHTTP_REQ_PUT, "/v1/instances/" + self_.name, {}, to_json(self_)},
+        {EVHTTP_REQ_PUT, "/v1/instances/" + uri_encoded(self_.name), {},
+            to_json(self_)},
         done);
 }
 
--- a/src/app/cli_config.cpp
+++ b/src/app/cli_config.cpp
@@ -21,7 +21,7 @@
 
 auto object_path(std::string const& customer) -> std::string
 {
-    return "/v1/objects/customer/" + customer;
+    return "/v1/objects/customer/" + uri_encoded(customer);
 }
 
 /// Reads the customer's object from the platform; version 0 if there is none.
--- a/tests/process/test_odd_entries.cpp
+++ b/tests/process/test_odd_entries.cpp
@@ -224,3 +224,42 @@
     }
     CHECK(is_passed_on(head + rest));
 }
+
+TEST_CASE("a customer template is applied and read back whatever its name")
+{
+    auto const dir = std::filesystem::temp_directory_path() /
+                     ("ks-test-" + std::to_string(getpid()) + "-apply");
+    std::filesystem::create_directories(dir);
+    auto const platform = process{
+        {KS_STANDIN, "platform", "--port", "25900"}, (dir / "p.log").string()};
+    REQUIRE(wait_for(seconds{10},
+        []
+        {
+            return send_http("127.0.0.1:25900", EVHTTP_REQ_GET, "/v1/instances")
+                       .status == 200;
+        }));
+    auto n = 0;
+    for (std::string const name :
+        {"a", "100A", "a b", "a&b", "a/b", "a?b", "100%41"})
+    {
+        CAPTURE(name);
+        auto const path = (dir / "template.ini").string();
+        std::ofstream{path} << "[customer]\nname = " << name
+                            << "\n[service s]\nshards = 1\n[target s t]\n"
+                               "address = 127.0.0.1:9\nzone = a\nshard = 0\n";
+        for (std::string const expected : {"accepted", "unchanged"})
+        {
+            auto const log = (dir / (std::to_string(++n) + ".log")).string();
+            auto apply = process{
+                {KS_BINARY, "apply", path, "--platform", "127.0.0.1:25900"},
+                log};
+            CHECK(apply.exit_code(seconds{10}) == 0);
+            auto line = std::string{};
+            auto in = std::ifstream{log};
+            while (std::getline(in, line) && !line.starts_with(expected))
+                continue;
+            CHECK(line == expected + " customer=" + name + " version=1");
+        }
+    }
+    std::filesystem::remove_all(dir);
+}
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -1,5 +1,7 @@
 #include "platform.hpp"
 
+#include "uri.hpp"
+
 #include <boost/json.hpp>
 
 #include <event2/bufferevent.h>
@@ -64,7 +66,7 @@
     auto const kind = rest.substr(0, slash);
     if (slash == std::string::npos)
         return changes(r, kind);
-    auto const name = rest.substr(slash + 1);
+    auto const name = unescaped(rest.substr(slash + 1), false);
     if (r.method() == EVHTTP_REQ_PUT)
         return write(r, kind, name);
     read(r, kind, name);
@@ -145,7 +147,8 @@
     if (r.method() == EVHTTP_REQ_PUT)
     {
         ++writes_;
-        instances_[r.path().substr(prefix.size())].push_back({now, r.body()});
+        instances_[unescaped(r.path().substr(prefix.size()), false)].push_back(
+            {now, r.body()});
         return r.reply(200, "{}");
     }
     auto text = std::string{"{\"instances\":["};
--- a/tests/unit/scripted_target.hpp
+++ b/tests/unit/scripted_target.hpp
@@ -51,6 +51,7 @@
         script_ = std::move(script);
     }
 
+    std::string received; ///< Bytes of all requests.
     std::size_t written = 0;
     std::size_t ended = 0; ///< Connections that the caller closed.
 
@@ -60,7 +61,11 @@
         auto const i = streams_.size();
         streams_.push_back(std::make_unique<ks::tcp_stream>(base_, fd,
             ks::tcp_stream::callbacks{{},
-                [this, i](std::string_view) { answer(i); },
+                [this, i](std::string_view bytes)
+                {
+                    received.append(bytes);
+                    answer(i);
+                },
                 [this, i] { more(i); },
                 [this](ks::stream_end)
                 {
