One odd customer or instance at the queries' platform does not hide the others

Seen in a unit test with a scripted platform: one entry without a name, or one customer that could not be decoded, made the instance drop the whole reply. It learned of no other customer or change for as long as the entry stood, and of no other instance.

Cause: parse_instances, parse_changes and on_changes ended at the first entry that was malformed, and the watch began again at the same revision.

Change: such entries are left out, counted and logged ("Entries skipped", "Customer skipped"); the others hold. A customer's configuration in force stays in force where its new one is malformed.

Evidence: "platform client: one odd entry ..." tries eight forms; before, the first one already failed. Not run with real processes.

--- a/src/adapter/json_api.hpp
+++ b/src/adapter/json_api.hpp
@@ -57,11 +57,19 @@
     -> leaf::result<customer_config>;
 /// Encodes an instance as stored in the platform.
 auto to_json(instance_info const& it) -> std::string;
+/// The platform's list of instances.
+struct instance_list
+{
+    std::vector<instance_info> instances;
+    std::size_t unreadable = 0; ///< Entries without a name, left out.
+
+    auto operator<=>(instance_list const&) const = default;
+};
+
 /// Decodes the platform's list of instances.
 ///
 /// @returns The instances, or `decode_error`.
-auto parse_instances(std::string_view body)
-    -> leaf::result<std::vector<instance_info>>;
+auto parse_instances(std::string_view body) -> leaf::result<instance_list>;
 /// Encodes a rollout as stored in the platform.
 auto to_json(rollout const& it) -> std::string;
 /// Decodes a rollout as stored in the platform.
@@ -91,6 +99,7 @@
 {
     std::uint64_t revision = 0;
     std::vector<platform_object> objects;
+    std::size_t unreadable = 0; ///< Objects without a name, left out.
 
     auto operator<=>(platform_changes const&) const = default;
 };
--- a/src/adapter/json_platform.cpp
+++ b/src/adapter/json_platform.cpp
@@ -203,22 +203,23 @@
             {"zone", it.zone}, {"leaving", it.leaving}});
 }
 
-auto parse_instances(std::string_view body)
-    -> leaf::result<std::vector<instance_info>>
+auto parse_instances(std::string_view body) -> leaf::result<instance_list>
 {
     auto const o = parse_object_text(body);
-    auto all = std::vector<instance_info>{};
+    auto all = instance_list{};
     if (!o.contains("instances"))
         return leaf::new_error(decode_error{"instances"});
     for (auto const& v : list_of(o, "instances"))
     {
         auto const i = object_of(v);
         auto const* leaving = i.if_contains("leaving");
-        all.push_back({text_of(i, "name"), text_of(i, "peer_address"),
+        auto it = instance_info{text_of(i, "name"), text_of(i, "peer_address"),
             text_of(i, "zone"),
-            leaving != nullptr && leaving->is_bool() && leaving->get_bool()});
-        if (all.back().name.empty())
-            return leaf::new_error(decode_error{"instance"});
+            leaving != nullptr && leaving->is_bool() && leaving->get_bool()};
+        if (it.name.empty())
+            ++all.unreadable;
+        else
+            all.instances.push_back(std::move(it));
     }
     return all;
 }
@@ -294,9 +295,10 @@
     for (auto const& v : list_of(o, "objects"))
     {
         auto it = platform_object{};
-        if (!parse_object_fields(object_of(v), it))
-            return leaf::new_error(decode_error{"platform object"});
-        c.objects.push_back(std::move(it));
+        if (parse_object_fields(object_of(v), it))
+            c.objects.push_back(std::move(it));
+        else
+            ++c.unreadable;
     }
     return c;
 }
--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -1,6 +1,5 @@
 #include "adapter/platform_client.hpp"
 
-#include "adapter/json_api.hpp"
 #include "adapter/log.hpp"
 
 namespace knapweedstream
@@ -19,6 +18,15 @@
 constexpr auto retry_interval = milliseconds{500};
 constexpr auto claim_connections = std::size_t{4};
 
+/// Logs that entries of a list were left out.
+auto log_unreadable(char const* what, std::size_t count) -> void
+{
+    if (count > 0)
+        log(log_level::error, "platform",
+            std::string{"Entries skipped. list="} + what +
+                " count=" + std::to_string(count));
+}
+
 } // namespace
 
 auto bucket_name(claim_bucket bucket) -> std::string
@@ -80,7 +88,8 @@
             [&]() -> leaf::result<void>
             {
                 BOOST_LEAF_AUTO(all, parse_instances(r.body()));
-                sink_(instances_listed{std::move(all)});
+                log_unreadable("instances", all.unreadable);
+                sink_(instances_listed{std::move(all.instances)});
                 return {};
             },
             [] {
@@ -117,6 +126,23 @@
         [this](http_reply const& r) { on_changes(r); });
 }
 
+auto platform_client::on_customer(platform_object const& o) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(c, parse_customer(o.value, o.version));
+            sink_(config_read{std::move(c)});
+            return {};
+        },
+        [&]
+        {
+            log(log_level::error, "platform",
+                "Customer skipped. name=" + o.name +
+                    " version=" + std::to_string(o.version));
+        });
+}
+
 auto platform_client::on_changes(http_reply const& r) -> void
 {
     watch_pending_ = false;
@@ -126,11 +152,9 @@
             if (r.status() != 200)
                 return false;
             BOOST_LEAF_AUTO(changes, parse_changes(r.body()));
+            log_unreadable("customers", changes.unreadable);
             for (auto const& it : changes.objects)
-            {
-                BOOST_LEAF_AUTO(c, parse_customer(it.value, it.version));
-                sink_(config_read{std::move(c)});
-            }
+                on_customer(it);
             // A lower revision means that the platform lost its history: read
             // all objects again.
             revision_ = changes.revision < revision_ ? 0 : changes.revision;
--- a/src/adapter/platform_client.hpp
+++ b/src/adapter/platform_client.hpp
@@ -3,6 +3,7 @@
 #ifndef KNAPWEEDSTREAM_ADAPTER_PLATFORM_CLIENT_HPP
 #define KNAPWEEDSTREAM_ADAPTER_PLATFORM_CLIENT_HPP
 
+#include "adapter/json_api.hpp"
 #include "adapter/leaf_client.hpp"
 
 namespace knapweedstream
@@ -35,6 +36,8 @@
     auto list_instances() -> void;
     auto watch() -> void;
     auto on_changes(http_reply const& r) -> void;
+    /// Reports a customer's configuration, or logs that it is malformed.
+    auto on_customer(platform_object const& o) -> void;
     auto on_rollout(service_id service, http_reply const& r) -> void;
     auto on_claims(claim_bucket bucket, http_reply const& r) -> void;
     auto connection_for(claim_bucket bucket) -> http_connection&;
--- a/tests/unit/test_platform_client.cpp
+++ b/tests/unit/test_platform_client.cpp
@@ -50,6 +50,32 @@
 
 } // namespace
 
+TEST_CASE(
+    "platform client: one odd entry does not hide the other customers and "
+    "instances")
+{
+    for (std::string const odd :
+        {"7", "null", "{}", R"({"name":7,"version":1,"value":"{}"})",
+            R"({"name":"odd","version":-1,"value":"{}"})",
+            R"({"name":"odd","version":1,"value":"no JSON"})",
+            R"({"name":"odd","version":1,"value":"{\"services\":[7]}"})",
+            R"({"name":"\ud83d","version":1,"value":""})"})
+    {
+        CAPTURE(odd);
+        auto const good =
+            R"({"name":"c","version":2,"value":"{\"name\":\"c\"}"})";
+        auto const instance =
+            R"({"name":"e1","peer_address":"127.0.0.1:9","zone":"a"})";
+        auto const got =
+            learn_from(R"({"revision":5,"objects":[)" + odd + "," + good +
+                           R"(],"instances":[)" + odd + "," + instance + "]}",
+                "e0");
+        CHECK(got.customers == std::set<std::string>{"c"});
+        REQUIRE(!got.instances.empty());
+        CHECK(got.instances.back() == "e1");
+    }
+}
+
 TEST_CASE("platform client: an instance records itself under any name")
 {
     auto const got = learn_from(
