A log line stays one line whatever the names in it

Seen in a unit test: the name of an entry that was skipped, with a line break in it, ended the log line and began one of its own, such as "Ready.".

Cause: names are logged as they come.

Change: the log writer replaces control characters in a line by "?".

Evidence: "log: a line stays one line ..." failed before.

--- a/src/adapter/log_writer.cpp
+++ b/src/adapter/log_writer.cpp
@@ -46,7 +46,12 @@
         ++unreported_drops_;
         return;
     }
+    auto const begin = buffer_.size();
     buffer_.append(line).push_back('\n');
+    // Names of others may hold anything; the line stays one line.
+    std::replace_if(
+        buffer_.begin() + static_cast<std::ptrdiff_t>(begin), buffer_.end() - 1,
+        [](unsigned char c) { return c < ' ' || c == 0x7f; }, '?');
     if (buffer_.size() >= chunk_bytes)
         flush();
 }
--- a/tests/unit/test_adapters.cpp
+++ b/tests/unit/test_adapters.cpp
@@ -1,6 +1,7 @@
 /// Decoders and settings: valid input, invalid input, typed errors.
 #include "adapter/ini.hpp"
 #include "adapter/json_api.hpp"
+#include "adapter/log_writer.hpp"
 #include "adapter/peer_link.hpp"
 #include "adapter/relay_link.hpp"
 #include "adapter/settings.hpp"
@@ -8,6 +9,8 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 using namespace knapweedstream;
 
 namespace
@@ -176,6 +179,22 @@
     }
 }
 
+TEST_CASE("log: a line stays one line whatever the names in it")
+{
+    int fds[2];
+    REQUIRE(pipe(fds) == 0);
+    auto writer = log_writer{fds[1], {}};
+    writer.add("skipped name=a\r\nReady.\x1b[2J\x7f\xc3\xa9\t!", time_point{});
+    writer.flush();
+    char buf[100];
+    auto const n = read(fds[0], buf, sizeof buf);
+    REQUIRE(n > 0);
+    CHECK(std::string(buf, static_cast<std::size_t>(n)) ==
+          "skipped name=a??Ready.?[2J?\xc3\xa9?!\n");
+    close(fds[0]);
+    close(fds[1]);
+}
+
 TEST_CASE("bytes that are no message are refused with a typed error")
 {
     for (auto const* text : {"", "[", "[[1]]", "[[1],[[99,[]]]]",
