Log changes that are ignored as older, and the store's era

Cause: the log could not tell the hypotheses of the incident apart. A change with a lower revision than the one known of its object was dropped silently, and Store-Era, which the store states in all answers, was not read. Change: one line and a counter for ignored objects of a list or watch, one line, a counter and a gauge for the era. Decisions are unchanged.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -186,6 +186,22 @@
            " objects=" + std::to_string(it.objects) + " last=" + it.last;
 }
 
+auto line_of(dispatch::objects_outdated const& it) -> std::string
+{
+    return std::string{"Older objects ignored. kind="} +
+           store_kind_name(it.kind) + " objects=" + std::to_string(it.objects) +
+           " first=" + it.name + " revision=" + std::to_string(it.revision) +
+           " known=" + std::to_string(it.known);
+}
+
+auto line_of(dispatch::store_restored const& it) -> std::string
+{
+    return "Store restored from an older copy. era=" + std::to_string(it.era) +
+           " before=" + std::to_string(it.before) +
+           " learned_from=" + it.learned_from +
+           " revision=" + std::to_string(it.revision);
+}
+
 auto line_of(dispatch::targets_known_late const& it) -> std::string
 {
     return "First request between watches of targets. age_ms=" + ms(it.age) +
@@ -276,6 +292,12 @@
             [](dispatch::object_skipped const&) -> log_category {
                 return {"store", log_level::warning};
             },
+            [](dispatch::objects_outdated const&) -> log_category {
+                return {"store", log_level::warning};
+            },
+            [](dispatch::store_restored const&) -> log_category {
+                return {"store", log_level::warning};
+            },
             [](dispatch::store_availability_changed const& e) -> log_category {
                 return {"store", e.lost ? log_level::warning : log_level::info};
             },
--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -44,6 +44,8 @@
         entry{"target_connects_total", &d::connects},
         entry{"target_connect_failures_total", &d::connect_failures},
         entry{"store_failures_total", &d::store_failures},
+        entry{"store_restores_total", &d::store_restores},
+        entry{"store_outdated_objects_total", &d::outdated_objects},
         entry{"relay_failures_total", &d::relay_failures},
         entry{"relay_answers_total", &d::relay_answers},
         entry{"configs_total", &d::configs}};
@@ -61,6 +63,7 @@
            gauge_text("targets", g.targets) +
            gauge_text("instances", g.instances) +
            gauge_text("config_version", g.config_version) +
+           gauge_text("store_era", g.store_era) +
            gauge_text("ready", g.ready ? 1 : 0) +
            gauge_text("stopping", g.stopping ? 1 : 0);
 }
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -28,11 +28,18 @@
     {
         out.changes = std::move(changed->changes);
         out.revision = changed->revision;
+        out.era = changed->era;
     }
     else if (auto* const failed = std::get_if<dispatch::store_failed>(&answer))
+    {
         out.failure = failed->failure;
-    else
+        out.era = failed->era;
+    }
+    else if (auto* const gone = std::get_if<dispatch::store_compacted>(&answer))
+    {
         out.failure = store_failure::missing; // The changes were compacted.
+        out.era = gone->era;
+    }
     return out;
 }
 
@@ -40,7 +47,7 @@
 {
     return [kind](store_failure why) -> dispatch::event
     {
-        return dispatch::store_failed{kind, why};
+        return dispatch::store_failed{kind, why, {}};
     };
 }
 
@@ -91,7 +98,7 @@
         [this, c](http_message const& m)
         { return to_check_result(c, codec_.read_watch(c.kind, m)); },
         [c](store_failure why) -> dispatch::event {
-            return to_check_result(c, dispatch::store_failed{c.kind, why});
+            return to_check_result(c, dispatch::store_failed{c.kind, why, {}});
         });
 }
 
@@ -133,7 +140,7 @@
         [this, kind, name](http_message const& answer)
         { return codec_.read_write(kind, name, answer); },
         [kind, name](store_failure why) -> dispatch::event {
-            return dispatch::store_written{kind, name, 0, why};
+            return dispatch::store_written{kind, name, 0, why, {}};
         });
 }
 
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -170,13 +170,32 @@
     return it != known->second.end() && it->second > revision;
 }
 
+auto note_outdated(
+    objects_outdated& all, stored_object const& o, std::uint64_t known) -> void
+{
+    if (all.objects++ > 0)
+        return;
+    all.name = o.name;
+    all.revision = o.revision;
+    all.known = known;
+}
+
+auto report_outdated(
+    dispatch_state& s, objects_outdated const& all, commands& out) -> void
+{
+    if (all.objects == 0)
+        return;
+    s.stats.outdated_objects += all.objects;
+    out.push_back(report_fact{all});
+}
+
 auto apply_change(dispatch_state& s, store_kind kind, stored_change const& c,
-    time_point now, commands& out) -> void
+    time_point now, objects_outdated& outdated, commands& out) -> void
 {
     auto const& o = c.object;
     auto& seen = s.revisions[kind][o.name];
     if (o.revision < seen)
-        return;
+        return note_outdated(outdated, o, seen);
     seen = o.revision;
     auto const readable = !std::holds_alternative<unreadable_object>(o.value);
     if (c.deleted || !readable)
@@ -208,11 +227,13 @@
     if (passes_on(s))
         record_list(s.replicas[kind], objects, revision, now);
     auto listed = std::set<std::string>{};
+    auto outdated = objects_outdated{kind, 0, {}, 0, 0};
     for (auto const& it : objects)
     {
         listed.insert(it.name);
-        apply_change(s, kind, {it, false}, now, out);
+        apply_change(s, kind, {it, false}, now, outdated, out);
     }
+    report_outdated(s, outdated, out);
     for (auto const& name : known_names(s, kind))
         if (!listed.contains(name) && !is_newer(s, kind, name, revision))
         {
@@ -229,8 +250,10 @@
 {
     if (passes_on(s))
         record_changes(s.replicas[kind], changes, now);
+    auto outdated = objects_outdated{kind, 0, {}, 0, 0};
     for (auto const& it : changes)
-        apply_change(s, kind, it, now, out);
+        apply_change(s, kind, it, now, outdated, out);
+    report_outdated(s, outdated, out);
     if (kind == store_kind::targets)
         preconnect_all(s, now, out);
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -56,9 +56,11 @@
     std::uint64_t connects = 0;
     std::uint64_t connect_failures = 0;
     std::uint64_t store_failures = 0;
-    std::uint64_t relay_failures = 0; ///< Relays that did not serve.
-    std::uint64_t relay_answers = 0;  ///< Questions answered as a relay.
-    std::uint64_t configs = 0;        ///< Configurations that were applied.
+    std::uint64_t store_restores = 0;   ///< Eras of the store that were begun.
+    std::uint64_t outdated_objects = 0; ///< Older ones that were ignored.
+    std::uint64_t relay_failures = 0;   ///< Relays that did not serve.
+    std::uint64_t relay_answers = 0;    ///< Questions answered as a relay.
+    std::uint64_t configs = 0;          ///< Configurations that were applied.
 
     auto operator<=>(dispatch_stats const&) const = default;
 };
@@ -72,6 +74,7 @@
     std::uint64_t targets = 0;
     std::uint64_t instances = 0;
     std::uint64_t config_version = 0;
+    std::uint64_t store_era = 0; ///< 0: the store has not stated one.
     bool ready = false;
     bool stopping = false;
 
--- a/src/core/dispatch/store_contact.hpp
+++ b/src/core/dispatch/store_contact.hpp
@@ -20,6 +20,7 @@
     /// before then may be on a connection that no longer delivers.
     time_point doubt_since;
     std::uint64_t newest = 0; ///< Newest revision in any answer.
+    store_era era;            ///< Highest one that was stated.
 
     auto operator<=>(store_contact const&) const = default;
 };
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/store_events.hpp"
 
 #include "core/dispatch/catalog.hpp"
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/stop.hpp"
@@ -200,6 +201,7 @@
 auto on_listed(dispatch_state& s, store_listed const& e, time_point now,
     commands& out) -> void
 {
+    observe_era(s, e.era, "list", out);
     mark_answered(s, e.kind, e.revision, now, out);
     auto const& before = s.follows[e.kind];
     auto const* list = std::get_if<listing>(&before.phase);
@@ -224,6 +226,7 @@
 auto on_changed(dispatch_state& s, store_changed const& e, time_point now,
     commands& out) -> void
 {
+    observe_era(s, e.era, "watch", out);
     mark_answered(s, e.kind, e.revision, now, out);
     apply_changes(s, e.kind, e.changes, now, out);
     apply_step(
@@ -237,6 +240,7 @@
 auto on_store_failed(dispatch_state& s, store_failed const& e, time_point now,
     commands& out) -> void
 {
+    observe_era(s, e.era, "failure", out);
     ++s.stats.store_failures;
     auto const& f = s.follows[e.kind];
     if (f.failures == 0)
@@ -282,6 +286,7 @@
 auto on_checked(dispatch_state& s, store_checked const& e, time_point now,
     commands& out) -> void
 {
+    observe_era(s, e.era, "check", out);
     s.follows[e.kind].check_pending = false;
     auto const f = s.follows[e.kind];
     if (e.failure)
@@ -308,6 +313,7 @@
 auto on_written(dispatch_state& s, store_written const& e, time_point now,
     commands& out) -> void
 {
+    observe_era(s, e.era, "write", out);
     if (e.kind == store_kind::reports)
         return on_report_written(s, e, now);
     if (e.kind != store_kind::instances)
@@ -319,6 +325,7 @@
 auto on_compacted(dispatch_state& s, store_compacted const& e, time_point now,
     commands& out) -> void
 {
+    observe_era(s, e.era, "discarded_history", out);
     s.last_disruption[e.kind] = now;
     apply_step(s, without_history(s.follows[e.kind], s.init.limits, now), out);
 }
--- a/src/port/dispatch_event.hpp
+++ b/src/port/dispatch_event.hpp
@@ -77,6 +77,7 @@
     /// More pages follow, but no object of this one has a name to continue
     /// from.
     bool no_next = false;
+    store_era era{}; ///< Stated in the answer.
     auto operator<=>(store_listed const&) const = default;
 };
 
@@ -86,6 +87,7 @@
     store_kind kind = store_kind::configuration;
     std::vector<stored_change> changes;
     std::uint64_t revision = 0; ///< Revision to watch from next.
+    store_era era{};            ///< Stated in the answer.
     auto operator<=>(store_changed const&) const = default;
 };
 
@@ -97,6 +99,7 @@
     std::vector<stored_change> changes;
     std::uint64_t revision = 0; ///< Revision of the data that was checked.
     std::optional<store_failure> failure; ///< Set if the check failed.
+    store_era era{};                      ///< Stated in the answer.
     auto operator<=>(store_checked const&) const = default;
 };
 
@@ -104,6 +107,7 @@
 struct store_compacted
 {
     store_kind kind = store_kind::configuration;
+    store_era era{}; ///< Stated in the answer.
     auto operator<=>(store_compacted const&) const = default;
 };
 
@@ -112,6 +116,7 @@
 {
     store_kind kind = store_kind::configuration;
     store_failure failure = store_failure::unreachable;
+    store_era era{}; ///< Stated in the answer.
     auto operator<=>(store_failed const&) const = default;
 };
 
@@ -122,6 +127,7 @@
     std::string name;
     std::uint64_t revision = 0;           ///< New revision, if carried out.
     std::optional<store_failure> failure; ///< Set if the write failed.
+    store_era era{};                      ///< Stated in the answer.
     auto operator<=>(store_written const&) const = default;
 };
 
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -168,6 +168,28 @@
     auto operator<=>(object_skipped const&) const = default;
 };
 
+/// Objects that the store returned are older than those known, and were
+/// ignored.
+struct objects_outdated
+{
+    store_kind kind = store_kind::configuration;
+    std::size_t objects = 0;
+    std::string name;           ///< Of the first of them.
+    std::uint64_t revision = 0; ///< Of the first of them.
+    std::uint64_t known = 0;    ///< Revision known of it.
+    auto operator<=>(objects_outdated const&) const = default;
+};
+
+/// The store has come back from an older copy of its data.
+struct store_restored
+{
+    std::uint64_t before = 0; ///< Era known before.
+    std::uint64_t era = 0;
+    std::string learned_from;   ///< Kind of message that stated the new era.
+    std::uint64_t revision = 0; ///< Newest revision seen in the era before.
+    auto operator<=>(store_restored const&) const = default;
+};
+
 /// Objects of a kind can no longer be read from the store, or can be again.
 struct store_availability_changed
 {
@@ -278,9 +300,10 @@
 /// Any fact that the dispatcher reports.
 using fact = std::variant<extra_sent, attempt_failed, budget_exhausted,
     request_ended, target_condition_changed, config_applied, config_ignored,
-    object_skipped, store_availability_changed, list_read, list_cut,
-    targets_known_late, watch_stalled, store_source_changed, zone_changed,
-    rollout_progressed, crash_suspected, statement_ignored, readiness_changed>;
+    object_skipped, objects_outdated, store_restored,
+    store_availability_changed, list_read, list_cut, targets_known_late,
+    watch_stalled, store_source_changed, zone_changed, rollout_progressed,
+    crash_suspected, statement_ignored, readiness_changed>;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/port/store.hpp
+++ b/src/port/store.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -41,6 +42,10 @@
     rolled_back,
 };
 
+/// Number that the store raises each time it comes back from an older copy of
+/// its data; its revisions go back then. Empty if an answer does not state it.
+using store_era = std::optional<std::uint64_t>;
+
 /// An operator's order to move a service's traffic to another version.
 struct rollout_order
 {
--- a/tests/unit/test_platform.cpp
+++ b/tests/unit/test_platform.cpp
@@ -170,6 +170,47 @@
     CHECK(page("").no_next);
 }
 
+TEST_CASE("platform: the store's era is read from every answer")
+{
+    auto const dialect = ks::platform::make_store_dialect();
+    auto const era_in =
+        [&](std::uint32_t status, std::string body, std::string const& era)
+    {
+        auto m = ks::http_message{};
+        m.status = status;
+        m.body = std::move(body);
+        m.fields.push_back({"store-era", era});
+        auto const kind = ks::store_kind::targets;
+        auto all = std::vector<ks::store_era>{};
+        for (auto const& e : {dialect.read_list(kind, m),
+                 dialect.read_watch(kind, m), dialect.read_write(kind, "n", m)})
+            all.push_back(std::visit(
+                [](auto const& it)
+                {
+                    if constexpr (requires { it.era; })
+                        return it.era;
+                    else
+                        return ks::store_era{};
+                },
+                e));
+        REQUIRE(all[0] == all[1]);
+        REQUIRE(all[1] == all[2]);
+        return all[0];
+    };
+    auto const body = std::string{R"({"items":[],"events":[],"at":7})"};
+    for (auto const status : {200u, 404u, 409u, 410u, 429u, 503u})
+    {
+        CAPTURE(status);
+        CHECK(era_in(status, body, "3") == 3);
+        CHECK(era_in(status, "no JSON", "3") == 3);
+        CHECK(era_in(status, body, "18446744073709551615") ==
+              std::uint64_t{18'446'744'073'709'551'615u});
+        for (auto const* none :
+            {"", "x", "3x", "-1", "1.5", " ", "18446744073709551616", "3, 4"})
+            CHECK(!era_in(status, body, none));
+    }
+}
+
 TEST_CASE("platform: a rollout order's state is unchanged after write and read")
 {
     auto const dialect = ks::platform::make_store_dialect();
