--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -96,9 +96,9 @@
 {
     t.displaced = true;
     close_idle(s, t, out);
-    out.push_back(report_fact{
-        target_condition_changed{t.info.name, t.info.service, t.info.address,
-            target_condition::displaced, "reply=wrong_target", t.revision}});
+    out.push_back(report_fact{target_condition_changed{t.info.name,
+        t.info.service, t.info.address, target_condition::displaced,
+        "reply=wrong_target", t.version.revision}});
 }
 
 auto report_failure(dispatch_state& s, attempt const& a,
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/catalog.hpp"
 
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
@@ -39,16 +40,16 @@
 auto apply_config(dispatch_state& s, routing_config const& c,
     std::uint64_t revision, time_point now, commands& out) -> void
 {
-    if (s.config != nullptr && c.version <= s.config->version)
+    if (s.config != nullptr && c == *s.config)
+        return;
+    if (s.config != nullptr && c.version < s.config->version)
     {
-        if (c.version < s.config->version)
-            out.push_back(
-                report_fact{config_ignored{c.version, s.config->version}});
+        out.push_back(
+            report_fact{config_ignored{c.version, s.config->version}});
         return;
     }
     ++s.stats.configs;
     s.config = std::make_shared<routing_config const>(c);
-    s.config_revision = revision;
     update_services(s);
     out.push_back(set_caller_limits{c.limits});
     out.push_back(
@@ -94,8 +95,9 @@
 }
 
 auto apply_object(dispatch_state& s, store_kind kind, stored_object const& o,
-    time_point now, commands& out) -> void
+    std::uint64_t era, time_point now, commands& out) -> void
 {
+    auto const version = store_version{era, o.revision};
     std::visit(
         overloaded{[&](unreadable_object const& it) {
                        out.push_back(report_fact{
@@ -104,15 +106,15 @@
             [&](routing_config const& it)
             { apply_config(s, it, o.revision, now, out); },
             [&](target_registration const& it)
-            { apply_target(s, it, o.revision, now, out); },
+            { apply_target(s, it, version, now, out); },
             [&](zone_evacuation const& it)
             { set_evacuated(s, it.zone, true, o.revision, now, out); },
             [&](rollout_order const& it)
-            { apply_order(s, it, o.revision, now, out); },
+            { apply_order(s, it, version, now, out); },
             [&](instance_record const& it) { set_instance(s, o.name, &it); },
             [&](instance_report const& it)
             {
-                apply_report(s, it, now);
+                apply_report(s, it, version, now);
             }},
         o.value);
 }
@@ -158,26 +160,30 @@
     return names;
 }
 
-/// True if an object is known from a later revision than that of a list, so
-/// that the list says nothing of it.
-auto is_newer(dispatch_state const& s, store_kind kind, std::string const& name,
-    std::uint64_t revision) -> bool
+/// True if an object that a list lacks is kept: it is known from a later
+/// version than that of the list, or only from an earlier era, and its writer
+/// may write it again.
+auto is_kept(dispatch_state& s, store_kind kind, std::string const& name,
+    store_version version, time_point now) -> bool
 {
-    auto const known = s.revisions.find(kind);
-    if (known == s.revisions.end())
-        return false;
-    auto const it = known->second.find(name);
-    return it != known->second.end() && it->second > revision;
+    auto const known = known_version(s, kind, name);
+    if (known > version)
+        return true;
+    auto const may_return = known.era < version.era && known.revision != 0 &&
+                            !is_settled(s, kind, now);
+    if (may_return)
+        s.era.unsettled.insert(kind);
+    return may_return;
 }
 
 auto note_outdated(
-    objects_outdated& all, stored_object const& o, std::uint64_t known) -> void
+    objects_outdated& all, stored_object const& o, store_version known) -> void
 {
     if (all.objects++ > 0)
         return;
     all.name = o.name;
     all.revision = o.revision;
-    all.known = known;
+    all.known = known.revision;
 }
 
 auto report_outdated(
@@ -190,20 +196,22 @@
 }
 
 auto apply_change(dispatch_state& s, store_kind kind, stored_change const& c,
-    time_point now, objects_outdated& outdated, commands& out) -> void
+    std::uint64_t era, time_point now, objects_outdated& outdated,
+    commands& out) -> void
 {
     auto const& o = c.object;
-    auto& seen = s.revisions[kind][o.name];
-    if (o.revision < seen)
+    auto const version = store_version{era, o.revision};
+    auto& seen = s.versions[kind][o.name];
+    if (version < seen)
         return note_outdated(outdated, o, seen);
-    seen = o.revision;
+    seen = version;
     auto const readable = !std::holds_alternative<unreadable_object>(o.value);
     if (c.deleted || !readable)
         drop_object(s, kind, o.name, o.revision, now, out);
     if (!c.deleted)
-        apply_object(s, kind, o, now, out);
+        apply_object(s, kind, o, era, now, out);
     if (c.deleted)
-        s.revisions[kind].erase(o.name);
+        s.versions[kind].erase(o.name);
 }
 
 } // namespace
@@ -221,23 +229,23 @@
 }
 
 auto apply_list(dispatch_state& s, store_kind kind,
-    std::span<stored_object const> objects, std::uint64_t revision,
+    std::span<stored_object const> objects, store_version version,
     time_point now, commands& out) -> void
 {
     if (passes_on(s))
-        record_list(s.replicas[kind], objects, revision, now);
+        record_list(s.replicas[kind], objects, version, now);
     auto listed = std::set<std::string>{};
     auto outdated = objects_outdated{kind, 0, {}, 0, 0};
     for (auto const& it : objects)
     {
         listed.insert(it.name);
-        apply_change(s, kind, {it, false}, now, outdated, out);
+        apply_change(s, kind, {it, false}, version.era, now, outdated, out);
     }
     report_outdated(s, outdated, out);
     for (auto const& name : known_names(s, kind))
-        if (!listed.contains(name) && !is_newer(s, kind, name, revision))
+        if (!listed.contains(name) && !is_kept(s, kind, name, version, now))
         {
-            s.revisions[kind].erase(name);
+            s.versions[kind].erase(name);
             drop_object(s, kind, name, 0, now, out);
         }
     if (kind == store_kind::targets)
@@ -245,14 +253,14 @@
 }
 
 auto apply_changes(dispatch_state& s, store_kind kind,
-    std::span<stored_change const> changes, time_point now, commands& out)
-    -> void
+    std::span<stored_change const> changes, std::uint64_t era, time_point now,
+    commands& out) -> void
 {
     if (passes_on(s))
-        record_changes(s.replicas[kind], changes, now);
+        record_changes(s.replicas[kind], changes, era, now);
     auto outdated = objects_outdated{kind, 0, {}, 0, 0};
     for (auto const& it : changes)
-        apply_change(s, kind, it, now, outdated, out);
+        apply_change(s, kind, it, era, now, outdated, out);
     report_outdated(s, outdated, out);
     if (kind == store_kind::targets)
         preconnect_all(s, now, out);
@@ -274,7 +282,8 @@
 {
     auto const it = s.follows.find(store_kind::targets);
     return s.config != nullptr && it != s.follows.end() &&
-           (it->second.revision != 0 || it->second.cut);
+           (it->second.lists != 0 || it->second.known.revision != 0 ||
+               it->second.cut);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/catalog.hpp
+++ b/src/core/dispatch/catalog.hpp
@@ -1,6 +1,6 @@
 /// Applies the store's objects to the dispatcher's state: configuration,
 /// targets, evacuated zones, rollout orders, instances. A change older than the
-/// newest known revision of its object is ignored.
+/// newest known version of its object is ignored.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_CATALOG_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_CATALOG_HPP
 
@@ -14,15 +14,17 @@
 /// Applies a complete list: objects that it lacks were deleted, unless they are
 /// known from a later revision.
 ///
-/// @param[in] revision That the whole list has reached.
+/// @param[in] version That the whole list has reached.
 auto apply_list(dispatch_state& s, store_kind kind,
-    std::span<stored_object const> objects, std::uint64_t revision,
+    std::span<stored_object const> objects, store_version version,
     time_point now, commands& out) -> void;
 
 /// Applies changes that a watch or a check returned.
+///
+/// @param[in] era Of the store that has returned them.
 auto apply_changes(dispatch_state& s, store_kind kind,
-    std::span<stored_change const> changes, time_point now, commands& out)
-    -> void;
+    std::span<stored_change const> changes, std::uint64_t era, time_point now,
+    commands& out) -> void;
 
 /// Handles a target's timer: it may be connected to again, or the grace period
 /// of its vanished registration has ended.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/attempts.hpp"
 #include "core/dispatch/catalog.hpp"
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
@@ -53,6 +54,7 @@
             [&](link_due const& e) { on_link_due(s, e, now, out); },
             [&](target_due const& e) { on_target_due(s, e, now, out); },
             [&](follow_due const& e) { on_follow_due(s, e, now, out); },
+            [&](settle_due const& e) { on_settle_due(s, e, now); },
             [&](shift_due const& e) { on_shift_due(s, e, now, out); },
             [&](check_due const&) { on_check_due(s, now, out); },
             [&](relay_due const&) { on_relay_due(s, now, out); },
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -41,7 +41,7 @@
 /// True if a relay keeps the kind up to date, so that no call is needed.
 auto is_relayed(follow_state const& f) -> bool
 {
-    return f.attached && f.revision != 0;
+    return f.attached && f.known.revision != 0;
 }
 
 auto wait_for_relay(follow_state f) -> follow_step
@@ -61,8 +61,8 @@
     auto const stale = probing || (policy.may_be_stale && !f.require_fresh);
     f.phase = watching{};
     f.called_at = now;
-    auto out = commands{
-        store_watch{f.kind, f.revision, wait, stale, watch_timeout(f, wait)}};
+    auto out = commands{store_watch{
+        f.kind, f.known.revision, wait, stale, watch_timeout(f, wait)}};
     return {std::move(f), std::move(out)};
 }
 
@@ -73,7 +73,8 @@
     return std::visit(overloaded{[&](by_watch const&) { return !f.list_fresh; },
                           [&](by_poll const&)
                           {
-                              return f.lists != fresh_list_index;
+                              return !f.list_fresh &&
+                                     f.polls != fresh_list_index;
                           }},
         policy);
 }
@@ -124,7 +125,7 @@
         return wait_for_relay(f);
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
-    if (watched != nullptr && f.revision != 0)
+    if (watched != nullptr && f.known.revision != 0)
         return watch(f, *watched, now);
     auto next = f;
     next.phase = listing{};
@@ -133,9 +134,9 @@
 
 auto with_added(listing pages, store_listed const& page) -> listing
 {
-    pages.oldest = pages.pages == 0 ? page.revision
-                                    : std::min(pages.oldest, page.revision);
-    pages.newest = std::max(pages.newest, page.revision);
+    auto const version = version_of(page);
+    pages.oldest = pages.pages == 0 ? version : std::min(pages.oldest, version);
+    pages.newest = std::max(pages.newest, version);
     ++pages.pages;
     pages.objects.insert(
         pages.objects.end(), page.objects.begin(), page.objects.end());
@@ -155,6 +156,7 @@
     time_point now) -> follow_step
 {
     f.cut = true;
+    f.restarted = false;
     f.list_fresh = true;
     return pause(std::move(f), now + limits.list_retry);
 }
@@ -172,11 +174,14 @@
     if (!page.next.empty())
         return list(std::move(f), policy, page.next, now);
     f.cut = false;
-    f.revision = pages->oldest;
-    f.confirmed = f.revision;
-    auto const before = f.lists++;
+    f.restarted = false;
+    f.known = pages->oldest;
+    f.confirmed = f.known;
+    ++f.lists;
+    auto const before = f.polls++;
     auto const again = [&](by_poll const& it)
     {
+        f.list_fresh = false;
         return pause(
             std::move(f), now + backoff_delay(it.first, before, it.most));
     };
@@ -194,8 +199,8 @@
     auto next = f;
     next.failures = 0;
     next.unsure = false;
-    next.revision = std::max(f.revision, e.revision);
-    next.confirmed = std::max(f.confirmed, next.revision);
+    next.known = std::max(f.known, version_of(e));
+    next.confirmed = std::max(f.confirmed, next.known);
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
     if (watched == nullptr)
@@ -236,7 +241,7 @@
     next.checked_at = now;
     next.check_pending = true;
     auto const timeout = check_interval(f.kind, limits);
-    return {std::move(next), {store_check{f.kind, f.revision, timeout}}};
+    return {std::move(next), {store_check{f.kind, f.known.revision, timeout}}};
 }
 
 auto renewed(follow_state const& f, dispatch_limits const& limits,
@@ -249,14 +254,14 @@
 
 auto is_check_of_watch(follow_state const& f, store_checked const& e) -> bool
 {
-    return std::holds_alternative<watching>(f.phase) && e.since == f.revision &&
-           f.called_at <= f.checked_at;
+    return std::holds_alternative<watching>(f.phase) &&
+           e.since == f.known.revision && f.called_at <= f.checked_at;
 }
 
 auto has_missed_changes(follow_state const& f, store_checked const& e) -> bool
 {
-    return std::holds_alternative<watching>(f.phase) && e.since == f.revision &&
-           !e.changes.empty();
+    return std::holds_alternative<watching>(f.phase) &&
+           e.since == f.known.revision && !e.changes.empty();
 }
 
 auto with_checked(follow_state const& f, store_checked const& e,
@@ -265,11 +270,11 @@
     auto const policy = policy_of(f.kind, limits);
     auto const* watched = std::get_if<by_watch>(&policy);
     auto next = f;
-    if (e.since == f.revision)
-        next.confirmed = std::max(f.confirmed, e.revision);
+    if (e.since == f.known.revision)
+        next.confirmed = std::max(f.confirmed, version_of(e));
     if (watched == nullptr || !has_missed_changes(f, e))
         return {std::move(next), {}};
-    next.revision = std::max(f.revision, e.revision);
+    next.known = std::max(f.known, version_of(e));
     return watch(std::move(next), *watched, now);
 }
 
@@ -277,7 +282,7 @@
     time_point now) -> follow_step
 {
     auto next = f;
-    next.revision = 0;
+    next.known.revision = 0;
     next.list_fresh = true;
     next.phase = pausing{now};
     return resume(next, limits, now);
@@ -288,11 +293,28 @@
 {
     auto const stale_list =
         std::holds_alternative<listing>(f.phase) && !f.list_fresh;
-    if (f.failures > 0 || (!stale_list && f.revision == 0))
+    if (f.failures > 0 || (!stale_list && f.known.revision == 0))
         return {f, {}};
     return without_history(f, limits, now);
 }
 
+auto restarted(follow_state f, std::uint64_t era, time_point now)
+    -> follow_state
+{
+    f.known = {era, 0};
+    f.confirmed = f.known;
+    f.polls = 0;
+    f.list_fresh = true;
+    f.restarted = true;
+    f.check_pending = false;
+    auto const waits = std::holds_alternative<pausing>(f.phase);
+    if (f.attached)
+        f.phase = relaying{};
+    else if (!waits || f.failures == 0)
+        f.phase = pausing{now};
+    return f;
+}
+
 auto with_relay(follow_state f) -> follow_state
 {
     f.attached = true;
@@ -312,10 +334,11 @@
     return f;
 }
 
-auto with_relayed(follow_state f, std::uint64_t revision) -> follow_state
+auto with_relayed(follow_state f, store_version version) -> follow_state
 {
-    f.revision = std::max(f.revision, revision);
-    f.confirmed = std::max(f.confirmed, f.revision);
+    f.known = std::max(f.known, version);
+    f.confirmed = std::max(f.confirmed, f.known);
+    f.restarted = false;
     return f;
 }
 
@@ -324,8 +347,8 @@
 {
     if (is_relayed(f))
         return wait_for_relay(f);
-    auto const most =
-        f.revision == 0 ? limits.store_retry_most : limits.store_retry_known;
+    auto const most = f.known.revision == 0 ? limits.store_retry_most
+                                            : limits.store_retry_known;
     auto const wait = backoff_delay(limits.store_retry_first, f.failures, most);
     auto const spread = scaled(wait, 0.75 + jitter / 2);
     auto next = f;
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -17,10 +17,10 @@
 /// The pages of a list are being read.
 struct listing
 {
-    /// Least revision of the pages read: a change after it may be missing.
-    std::uint64_t oldest = 0;
-    std::uint64_t newest = 0; ///< Greatest revision of the pages read.
-    std::size_t pages = 0;    ///< Pages read.
+    /// Least version of the pages read: a change after it may be missing.
+    store_version oldest;
+    store_version newest;  ///< Greatest version of the pages read.
+    std::size_t pages = 0; ///< Pages read.
     std::vector<stored_object> objects;
     auto operator<=>(listing const&) const = default;
 };
@@ -81,9 +81,12 @@
 {
     store_kind kind = store_kind::configuration;
     follow_phase phase;
-    std::uint64_t revision = 0; ///< Revision known; 0: a list is needed.
+    store_version known;        ///< Revision 0: a list is needed.
     std::uint32_t failures = 0; ///< Failed calls in a row.
     std::uint32_t lists = 0;    ///< Number of complete lists read.
+    std::uint32_t polls = 0;    ///< The same since the kind was restarted.
+    /// The kind is to be read anew, while what is known of it stays in use.
+    bool restarted = false;
     bool require_fresh = false; ///< Watches must not return stale data.
     /// Only for targets: no request needs them yet; the pauses between watches
     /// are longer.
@@ -101,9 +104,9 @@
     time_point answered_at;     ///< When one was last answered.
     time_point checked_at;      ///< When the waiting watch was last checked.
     bool check_pending = false; ///< A check awaits its answer.
-    /// Revision of the store up to which all changes of the kind are known; at
-    /// least `revision`.
-    std::uint64_t confirmed = 0;
+    /// Version of the store up to which all changes of the kind are known; at
+    /// least `known`.
+    store_version confirmed;
 
     auto operator<=>(follow_state const&) const = default;
 };
@@ -168,7 +171,7 @@
     time_point now) -> follow_step;
 
 /// Lists the kind again, since the store no longer has the changes since
-/// `revision`.
+/// `known`.
 auto without_history(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
@@ -177,6 +180,12 @@
 auto relisted(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
+/// Reads the kind anew, from data that is not stale and of an era at least: by
+/// a list, or from the relay that passes it on. What is known of it stays in
+/// use. The next call is made at once unless calls fail.
+auto restarted(follow_state f, std::uint64_t era, time_point now)
+    -> follow_state;
+
 /// Follows a kind through a relay.
 auto with_relay(follow_state f) -> follow_state;
 
@@ -184,8 +193,8 @@
 /// probe, since the relay may have failed together with the store.
 auto without_relay(follow_state f, time_point until) -> follow_state;
 
-/// Takes note that a relay has passed on all changes up to a revision.
-auto with_relayed(follow_state f, std::uint64_t revision) -> follow_state;
+/// Takes note that a relay has passed on all changes up to a version.
+auto with_relayed(follow_state f, store_version version) -> follow_state;
 
 /// Schedules the next call after a failed one, with exponential backoff.
 ///
--- a/src/core/dispatch/hear_notices.cpp
+++ b/src/core/dispatch/hear_notices.cpp
@@ -20,8 +20,9 @@
 auto report_notice(target_entry const& t, target_condition what,
     std::string details, commands& out) -> void
 {
-    out.push_back(report_fact{target_condition_changed{t.info.name,
-        t.info.service, t.info.address, what, std::move(details), t.revision}});
+    out.push_back(
+        report_fact{target_condition_changed{t.info.name, t.info.service,
+            t.info.address, what, std::move(details), t.version.revision}});
 }
 
 /// Reports each notice of a target that has changed.
--- a/src/core/dispatch/observations.hpp
+++ b/src/core/dispatch/observations.hpp
@@ -37,6 +37,8 @@
     bool exists = false; ///< The store holds a report of this instance.
     bool due = false;    ///< A timer for the next report is armed.
     time_point at;       ///< When it was last written.
+    /// Of the report in the store, as last confirmed by a write.
+    store_version version;
 
     auto operator<=>(written_report const&) const = default;
 };
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -323,7 +323,7 @@
             " open_failures=" + std::to_string(t.open_failures) +
             " in_flight=" + std::to_string(h.in_flight) +
             " age_ms=" + std::to_string(age.count()),
-        t.revision}});
+        t.version.revision}});
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/registrations.cpp
+++ b/src/core/dispatch/registrations.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/registrations.hpp"
 
 #include "core/dispatch/crashes.hpp"
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
@@ -30,9 +31,10 @@
 auto report_target(
     target_entry const& t, target_condition condition, commands& out) -> void
 {
-    out.push_back(report_fact{target_condition_changed{t.info.name,
-        t.info.service, t.info.address, condition,
-        "zone=" + t.info.zone + " version=" + t.info.version, t.revision}});
+    out.push_back(report_fact{
+        target_condition_changed{t.info.name, t.info.service, t.info.address,
+            condition, "zone=" + t.info.zone + " version=" + t.info.version,
+            t.version.revision}});
 }
 
 /// How long the notices of a target are kept after its registration has gone.
@@ -79,6 +81,26 @@
            a.service != b.service;
 }
 
+/// The registration to use in place of one that the store has: of the same
+/// start of the target, the store may have come back with an earlier state, in
+/// which it was not yet draining, or not yet cold.
+auto without_setback(dispatch_state& s, target_entry const& t,
+    target_registration const& r, store_version version, time_point now)
+    -> target_registration
+{
+    auto const first = t.version.era < version.era;
+    if (!first || is_settled(s, store_kind::targets, now))
+        return r;
+    auto const warmup =
+        std::chrono::duration_cast<milliseconds>(t.cold_until - now);
+    auto kept = r;
+    kept.draining = r.draining || t.info.draining;
+    kept.warmup_left = std::max(r.warmup_left, warmup);
+    if (kept != r)
+        s.era.unsettled.insert(store_kind::targets);
+    return kept;
+}
+
 } // namespace
 
 auto remove_target(
@@ -121,7 +143,7 @@
 }
 
 auto apply_target(dispatch_state& s, target_registration const& r,
-    std::uint64_t revision, time_point now, commands& out) -> void
+    store_version version, time_point now, commands& out) -> void
 {
     auto const id = id_of<target_id>(r.name);
     auto const known = s.targets.find(id);
@@ -134,6 +156,7 @@
     if (fresh || !t.listed)
         t.notices = kept_notices(s, id, r.started_ms);
     auto const drains = r.draining && !t.info.draining;
+    auto const known_before = !fresh && t.listed;
     if (fresh || !t.listed)
     {
         auto& service = service_entry_of(s, r.service);
@@ -143,15 +166,15 @@
         t.listed = true;
         invalidate_shares(s, t.service);
     }
-    t.info = r;
+    t.info = known_before ? without_setback(s, t, r, version, now) : r;
     update_versions(s, s.services.at(t.service), now);
-    t.revision = revision;
+    t.version = version;
     t.distance = proximity_to(s, r.zone);
     t.region = region_of(s, r.zone);
     t.evacuated = s.evacuated.contains(r.zone);
     t.displaced = false;
     t.lapses_at = time_point::max();
-    t.cold_until = now + r.warmup_left;
+    t.cold_until = now + t.info.warmup_left;
     if (fresh)
         report_target(t, target_condition::registered, out);
     if (drains)
--- a/src/core/dispatch/registrations.hpp
+++ b/src/core/dispatch/registrations.hpp
@@ -12,7 +12,7 @@
 /// Adds a target or updates it. One that has started again under its name
 /// replaces the one before.
 auto apply_target(dispatch_state& s, target_registration const& r,
-    std::uint64_t revision, time_point now, commands& out) -> void;
+    store_version version, time_point now, commands& out) -> void;
 
 /// Removes a target whose registration vanished; shortly after a store outage
 /// only when the grace period since the store's return has ended, as the
--- a/src/core/dispatch/relays.cpp
+++ b/src/core/dispatch/relays.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/relays.hpp"
 
 #include "core/dispatch/catalog.hpp"
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/stop.hpp"
 #include "core/dispatch/store_events.hpp"
 
@@ -60,7 +61,10 @@
         return false;
     return std::all_of(s.follows.begin(), s.follows.end(),
         [](auto const& it)
-        { return it.second.revision != 0 && it.second.failures == 0; });
+        {
+            auto const& f = it.second;
+            return f.failures == 0 && (f.known.revision != 0 || f.restarted);
+        });
 }
 
 auto reply_to(dispatch_state const& s, std::vector<relay_position> const& known,
@@ -72,12 +76,13 @@
     for (auto const& it : known)
     {
         auto const f = s.follows.find(it.kind);
-        if (f == s.follows.end() || f->second.revision <= it.revision)
+        if (f == s.follows.end() || f->second.known.revision == 0 ||
+            f->second.known <= it.version)
             continue;
         auto const copy = s.replicas.find(it.kind);
         if (copy != s.replicas.end())
             r.updates.push_back(
-                update_after(copy->second, it, f->second.revision, now));
+                update_after(copy->second, it, f->second.known, now));
     }
     return r;
 }
@@ -102,16 +107,22 @@
     auto out = std::vector<relay_position>{};
     for (auto const& [kind, f] : s.follows)
         if (is_passed_on(s, kind))
-            out.push_back({kind, f.revision});
+            out.push_back({kind, f.known});
     return out;
 }
 
+/// Era in which an instance knows a kind; empty if the store has stated none.
+auto stated_era(store_version version) -> store_era
+{
+    return version.era == 0 ? store_era{} : store_era{version.era};
+}
+
 auto report_source(dispatch_state const& s, char const* reason, commands& out)
     -> void
 {
     out.push_back(report_fact{
         store_source_changed{s.source.active ? s.source.name : std::string{},
-            reason, s.contact.newest}});
+            reason, s.contact.newest.revision}});
 }
 
 /// Follows the store by this instance's own calls.
@@ -187,18 +198,21 @@
 auto apply_update(dispatch_state& s, relay_update const& u, time_point now,
     commands& out) -> void
 {
+    auto era = stated_era(u.version);
+    if (admit_era(s, era, "relay", now, out) == answer_era::outdated)
+        return;
     if (u.complete)
     {
         auto objects = std::vector<stored_object>{};
         for (auto const& it : u.changes)
             objects.push_back(it.object);
-        apply_list(s, u.kind, objects, u.revision, now, out);
+        apply_list(s, u.kind, objects, u.version, now, out);
     }
     else
-        apply_changes(s, u.kind, u.changes, now, out);
+        apply_changes(s, u.kind, u.changes, u.version.era, now, out);
     auto& f = s.follows[u.kind];
-    f = with_relayed(f, u.revision);
-    s.contact = with_answer(s.contact, u.revision);
+    f = with_relayed(f, u.version);
+    s.contact = with_answer(s.contact, u.version);
 }
 
 } // namespace
@@ -255,6 +269,11 @@
 auto on_relay_asked(dispatch_state& s, relay_asked const& e, time_point now,
     commands& out) -> void
 {
+    for (auto const& it : e.request.known)
+    {
+        auto era = stated_era(it.version);
+        admit_era(s, era, "question", now, out);
+    }
     s.relaying.until = now + relay_kept;
     prioritize_targets(s, now, out);
     follow_directly(s, "asked by another instance", now, out);
--- a/src/core/dispatch/replica.cpp
+++ b/src/core/dispatch/replica.cpp
@@ -28,11 +28,19 @@
             auto const& e = it.second;
             if (!e.deleted || now - e.at < duration{deletions_kept})
                 return false;
-            r.forgotten = std::max(r.forgotten, e.object.revision);
+            r.forgotten.revision =
+                std::max(r.forgotten.revision, e.object.revision);
             return true;
         });
 }
 
+/// Empties a copy of an earlier era.
+auto begin_copy(replica& r, std::uint64_t era) -> void
+{
+    if (r.forgotten.era != era)
+        r = {{}, {era, 0}};
+}
+
 /// The object as it is at `now`: the remaining warm-up of a target has
 /// decreased since it was received.
 auto as_of(replica_entry const& e, time_point now) -> stored_object
@@ -49,8 +57,9 @@
 } // namespace
 
 auto record_list(replica& r, std::span<stored_object const> objects,
-    std::uint64_t revision, time_point now) -> void
+    store_version version, time_point now) -> void
 {
+    begin_copy(r, version.era);
     auto listed = std::set<std::string>{};
     for (auto const& it : objects)
     {
@@ -59,28 +68,31 @@
     }
     for (auto& [name, e] : r.entries)
         if (!e.deleted && !listed.contains(name) &&
-            e.object.revision <= revision)
-            e = {{name, revision, e.object.value}, true, now};
+            e.object.revision <= version.revision)
+            e = {{name, version.revision, e.object.value}, true, now};
     forget_old_deletions(r, now);
 }
 
-auto record_changes(
-    replica& r, std::span<stored_change const> changes, time_point now) -> void
+auto record_changes(replica& r, std::span<stored_change const> changes,
+    std::uint64_t era, time_point now) -> void
 {
+    begin_copy(r, era);
     for (auto const& it : changes)
         record(r, it, now);
     forget_old_deletions(r, now);
 }
 
 auto update_after(replica const& r, relay_position const& known,
-    std::uint64_t revision, time_point now) -> relay_update
+    store_version version, time_point now) -> relay_update
 {
-    auto u =
-        relay_update{known.kind, revision, known.revision < r.forgotten, {}};
+    auto const complete =
+        known.version.revision == 0 || known.version < r.forgotten;
+    auto u = relay_update{known.kind, version, complete, {}};
     for (auto const& [name, e] : r.entries)
     {
-        auto const wanted =
-            u.complete ? !e.deleted : e.object.revision > known.revision;
+        auto const wanted = u.complete
+                                ? !e.deleted
+                                : e.object.revision > known.version.revision;
         if (wanted)
             u.changes.push_back({as_of(e, now), e.deleted});
     }
--- a/src/core/dispatch/replica.hpp
+++ b/src/core/dispatch/replica.hpp
@@ -21,30 +21,30 @@
     auto operator<=>(replica_entry const&) const = default;
 };
 
-/// Copy of the objects of one kind.
+/// Copy of the objects of one kind, all of one era.
 struct replica
 {
     std::map<std::string, replica_entry> entries; ///< By name.
-    /// The deletions before this revision have been forgotten.
-    std::uint64_t forgotten = 0;
+    /// The deletions before this version are not known.
+    store_version forgotten;
 
     auto operator<=>(replica const&) const = default;
 };
 
 /// Takes over a complete list; objects that it lacks are deleted.
 auto record_list(replica& r, std::span<stored_object const> objects,
-    std::uint64_t revision, time_point now) -> void;
+    store_version version, time_point now) -> void;
 
 /// Takes over changes. A change older than the object known is ignored.
-auto record_changes(
-    replica& r, std::span<stored_change const> changes, time_point now) -> void;
+auto record_changes(replica& r, std::span<stored_change const> changes,
+    std::uint64_t era, time_point now) -> void;
 
-/// Changes after a revision, or the whole list if deletions after it have been
-/// forgotten.
+/// Changes after a version, or the whole list if deletions after it are not
+/// known.
 ///
-/// @param[in] revision Revision up to which the copy is complete.
+/// @param[in] version Version up to which the copy is complete.
 auto update_after(replica const& r, relay_position const& known,
-    std::uint64_t revision, time_point now) -> relay_update;
+    store_version version, time_point now) -> relay_update;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/core/dispatch/reports.cpp
+++ b/src/core/dispatch/reports.cpp
@@ -49,15 +49,29 @@
     arm(s, when, report_due{});
 }
 
+/// A report that this process has not written may be a write of an earlier era,
+/// executed late, or that of the process before.
+auto apply_own_report(dispatch_state& s, instance_report const& r,
+    store_version version, time_point now) -> void
+{
+    auto& own = s.own_report;
+    own.exists = true;
+    auto const overwritten =
+        own.version.revision != 0 && version > own.version && r != own.value;
+    if (overwritten)
+        rewrite_report(s, now);
+}
+
 } // namespace
 
-auto apply_report(dispatch_state& s, instance_report const& r, time_point now)
-    -> void
+auto apply_report(dispatch_state& s, instance_report const& r,
+    store_version version, time_point now) -> void
 {
     if (r.name == s.init.self.name)
-        s.own_report.exists = true;
-    else
-        s.reports[r.name] = {r, now};
+        return apply_own_report(s, r, version, now);
+    auto& known = s.reports[r.name];
+    if (known.value != r)
+        known = {r, now};
 }
 
 auto drop_report(dispatch_state& s, std::string const& name) -> void
@@ -95,6 +109,15 @@
         s, std::max(now, s.own_report.at + s.init.limits.report_interval));
 }
 
+auto rewrite_report(dispatch_state& s, time_point now) -> void
+{
+    auto& own = s.own_report;
+    if (own.at == time_point{})
+        return;
+    own.value = {};
+    request_report(s, now);
+}
+
 auto on_report_due(dispatch_state& s, time_point now, commands& out) -> void
 {
     auto& own = s.own_report;
@@ -115,13 +138,15 @@
     if (!e.failure)
     {
         own.exists = true;
+        own.version = version_of(e);
         return;
     }
     own.exists = e.failure == store_failure::conflict ||
                  (own.exists && e.failure != store_failure::missing);
     own.value = {};
-    arm_report(
-        s, e.failure == store_failure::conflict ? now : now + rewrite_after);
+    auto const known = e.failure == store_failure::conflict ||
+                       e.failure == store_failure::missing;
+    arm_report(s, known ? now : now + rewrite_after);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/reports.hpp
+++ b/src/core/dispatch/reports.hpp
@@ -10,9 +10,10 @@
 namespace knapweedstream::dispatch
 {
 
-/// Takes over the report of another instance; ignores this instance's own.
-auto apply_report(dispatch_state& s, instance_report const& r, time_point now)
-    -> void;
+/// Takes over the report of another instance. This instance's own is written
+/// again if the store has another one that this process has not written.
+auto apply_report(dispatch_state& s, instance_report const& r,
+    store_version version, time_point now) -> void;
 
 /// Forgets the report of an instance.
 auto drop_report(dispatch_state& s, std::string const& name) -> void;
@@ -29,6 +30,10 @@
 /// Has this instance's report written soon if it has changed.
 auto request_report(dispatch_state& s, time_point now) -> void;
 
+/// Has this instance's report written again, if it has written one, since the
+/// store may have lost it.
+auto rewrite_report(dispatch_state& s, time_point now) -> void;
+
 /// Writes this instance's report if it has changed.
 auto on_report_due(dispatch_state& s, time_point now, commands& out) -> void;
 
--- a/src/core/dispatch/rollout_orders.cpp
+++ b/src/core/dispatch/rollout_orders.cpp
@@ -49,7 +49,7 @@
     auto const own = total_of(v.outcomes);
     auto const all = total_of(all_outcomes(s, v));
     out.push_back(report_fact{rollout_progressed{v.order.service,
-        v.order.to_version, name_of(v.phase), v.revision,
+        v.order.to_version, name_of(v.phase), v.version.revision,
         "bad_before=" + counts_text(own.before) + " bad_after=" +
             counts_text(own.after) + " all_before=" + counts_text(all.before) +
             " all_after=" + counts_text(all.after)}});
@@ -80,6 +80,10 @@
 auto write_state(
     dispatch_state& s, service_entry& e, time_point now, commands& out) -> void
 {
+    // A revision of an earlier era is no condition: it may have been given out
+    // again to another state of the order.
+    if (e.shift->version.era != s.contact.era.value_or(0))
+        return;
     auto const rank = rank_for(s, id_of<service_id>(e.name));
     auto const state =
         state_to_report(*e.shift, all_outcomes(s, *e.shift), rank, now);
@@ -89,19 +93,19 @@
     next.reported_at = now;
     e.shift = next;
     out.push_back(store_write_order_state{
-        e.name, next.order.to_version, *state, next.revision});
+        e.name, next.order.to_version, *state, next.version.revision});
 }
 
 } // namespace
 
 auto apply_order(dispatch_state& s, rollout_order const& o,
-    std::uint64_t revision, time_point now, commands& out) -> void
+    store_version version, time_point now, commands& out) -> void
 {
     auto& e = service_entry_of(s, o.service);
     auto const reserve = trial_reserve(s.init.bounds,
         rank_for(s, id_of<service_id>(o.service)), s.instances.size());
-    auto next = e.shift ? with_order(*e.shift, o, revision, reserve, now)
-                        : begin_shift(o, revision, reserve, now);
+    auto next = e.shift ? with_order(*e.shift, o, version, reserve, now)
+                        : begin_shift(o, version, reserve, now);
     replace(s, e, std::move(next), out);
     update_freshness(s);
     request_report(s, now);
--- a/src/core/dispatch/rollout_orders.hpp
+++ b/src/core/dispatch/rollout_orders.hpp
@@ -11,7 +11,7 @@
 
 /// Applies a new or changed order from the store.
 auto apply_order(dispatch_state& s, rollout_order const& o,
-    std::uint64_t revision, time_point now, commands& out) -> void;
+    store_version version, time_point now, commands& out) -> void;
 
 /// Ends an order that was removed from the store.
 auto drop_order(dispatch_state& s, std::string const& service) -> void;
--- a/src/core/dispatch/store_contact.cpp
+++ b/src/core/dispatch/store_contact.cpp
@@ -16,15 +16,16 @@
     case store_failure::unreadable:
     case store_failure::conflict:
     case store_failure::missing:
+    case store_failure::outdated:
         break;
     }
     return false;
 }
 
-auto with_answer(store_contact c, std::uint64_t revision) -> store_contact
+auto with_answer(store_contact c, store_version version) -> store_contact
 {
     c.probing.reset();
-    c.newest = std::max(c.newest, revision);
+    c.newest = std::max(c.newest, version);
     return c;
 }
 
--- a/src/core/dispatch/store_contact.hpp
+++ b/src/core/dispatch/store_contact.hpp
@@ -19,8 +19,8 @@
     /// When calls last began to fail. A watch that has been waiting since
     /// before then may be on a connection that no longer delivers.
     time_point doubt_since;
-    std::uint64_t newest = 0; ///< Newest revision in any answer.
-    store_era era;            ///< Highest one that was stated.
+    store_version newest; ///< Newest one in any answer.
+    store_era era;        ///< Highest one that was stated.
 
     auto operator<=>(store_contact const&) const = default;
 };
@@ -29,8 +29,8 @@
 /// calls, rather than that it has answered something else than expected.
 auto is_contact_lost(store_failure why) -> bool;
 
-/// Contact after an answer that shows the store at a revision.
-auto with_answer(store_contact c, std::uint64_t revision) -> store_contact;
+/// Contact after an answer that shows the store at a version.
+auto with_answer(store_contact c, store_version version) -> store_contact;
 
 /// Contact after a failed call for the kind that `f` follows.
 auto with_failed_call(store_contact c, follow_state const& f, store_failure why,
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -37,7 +37,7 @@
 auto report_availability(dispatch_state& s, store_kind kind, bool lost,
     store_failure why, commands& out) -> void
 {
-    auto const known = s.follows[kind].revision;
+    auto const known = s.follows[kind].known.revision;
     out.push_back(
         report_fact{store_availability_changed{kind, lost, why, known}});
 }
@@ -55,16 +55,16 @@
         apply_step(s, renewed(f, s.init.limits, now), out);
 }
 
-/// Records that the store has answered, with the revision that it has reached.
+/// Records that the store has answered, with the version that it has reached.
 /// After an outage all kinds are brought up to date.
 ///
 /// @param[in] current Kind whose list or watch has been answered; none if a
 ///     check was.
 auto mark_reachable(dispatch_state& s, std::optional<store_kind> current,
-    std::uint64_t revision, time_point now, commands& out) -> void
+    store_version version, time_point now, commands& out) -> void
 {
     auto const was_lost = s.contact.probing.has_value();
-    s.contact = with_answer(s.contact, revision);
+    s.contact = with_answer(s.contact, version);
     if (!was_lost)
         return;
     for (auto const it : store_kinds)
@@ -73,7 +73,7 @@
 }
 
 /// Records that a list or a watch of a kind has been answered.
-auto mark_answered(dispatch_state& s, store_kind kind, std::uint64_t revision,
+auto mark_answered(dispatch_state& s, store_kind kind, store_version version,
     time_point now, commands& out) -> void
 {
     if (s.follows[kind].failures > 0)
@@ -82,7 +82,30 @@
         report_availability(s, kind, false, store_failure::unreachable, out);
     }
     s.follows[kind].answered_at = now;
-    mark_reachable(s, kind, revision, now, out);
+    mark_reachable(s, kind, version, now, out);
+}
+
+/// Decides whether an answer for a kind may be used. One of an earlier era
+/// counts as a failed call. One that begins an era is not used either, as it
+/// may be stale: all kinds are read anew.
+///
+/// @param[in,out] e Answer; is given the era last seen if it states none.
+template <class Answer>
+auto admit(dispatch_state& s, Answer& e, char const* learned_from,
+    time_point now, commands& out) -> bool
+{
+    switch (admit_era(s, e.era, learned_from, now, out))
+    {
+    case answer_era::current:
+        return true;
+    case answer_era::outdated:
+        on_store_failed(s, {e.kind, store_failure::outdated, {}}, now, out);
+        return false;
+    case answer_era::begun:
+        mark_answered(s, e.kind, s.contact.newest, now, out);
+        return false;
+    }
+    return true;
 }
 
 /// Writes this instance's record if the list of instances lacks it or has
@@ -91,7 +114,9 @@
 {
     auto const& self = s.init.self;
     auto const it = s.instances.find(self.name);
-    auto const listed = it != s.instances.end();
+    auto const version = known_version(s, store_kind::instances, self.name);
+    auto const listed =
+        it != s.instances.end() && version.era == s.contact.era.value_or(0);
     if (!s.stop.requested && (!listed || it->second != self))
         out.push_back(store_write_record{self, listed});
 }
@@ -110,8 +135,8 @@
 
 auto report_list(store_kind kind, listing const& l, commands& out) -> void
 {
-    out.push_back(report_fact{
-        list_read{kind, l.pages, l.objects.size(), l.oldest, l.newest}});
+    out.push_back(report_fact{list_read{kind, l.pages, l.objects.size(),
+        l.oldest.revision, l.newest.revision}});
 }
 
 /// Handles a complete list: one of the orders that is not stale explains all
@@ -125,6 +150,11 @@
         read_orders_if_needed(s, now, out);
     if (kind != store_kind::rollouts || !fresh)
         return;
+    if (!is_settled(s, kind, now))
+    {
+        s.era.unsettled.insert(kind); // An order may be written again.
+        return;
+    }
     for (auto& [id, it] : s.services)
         it.versions = with_orders_read(it.versions);
 }
@@ -138,7 +168,7 @@
     auto changes = std::vector<stored_change>{};
     for (auto const& it : all.objects)
         changes.push_back({it, false});
-    apply_changes(s, page.kind, changes, now, out);
+    apply_changes(s, page.kind, changes, all.oldest.era, now, out);
     out.push_back(report_fact{
         list_cut{page.kind, all.pages, all.objects.size(), page.next}});
     if (page.kind == store_kind::instances)
@@ -177,7 +207,7 @@
     time_point now, commands& out) -> void
 {
     if (is_contact_lost(why))
-        on_store_failed(s, {kind, why}, now, out);
+        on_store_failed(s, {kind, why, {}}, now, out);
     else if (why == store_failure::missing)
         apply_step(s, renewed(s.follows[kind], s.init.limits, now), out);
 }
@@ -198,11 +228,12 @@
     arm(s, now, relay_due{});
 }
 
-auto on_listed(dispatch_state& s, store_listed const& e, time_point now,
-    commands& out) -> void
+auto on_listed(dispatch_state& s, store_listed e, time_point now, commands& out)
+    -> void
 {
-    observe_era(s, e.era, "list", out);
-    mark_answered(s, e.kind, e.revision, now, out);
+    if (!admit(s, e, "list", now, out))
+        return;
+    mark_answered(s, e.kind, version_of(e), now, out);
     auto const& before = s.follows[e.kind];
     auto const* list = std::get_if<listing>(&before.phase);
     if (list == nullptr)
@@ -223,12 +254,13 @@
     update_ready(s, out);
 }
 
-auto on_changed(dispatch_state& s, store_changed const& e, time_point now,
-    commands& out) -> void
+auto on_changed(
+    dispatch_state& s, store_changed e, time_point now, commands& out) -> void
 {
-    observe_era(s, e.era, "watch", out);
-    mark_answered(s, e.kind, e.revision, now, out);
-    apply_changes(s, e.kind, e.changes, now, out);
+    if (!admit(s, e, "watch", now, out))
+        return;
+    mark_answered(s, e.kind, version_of(e), now, out);
+    apply_changes(s, e.kind, e.changes, e.era.value_or(0), now, out);
     apply_step(
         s, with_changes(s.follows[e.kind], e, follow_limits(s, now), now), out);
     if (e.kind == store_kind::targets)
@@ -237,10 +269,10 @@
     update_ready(s, out);
 }
 
-auto on_store_failed(dispatch_state& s, store_failed const& e, time_point now,
-    commands& out) -> void
+auto on_store_failed(
+    dispatch_state& s, store_failed e, time_point now, commands& out) -> void
 {
-    observe_era(s, e.era, "failure", out);
+    admit_era(s, e.era, "failure", now, out);
     ++s.stats.store_failures;
     auto const& f = s.follows[e.kind];
     if (f.failures == 0)
@@ -267,9 +299,9 @@
     auto const& f = s.follows[store_kind::targets];
     if (!f.low_priority)
         return;
-    if (std::holds_alternative<pausing>(f.phase) && f.revision != 0)
-        out.push_back(
-            report_fact{targets_known_late{now - f.answered_at, f.revision}});
+    if (std::holds_alternative<pausing>(f.phase) && f.known.revision != 0)
+        out.push_back(report_fact{
+            targets_known_late{now - f.answered_at, f.known.revision}});
     apply_step(s, prioritized(f, s.init.limits, now), out);
 }
 
@@ -283,11 +315,19 @@
 
 /// A check that fails says as much as a watch that fails: the kind is called
 /// again at once on a new connection.
-auto on_checked(dispatch_state& s, store_checked const& e, time_point now,
-    commands& out) -> void
+auto on_checked(
+    dispatch_state& s, store_checked e, time_point now, commands& out) -> void
 {
-    observe_era(s, e.era, "check", out);
     s.follows[e.kind].check_pending = false;
+    switch (admit_era(s, e.era, "check", now, out))
+    {
+    case answer_era::current:
+        break;
+    case answer_era::outdated:
+        return;
+    case answer_era::begun:
+        return mark_reachable(s, {}, s.contact.newest, now, out);
+    }
     auto const f = s.follows[e.kind];
     if (e.failure)
     {
@@ -297,35 +337,41 @@
     }
     if (has_missed_changes(f, e))
     {
-        out.push_back(report_fact{
-            watch_stalled{e.kind, f.revision, e.revision, e.changes.size()}});
-        apply_changes(s, e.kind, e.changes, now, out);
+        out.push_back(report_fact{watch_stalled{
+            e.kind, f.known.revision, e.revision, e.changes.size()}});
+        apply_changes(s, e.kind, e.changes, e.era.value_or(0), now, out);
     }
     apply_step(s, with_checked(s.follows[e.kind], e, s.init.limits, now), out);
-    mark_reachable(s, {}, e.revision, now, out);
+    mark_reachable(s, {}, version_of(e), now, out);
     check_watches(s, now, out);
     answer_relay_callers(s, now, out);
     update_ready(s, out);
 }
 
-/// Replaces this instance's record if it exists although it was not listed.
-/// Other failures show in the next list.
-auto on_written(dispatch_state& s, store_written const& e, time_point now,
-    commands& out) -> void
+/// Replaces this instance's record if it exists although it was not listed, and
+/// creates it if the store has lost it. Other failures show in the next list.
+auto on_written(
+    dispatch_state& s, store_written e, time_point now, commands& out) -> void
 {
-    observe_era(s, e.era, "write", out);
+    if (admit_era(s, e.era, "write", now, out) == answer_era::outdated)
+        e.failure = store_failure::outdated;
     if (e.kind == store_kind::reports)
         return on_report_written(s, e, now);
     if (e.kind != store_kind::instances)
         return; // Rollout orders are watched, so their changes arrive anyway.
-    if (!s.stop.requested && e.failure == store_failure::conflict)
+    if (s.stop.requested)
+        return;
+    if (e.failure == store_failure::conflict)
         out.push_back(store_write_record{s.init.self, true});
+    if (e.failure == store_failure::missing)
+        out.push_back(store_write_record{s.init.self, false});
 }
 
-auto on_compacted(dispatch_state& s, store_compacted const& e, time_point now,
-    commands& out) -> void
+auto on_compacted(
+    dispatch_state& s, store_compacted e, time_point now, commands& out) -> void
 {
-    observe_era(s, e.era, "discarded_history", out);
+    if (!admit(s, e, "discarded_history", now, out))
+        return;
     s.last_disruption[e.kind] = now;
     apply_step(s, without_history(s.follows[e.kind], s.init.limits, now), out);
 }
--- a/src/core/dispatch/store_events.hpp
+++ b/src/core/dispatch/store_events.hpp
@@ -17,23 +17,23 @@
     -> void;
 
 /// Handles a page of a list; applies the list when it is complete.
-auto on_listed(dispatch_state& s, store_listed const& e, time_point now,
-    commands& out) -> void;
+auto on_listed(dispatch_state& s, store_listed e, time_point now, commands& out)
+    -> void;
 /// Applies the changes that a watch returned.
-auto on_changed(dispatch_state& s, store_changed const& e, time_point now,
-    commands& out) -> void;
+auto on_changed(
+    dispatch_state& s, store_changed e, time_point now, commands& out) -> void;
 /// Handles the result of a check; applies changes that the watch has missed.
-auto on_checked(dispatch_state& s, store_checked const& e, time_point now,
-    commands& out) -> void;
+auto on_checked(
+    dispatch_state& s, store_checked e, time_point now, commands& out) -> void;
 /// Lists a kind again, since the store no longer has the changes to watch.
-auto on_compacted(dispatch_state& s, store_compacted const& e, time_point now,
+auto on_compacted(dispatch_state& s, store_compacted e, time_point now,
     commands& out) -> void;
 /// Schedules another call after a failed list or watch.
-auto on_store_failed(dispatch_state& s, store_failed const& e, time_point now,
-    commands& out) -> void;
+auto on_store_failed(
+    dispatch_state& s, store_failed e, time_point now, commands& out) -> void;
 /// Handles the result of a write.
-auto on_written(dispatch_state& s, store_written const& e, time_point now,
-    commands& out) -> void;
+auto on_written(
+    dispatch_state& s, store_written e, time_point now, commands& out) -> void;
 /// Makes the next list or watch call of a kind when its pause is over.
 auto on_follow_due(dispatch_state& s, follow_due const& e, time_point now,
     commands& out) -> void;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -178,7 +178,7 @@
     target_registration info;
     target_id id;
     service_id service;
-    std::uint64_t revision = 0; ///< Store revision of its registration.
+    store_version version; ///< Of its registration.
     proximity distance = proximity::far;
     std::string region;
     bool evacuated = false; ///< Its availability zone is evacuated.
@@ -271,6 +271,17 @@
     auto operator<=>(relay_source const&) const = default;
 };
 
+/// What is known from before the store's present era. An object that the store
+/// no longer has, or has in an earlier state, is used on until then, since its
+/// writer may write it again.
+struct era_progress
+{
+    std::map<store_kind, time_point> settles_at;
+    std::set<store_kind> unsettled; ///< Kinds that have such objects.
+
+    auto operator<=>(era_progress const&) const = default;
+};
+
 /// The whole state of a dispatcher.
 struct dispatch_state
 {
@@ -288,18 +299,18 @@
         timers;
 
     routing_config_ptr config; ///< In force; null until one was read.
-    std::uint64_t config_revision = 0;
     std::map<store_kind, follow_state> follows;
     store_contact contact;
+    era_progress era;
     std::map<store_kind, replica> replicas;
     relay_duty relaying;
     relay_source source;
     /// When calls for a kind last failed or succeeded again, or the store had
     /// discarded changes of it that this instance had not read.
     std::map<store_kind, time_point> last_disruption;
-    /// Newest revision seen of each object; an older change is ignored.
-    std::map<store_kind, std::unordered_map<std::string, std::uint64_t>>
-        revisions;
+    /// Newest version seen of each object; an older change is ignored.
+    std::map<store_kind, std::unordered_map<std::string, store_version>>
+        versions;
     std::set<std::string> evacuated;
     std::map<std::string, instance_record> instances; ///< By name.
     /// Reports of the other instances, by name.
--- a/src/core/dispatch/timers.hpp
+++ b/src/core/dispatch/timers.hpp
@@ -87,8 +87,17 @@
     auto operator<=>(report_due const&) const = default;
 };
 
-using timer = std::variant<request_due, abandoned_due, link_due, target_due,
-    follow_due, check_due, relay_due, shift_due, report_due, stop_due>;
+/// What is known of a kind from before the store's present era, and was not
+/// read again, is to be settled.
+struct settle_due
+{
+    store_kind kind = store_kind::configuration;
+    auto operator<=>(settle_due const&) const = default;
+};
+
+using timer =
+    std::variant<request_due, abandoned_due, link_due, target_due, follow_due,
+        settle_due, check_due, relay_due, shift_due, report_due, stop_due>;
 
 /// An armed timer; timers of equal time fire in the order of arming.
 struct timer_entry
--- a/src/core/dispatch/version_shift.cpp
+++ b/src/core/dispatch/version_shift.cpp
@@ -89,28 +89,30 @@
 
 } // namespace
 
-auto begin_shift(rollout_order const& o, std::uint64_t revision, double reserve,
+auto begin_shift(rollout_order const& o, store_version version, double reserve,
     time_point now) -> version_shift
 {
     auto v = version_shift{};
     v.order = o;
-    v.revision = revision;
+    v.version = version;
     v.since = now;
+    v.read_at = now;
     v.reserve = reserve;
     v.phase = phase_of(o.state, shift_trying{});
     return v;
 }
 
 auto with_order(version_shift const& v, rollout_order const& o,
-    std::uint64_t revision, double reserve, time_point now) -> version_shift
+    store_version version, double reserve, time_point now) -> version_shift
 {
-    auto const another = o.to_version != v.order.to_version ||
-                         (is_final(v.order.state) && !is_final(o.state));
-    if (another)
-        return begin_shift(o, revision, reserve, now);
+    auto const reopened = is_final(v.order.state) && !is_final(o.state) &&
+                          version.era == v.version.era;
+    if (o.to_version != v.order.to_version || reopened)
+        return begin_shift(o, version, reserve, now);
     auto next = v;
     next.order = o;
-    next.revision = revision;
+    next.version = version;
+    next.read_at = now;
     next.phase = phase_of(o.state, v.phase);
     return next;
 }
@@ -197,12 +199,16 @@
             },
             [&](shift_rolled_back const& it) -> std::optional<order_state>
             {
-                if (it.by_own_outcomes || now >= it.since + delay_of(rank))
+                auto const since = std::max(it.since, v.read_at);
+                if (it.by_own_outcomes || now >= since + delay_of(rank))
                     return order_state::rolled_back;
                 return {};
             },
             [&](shift_completed const&) -> std::optional<order_state>
             {
+                // The state was lost with the end of an era of the store.
+                if (now >= v.read_at + delay_of(rank))
+                    return order_state::completed;
                 return {};
             }},
         v.phase);
--- a/src/core/dispatch/version_shift.hpp
+++ b/src/core/dispatch/version_shift.hpp
@@ -58,9 +58,10 @@
 /// State of a rollout order on one instance.
 struct version_shift
 {
-    rollout_order order; ///< As last read from the store.
-    std::uint64_t revision = 0;
-    time_point since; ///< When this instance first saw it.
+    rollout_order order;   ///< As last read from the store.
+    store_version version; ///< Of the order, when it was last read.
+    time_point since;      ///< When this instance first saw it.
+    time_point read_at;    ///< When it was last read.
     shift_phase phase;
     std::vector<route_outcomes> outcomes; ///< That this instance has seen.
     /// Accumulated trial share; a request goes to the new version when it
@@ -93,13 +94,15 @@
 /// Starts to carry out an order that was not seen before.
 ///
 /// @param[in] reserve Result of `trial_reserve`.
-auto begin_shift(rollout_order const& o, std::uint64_t revision, double reserve,
+auto begin_shift(rollout_order const& o, store_version version, double reserve,
     time_point now) -> version_shift;
 
 /// Applies a change of the order in the store. An order to another version, or
-/// one that is open again after its end, starts anew.
+/// one that is open again after its end, starts anew. An order that is first
+/// read in a new era of the store goes on: its state may have been lost, and is
+/// then written again.
 auto with_order(version_shift const& v, rollout_order const& o,
-    std::uint64_t revision, double reserve, time_point now) -> version_shift;
+    store_version version, double reserve, time_point now) -> version_shift;
 
 /// Share of its own requests that an instance sends to the new version as a
 /// trial; 0 for most instances if there are many.
--- a/src/port/dispatch_event.hpp
+++ b/src/port/dispatch_event.hpp
@@ -131,6 +131,14 @@
     auto operator<=>(store_written const&) const = default;
 };
 
+/// Version of the store's data in an answer. An answer that states no era must
+/// have been given the era last seen.
+template <class Answer>
+auto version_of(Answer const& e) -> store_version
+{
+    return {e.era.value_or(0), e.revision};
+}
+
 /// Another instance asks for changes of the store's objects.
 struct relay_asked
 {
--- a/src/port/relay.hpp
+++ b/src/port/relay.hpp
@@ -18,7 +18,7 @@
 struct relay_position
 {
     store_kind kind = store_kind::configuration;
-    std::uint64_t revision = 0; ///< All changes up to it are known.
+    store_version version; ///< All changes up to it are known.
     auto operator<=>(relay_position const&) const = default;
 };
 
@@ -35,7 +35,7 @@
 struct relay_update
 {
     store_kind kind = store_kind::configuration;
-    std::uint64_t revision = 0; ///< All changes up to it are known then.
+    store_version version; ///< All changes up to it are known then.
     /// The changes are the whole list; other objects no longer exist.
     bool complete = false;
     std::vector<stored_change> changes;
--- a/src/port/store.hpp
+++ b/src/port/store.hpp
@@ -46,6 +46,15 @@
 /// its data; its revisions go back then. Empty if an answer does not state it.
 using store_era = std::optional<std::uint64_t>;
 
+/// A point in the store's history. Revisions of two eras are not comparable:
+/// all of a later era come after those of an earlier one.
+struct store_version
+{
+    std::uint64_t era = 0; ///< 0 if the store states none.
+    std::uint64_t revision = 0;
+    auto operator<=>(store_version const&) const = default;
+};
+
 /// An operator's order to move a service's traffic to another version.
 struct rollout_order
 {
@@ -97,6 +106,7 @@
     unreadable,  ///< The answer could not be decoded.
     conflict,    ///< The object has another revision or exists already.
     missing,     ///< The object or the watched history does not exist.
+    outdated,    ///< The answer is of an earlier era.
 };
 
 } // namespace knapweedstream
