Failing test: lists without a pause while the store keeps discarding its history

After a 410 an instance lists the kind at once and watches from there. If the history is gone again by then, or the list's revision could not be read, it goes round as fast as the store answers: nothing in without_history waits.

--- a/tests/dispatch/test_odd_lists.cpp
+++ b/tests/dispatch/test_odd_lists.cpp
@@ -146,3 +146,31 @@
     r.feed(store_listed{store_kind::instances, {}, "", 9, true});
     CHECK(r.commands_of<store_write_record>().size() == before + 1);
 }
+
+// Guards against calls beyond the store's rate: a list without a pause per 410.
+TEST_CASE("an instance whose watches always find their history discarded "
+          "lists at a limited rate")
+{
+    constexpr auto answer_time = milliseconds{4};
+    constexpr auto span = ks::seconds{10};
+    constexpr auto reads_per_s = 2'000; // Of the store, for all instances.
+    constexpr auto instances = 437;
+    auto r = instance_without_targets();
+    auto next = std::size_t{0};
+    auto const answer = [&](command const& c)
+    {
+        auto const* list = std::get_if<store_list>(&c);
+        auto const* watch = std::get_if<store_watch>(&c);
+        if (list != nullptr && list->kind == store_kind::targets)
+            r.feed(store_listed{store_kind::targets, {target("a")}, "", 9});
+        if (watch != nullptr && watch->kind == store_kind::targets)
+            r.feed(store_compacted{store_kind::targets});
+    };
+    auto const before = lists_of_targets(r).size();
+    for (auto const end = r.now + ks::duration{span}; r.now < end;
+         r.advance(answer_time))
+        for (auto const stop = r.all_commands.size(); next < stop; ++next)
+            answer(command{r.all_commands[next]});
+    CHECK(lists_of_targets(r).size() - before <=
+          span.count() * reads_per_s / instances);
+}
