An earlier report of a target does not undo a later one

Callers' requests reached a leaf that was draining, at all instances: the store may execute a write late, so that an earlier report (state ready) gets the higher revision. Cause: of a target's reports only the store's order counted; sequence was decoded and not used. After a restore the copy's report is such a one too, also of an earlier start. Change: a report with a lower number of the same start is not used, nor, until what is known has settled in a new era, one of an earlier start. Without a start or with the same number, a target keeps draining and cold until settled.

--- a/include/knapweedstream/registration.hpp
+++ b/include/knapweedstream/registration.hpp
@@ -24,6 +24,8 @@
     bool draining = false;       ///< Accepts no new requests.
     milliseconds warmup_left{0}; ///< Time from receipt until it is warm.
     std::int64_t started_ms = 0; ///< Wall clock at its start, ms since 1970.
+    /// Number of this report among those of the same start.
+    std::int64_t sequence = 0;
 
     auto operator<=>(target_registration const&) const = default;
 };
--- a/src/core/dispatch/registrations.cpp
+++ b/src/core/dispatch/registrations.cpp
@@ -81,15 +81,36 @@
            a.service != b.service;
 }
 
-/// The registration to use in place of one that the store has: of the same
-/// start of the target, the store may have come back with an earlier state, in
-/// which it was not yet draining, or not yet cold.
+/// True if a target has written a registration before the one that is known:
+/// the store may execute a write late, or come back from an older copy, also
+/// with an earlier start of the target.
+auto is_earlier(dispatch_state const& s, target_registration const& r,
+    target_registration const& known, time_point now) -> bool
+{
+    if (r.started_ms == 0)
+        return false;
+    if (r.started_ms == known.started_ms)
+        return r.sequence < known.sequence;
+    return r.started_ms < known.started_ms &&
+           !is_settled(s, store_kind::targets, now);
+}
+
+/// Keeps a target as it is known although the store has an earlier state.
+auto keep_target(dispatch_state& s, target_entry& t, store_version version)
+    -> void
+{
+    t.version = version;
+    t.lapses_at = time_point::max();
+    s.settling.unsettled.insert(store_kind::targets);
+}
+
+/// The registration to use in place of one that the store has in a new era and
+/// that may be of an earlier state, in which the target was not yet draining,
+/// or not yet cold.
 auto without_setback(dispatch_state& s, target_entry const& t,
-    target_registration const& r, store_version version, time_point now)
-    -> target_registration
+    target_registration const& r, time_point now) -> target_registration
 {
-    auto const first = t.version.era < version.era;
-    if (!first || is_settled(s, store_kind::targets, now))
+    if (r.sequence > t.info.sequence || is_settled(s, store_kind::targets, now))
         return r;
     auto const warmup =
         std::chrono::duration_cast<milliseconds>(t.cold_until - now);
@@ -97,7 +118,7 @@
     kept.draining = r.draining || t.info.draining;
     kept.warmup_left = std::max(r.warmup_left, warmup);
     if (kept != r)
-        s.era.unsettled.insert(store_kind::targets);
+        s.settling.unsettled.insert(store_kind::targets);
     return kept;
 }
 
@@ -147,6 +168,9 @@
 {
     auto const id = id_of<target_id>(r.name);
     auto const known = s.targets.find(id);
+    if (known != s.targets.end() && known->second.listed &&
+        is_earlier(s, r, known->second.info, now))
+        return keep_target(s, known->second, version);
     auto const restarted =
         known != s.targets.end() && is_restart(known->second.info, r);
     if (restarted)
@@ -166,7 +190,7 @@
         t.listed = true;
         invalidate_shares(s, t.service);
     }
-    t.info = known_before ? without_setback(s, t, r, version, now) : r;
+    t.info = known_before ? without_setback(s, t, r, now) : r;
     update_versions(s, s.services.at(t.service), now);
     t.version = version;
     t.distance = proximity_to(s, r.zone);
