A relay's copy that begins with a list does not know the deletions before it

Found in review, not seen by callers: a relay that had just listed a kind (new process, new era, discarded history) answered an instance that knew less with changes only; an object that had gone in between stayed in use there for good. Change: a list sets the version before which deletions are not known, so that such an instance gets the whole list.

--- a/src/core/dispatch/replica.cpp
+++ b/src/core/dispatch/replica.cpp
@@ -70,6 +70,7 @@
         if (!e.deleted && !listed.contains(name) &&
             e.object.revision <= version.revision)
             e = {{name, version.revision, e.object.value}, true, now};
+    r.forgotten = std::max(r.forgotten, version);
     forget_old_deletions(r, now);
 }
 
--- a/src/core/dispatch/replica.hpp
+++ b/src/core/dispatch/replica.hpp
@@ -31,7 +31,9 @@
     auto operator<=>(replica const&) const = default;
 };
 
-/// Takes over a complete list; objects that it lacks are deleted.
+/// Takes over a complete list; objects that it lacks are deleted. Deletions
+/// before it are not known: an object may have come and gone since the last
+/// one.
 auto record_list(replica& r, std::span<stored_object const> objects,
     store_version version, time_point now) -> void;
 
