Lists are not repeated without a pause while histories are discarded

Seen with real processes: while each watch got 410, or a list's revision could not be read, an instance listed as fast as the store answered. Cause: a list after a discarded history starts at once, and so does the watch that fails again.

--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -198,6 +198,7 @@
         return {f, {}};
     auto next = f;
     next.failures = 0;
+    next.discarded = 0;
     next.unsure = false;
     next.known = std::max(f.known, version_of(e));
     next.confirmed = std::max(f.confirmed, next.known);
@@ -284,8 +285,12 @@
     auto next = f;
     next.known.revision = 0;
     next.list_fresh = true;
-    next.phase = pausing{now};
-    return resume(next, limits, now);
+    auto const before = next.discarded++;
+    if (before == 0)
+        return renewed(next, limits, now);
+    return pause(
+        std::move(next), now + backoff_delay(limits.store_retry_first,
+                                   before - 1, limits.store_retry_known));
 }
 
 auto relisted(follow_state const& f, dispatch_limits const& limits,
@@ -295,7 +300,10 @@
         std::holds_alternative<listing>(f.phase) && !f.list_fresh;
     if (f.failures > 0 || (!stale_list && f.known.revision == 0))
         return {f, {}};
-    return without_history(f, limits, now);
+    auto next = f;
+    next.known.revision = 0;
+    next.list_fresh = true;
+    return renewed(next, limits, now);
 }
 
 auto restarted(follow_state f, std::uint64_t era, time_point now)
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -84,7 +84,9 @@
     store_version known;        ///< Revision 0: a list is needed.
     std::uint32_t failures = 0; ///< Failed calls in a row.
     std::uint32_t lists = 0;    ///< Number of complete lists read.
-    std::uint32_t polls = 0;    ///< The same since the kind was restarted.
+    /// Lists in a row after which a watch found its history discarded.
+    std::uint32_t discarded = 0;
+    std::uint32_t polls = 0; ///< The same since the kind was restarted.
     /// The kind is to be read anew, while what is known of it stays in use.
     bool restarted = false;
     bool require_fresh = false; ///< Watches must not return stale data.
@@ -171,7 +173,7 @@
     time_point now) -> follow_step;
 
 /// Lists the kind again, since the store no longer has the changes since
-/// `known`.
+/// `known`; after a pause if the last list led to no watch either.
 auto without_history(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
