What is known from an earlier era settles after the first list of its kind

Found in review of the new era, by reading: the grace ran from when the era was learned, so that a store that refused calls for three seconds more lifted lost evacuations at once; changes from a relay ended the second reading of a kind, so that what was gone stayed; an order that had ended before the loss came back with the copy and its version was tried again; an earlier report of an instance replaced a later one; a relay that had lost the store while it read served nothing for three seconds; an answer of an earlier era was asked for again from stale data; fleets listed at one moment. Change: the grace runs from the first list of the kind in the era; incomplete updates do not count for a kind that is to be read afresh; versions that were rolled back start as such; reports are kept until their owner writes; a relay serves while it reads for a tenth of the drain time at most; after an answer of an earlier era the kind is listed from data that is not stale; lists are spread over 100 ms, settling over 500 ms; orders are kept for 30 s.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -172,7 +172,7 @@
     auto const may_return = known.era < version.era && known.revision != 0 &&
                             !is_settled(s, kind, now);
     if (may_return)
-        s.era.unsettled.insert(kind);
+        s.settling.unsettled.insert(kind);
     return may_return;
 }
 
@@ -234,6 +234,7 @@
 {
     if (passes_on(s))
         record_list(s.replicas[kind], objects, version, now);
+    note_listed(s, kind, now);
     auto listed = std::set<std::string>{};
     auto outdated = objects_outdated{kind, 0, {}, 0, 0};
     for (auto const& it : objects)
--- a/src/core/dispatch/eras.cpp
+++ b/src/core/dispatch/eras.cpp
@@ -8,34 +8,46 @@
 namespace
 {
 
-/// How long records and reports of instances are kept that their owners have
-/// not written again. An owner may be cut off from the store or suspended, and
-/// shares of budgets must not grow meanwhile.
-constexpr auto own_object_grace = seconds{30};
+/// How long orders, records and reports are kept that have not been written
+/// again. The writer may be cut off or suspended; meanwhile shares of budgets
+/// must not grow, and a version on trial must not get more requests.
+constexpr auto long_grace = seconds{30};
+/// Instances spread their first lists in an era over this time.
+constexpr auto list_spread = milliseconds{100};
+/// Instances spread the lists by which they settle over this time.
+constexpr auto settle_spread = milliseconds{500};
 
 /// How long objects of a kind are kept that are known only from an earlier era.
 auto grace_of(dispatch_state const& s, store_kind kind) -> milliseconds
 {
     switch (kind)
     {
+    case store_kind::rollouts:
     case store_kind::instances:
     case store_kind::reports:
-        return own_object_grace;
+        return long_grace;
     case store_kind::configuration:
     case store_kind::targets:
     case store_kind::evacuations:
-    case store_kind::rollouts:
         break;
     }
     return s.init.limits.lapse_grace;
 }
 
-auto restart_kind(dispatch_state& s, store_kind kind, time_point now) -> void
+auto spread_over(dispatch_state& s, milliseconds length) -> milliseconds
 {
-    auto& f = s.follows[kind];
-    f = restarted(std::move(f), s.contact.era.value_or(0), now);
-    if (auto const* it = std::get_if<pausing>(&f.phase))
-        arm(s, it->until, follow_due{kind});
+    return std::chrono::duration_cast<milliseconds>(
+        scaled(length, draw_fraction(s)));
+}
+
+/// True if a time has passed since a kind was first listed in the era.
+auto has_passed(dispatch_state const& s, store_kind kind, milliseconds length,
+    time_point now) -> bool
+{
+    auto const it = s.settling.listed_at.find(kind);
+    if (it == s.settling.listed_at.end())
+        return true;
+    return it->second != time_point::max() && now >= it->second + length;
 }
 
 auto begin_era(dispatch_state& s, std::uint64_t era, char const* learned_from,
@@ -47,14 +59,15 @@
     s.contact.era = era;
     s.contact.newest = {era, 0};
     s.replicas.clear();
+    auto const delay = spread_over(s, list_spread);
     for (auto const kind : store_kinds)
     {
         s.last_disruption[kind] = now;
-        s.era.settles_at[kind] = now + grace_of(s, kind);
-        arm(s, s.era.settles_at[kind], settle_due{kind});
-        restart_kind(s, kind, now);
+        s.settling.listed_at[kind] = time_point::max();
+        s.follows[kind].polls = 0;
+        restart_kind(s, kind, delay, now);
     }
-    rewrite_report(s, now);
+    rewrite_report(s, now + spread_over(s, s.init.limits.report_interval));
 }
 
 } // namespace
@@ -80,8 +93,32 @@
 auto is_settled(dispatch_state const& s, store_kind kind, time_point now)
     -> bool
 {
-    auto const it = s.era.settles_at.find(kind);
-    return it == s.era.settles_at.end() || now >= it->second;
+    return has_passed(s, kind, grace_of(s, kind), now);
+}
+
+auto is_rewritten(dispatch_state const& s, store_kind kind, time_point now)
+    -> bool
+{
+    return has_passed(s, kind, s.init.limits.lapse_grace, now);
+}
+
+auto note_listed(dispatch_state& s, store_kind kind, time_point now) -> void
+{
+    auto const it = s.settling.listed_at.find(kind);
+    if (it == s.settling.listed_at.end() || it->second != time_point::max())
+        return;
+    it->second = now;
+    for (auto const grace : {s.init.limits.lapse_grace, grace_of(s, kind)})
+        arm(s, now + grace + spread_over(s, settle_spread), settle_due{kind});
+}
+
+auto restart_kind(dispatch_state& s, store_kind kind, milliseconds delay,
+    time_point now) -> void
+{
+    auto& f = s.follows[kind];
+    f = restarted(std::move(f), s.contact.era.value_or(0), now + delay, now);
+    if (auto const* it = std::get_if<pausing>(&f.phase))
+        arm(s, it->until, follow_due{kind});
 }
 
 auto known_version(dispatch_state const& s, store_kind kind,
@@ -97,8 +134,8 @@
 auto on_settle_due(dispatch_state& s, settle_due const& e, time_point now)
     -> void
 {
-    if (is_settled(s, e.kind, now) && s.era.unsettled.erase(e.kind) > 0)
-        restart_kind(s, e.kind, now);
+    if (s.settling.unsettled.erase(e.kind) > 0)
+        restart_kind(s, e.kind, milliseconds{0}, now);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/eras.hpp
+++ b/src/core/dispatch/eras.hpp
@@ -33,11 +33,23 @@
 auto is_settled(dispatch_state const& s, store_kind kind, time_point now)
     -> bool;
 
+/// True if targets and operator have had the time to write objects of a kind
+/// again in the present era.
+auto is_rewritten(dispatch_state const& s, store_kind kind, time_point now)
+    -> bool;
+
+/// Takes note that a kind has been listed in the present era.
+auto note_listed(dispatch_state& s, store_kind kind, time_point now) -> void;
+
+/// Reads a kind afresh. What is known of it stays in use.
+auto restart_kind(dispatch_state& s, store_kind kind, milliseconds delay,
+    time_point now) -> void;
+
 /// Version known of an object; a default one if none is.
 auto known_version(dispatch_state const& s, store_kind kind,
     std::string const& name) -> store_version;
 
-/// Reads a kind anew that still has objects known only from an earlier era.
+/// Reads a kind afresh that has objects known only from an earlier era.
 auto on_settle_due(dispatch_state& s, settle_due const& e, time_point now)
     -> void;
 
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -156,7 +156,7 @@
     time_point now) -> follow_step
 {
     f.cut = true;
-    f.restarted = false;
+    f.restarted_at.reset();
     f.list_fresh = true;
     return pause(std::move(f), now + limits.list_retry);
 }
@@ -174,7 +174,7 @@
     if (!page.next.empty())
         return list(std::move(f), policy, page.next, now);
     f.cut = false;
-    f.restarted = false;
+    f.restarted_at.reset();
     f.known = pages->oldest;
     f.confirmed = f.known;
     ++f.lists;
@@ -306,20 +306,19 @@
     return renewed(next, limits, now);
 }
 
-auto restarted(follow_state f, std::uint64_t era, time_point now)
-    -> follow_state
+auto restarted(follow_state f, std::uint64_t era, time_point due,
+    time_point now) -> follow_state
 {
     f.known = {era, 0};
     f.confirmed = f.known;
-    f.polls = 0;
     f.list_fresh = true;
-    f.restarted = true;
+    f.restarted_at = now;
     f.check_pending = false;
     auto const waits = std::holds_alternative<pausing>(f.phase);
     if (f.attached)
         f.phase = relaying{};
     else if (!waits || f.failures == 0)
-        f.phase = pausing{now};
+        f.phase = pausing{due};
     return f;
 }
 
@@ -342,11 +341,14 @@
     return f;
 }
 
-auto with_relayed(follow_state f, store_version version) -> follow_state
+auto with_relayed(follow_state f, store_version version, bool complete)
+    -> follow_state
 {
+    if (!complete && f.known.revision == 0)
+        return f;
     f.known = std::max(f.known, version);
     f.confirmed = std::max(f.confirmed, f.known);
-    f.restarted = false;
+    f.restarted_at.reset();
     return f;
 }
 
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -86,9 +86,10 @@
     std::uint32_t lists = 0;    ///< Number of complete lists read.
     /// Lists in a row after which a watch found its history discarded.
     std::uint32_t discarded = 0;
-    std::uint32_t polls = 0; ///< The same since the kind was restarted.
-    /// The kind is to be read anew, while what is known of it stays in use.
-    bool restarted = false;
+    std::uint32_t polls = 0; ///< Complete lists read in the present era.
+    /// Since when the kind is to be read afresh, while what is known of it
+    /// stays in use; empty once it has been read.
+    std::optional<time_point> restarted_at;
     bool require_fresh = false; ///< Watches must not return stale data.
     /// Only for targets: no request needs them yet; the pauses between watches
     /// are longer.
@@ -182,11 +183,12 @@
 auto relisted(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
-/// Reads the kind anew, from data that is not stale and of an era at least: by
-/// a list, or from the relay that passes it on. What is known of it stays in
-/// use. The next call is made at once unless calls fail.
-auto restarted(follow_state f, std::uint64_t era, time_point now)
-    -> follow_state;
+/// Reads the kind afresh in an era, from data that is not stale: by a list, or
+/// from the relay that passes it on. What is known of it stays in use.
+///
+/// @param[in] due Time of the list, unless calls fail.
+auto restarted(follow_state f, std::uint64_t era, time_point due,
+    time_point now) -> follow_state;
 
 /// Follows a kind through a relay.
 auto with_relay(follow_state f) -> follow_state;
@@ -196,7 +198,11 @@
 auto without_relay(follow_state f, time_point until) -> follow_state;
 
 /// Takes note that a relay has passed on all changes up to a version.
-auto with_relayed(follow_state f, store_version version) -> follow_state;
+///
+/// @param[in] complete The relay has passed on the whole list. Changes alone
+///     say nothing of a kind that is to be read afresh.
+auto with_relayed(follow_state f, store_version version, bool complete)
+    -> follow_state;
 
 /// Schedules the next call after a failed one, with exponential backoff.
 ///
--- a/src/core/dispatch/observations.hpp
+++ b/src/core/dispatch/observations.hpp
@@ -26,6 +26,7 @@
 {
     instance_report value;
     time_point at; ///< When it was read.
+    store_version version;
 
     auto operator<=>(received_report const&) const = default;
 };
--- a/src/core/dispatch/relays.cpp
+++ b/src/core/dispatch/relays.cpp
@@ -53,24 +53,27 @@
     return s.init.bounds.drain / late_parts;
 }
 
-/// True if this instance knows all kinds from the store itself and is in
-/// contact with it.
-auto can_serve(dispatch_state const& s) -> bool
+/// True if this instance knows all kinds from the store itself, or is just
+/// reading them afresh, and is in contact with it.
+auto can_serve(dispatch_state const& s, time_point now) -> bool
 {
     if (s.stop.requested || s.contact.probing || s.source.active)
         return false;
     return std::all_of(s.follows.begin(), s.follows.end(),
-        [](auto const& it)
+        [&](auto const& it)
         {
             auto const& f = it.second;
-            return f.failures == 0 && (f.known.revision != 0 || f.restarted);
+            auto const is_read =
+                f.known.revision != 0 ||
+                (f.restarted_at && now < *f.restarted_at + lateness_of(s));
+            return f.failures == 0 && is_read;
         });
 }
 
 auto reply_to(dispatch_state const& s, std::vector<relay_position> const& known,
     time_point now) -> relay_reply
 {
-    auto r = relay_reply{can_serve(s), {}};
+    auto r = relay_reply{can_serve(s, now), {}};
     if (!r.serving)
         return r;
     for (auto const& it : known)
@@ -211,7 +214,7 @@
     else
         apply_changes(s, u.kind, u.changes, u.version.era, now, out);
     auto& f = s.follows[u.kind];
-    f = with_relayed(f, u.version);
+    f = with_relayed(f, u.version, u.complete);
     s.contact = with_answer(s.contact, u.version);
 }
 
--- a/src/core/dispatch/reports.cpp
+++ b/src/core/dispatch/reports.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/reports.hpp"
 
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/version_evidence.hpp"
 
 #include <algorithm>
@@ -70,8 +71,16 @@
     if (r.name == s.init.self.name)
         return apply_own_report(s, r, version, now);
     auto& known = s.reports[r.name];
-    if (known.value != r)
-        known = {r, now};
+    auto const may_be_earlier = known.version.era < version.era &&
+                                known.version.revision != 0 &&
+                                !is_settled(s, store_kind::reports, now);
+    known.version = version;
+    if (known.value == r)
+        return;
+    if (may_be_earlier)
+        s.settling.unsettled.insert(store_kind::reports);
+    else
+        known = {r, now, version};
 }
 
 auto drop_report(dispatch_state& s, std::string const& name) -> void
@@ -144,9 +153,8 @@
     own.exists = e.failure == store_failure::conflict ||
                  (own.exists && e.failure != store_failure::missing);
     own.value = {};
-    auto const known = e.failure == store_failure::conflict ||
-                       e.failure == store_failure::missing;
-    arm_report(s, known ? now : now + rewrite_after);
+    arm_report(
+        s, e.failure == store_failure::conflict ? now : now + rewrite_after);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/rollout_orders.cpp
+++ b/src/core/dispatch/rollout_orders.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/rollout_orders.hpp"
 
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/reports.hpp"
 
@@ -106,6 +107,11 @@
         rank_for(s, id_of<service_id>(o.service)), s.instances.size());
     auto next = e.shift ? with_order(*e.shift, o, version, reserve, now)
                         : begin_shift(o, version, reserve, now);
+    // The store may have come back with an order that has ended since.
+    if (!is_settled(s, store_kind::rollouts, now) &&
+        std::holds_alternative<shift_trying>(next.phase) &&
+        e.versions.rolled_back.contains(o.to_version))
+        next.phase = shift_rolled_back{rollout_fault::none, now, false};
     replace(s, e, std::move(next), out);
     update_freshness(s);
     request_report(s, now);
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -85,9 +85,16 @@
     mark_reachable(s, kind, version, now, out);
 }
 
-/// Decides whether an answer for a kind may be used. One of an earlier era
-/// counts as a failed call. One that begins an era is not used either, as it
-/// may be stale: all kinds are read anew.
+/// True if a list or a watch of the kind awaits its answer.
+auto is_called(follow_state const& f) -> bool
+{
+    return std::holds_alternative<listing>(f.phase) ||
+           std::holds_alternative<watching>(f.phase);
+}
+
+/// Decides whether an answer for a kind may be used. After one of an earlier
+/// era the kind is read afresh. One that begins an era is not used either, as
+/// it may be stale: all kinds are read afresh.
 ///
 /// @param[in,out] e Answer; is given the era last seen if it states none.
 template <class Answer>
@@ -99,7 +106,8 @@
     case answer_era::current:
         return true;
     case answer_era::outdated:
-        on_store_failed(s, {e.kind, store_failure::outdated, {}}, now, out);
+        if (is_called(s.follows[e.kind]))
+            restart_kind(s, e.kind, s.init.limits.store_retry_first, now);
         return false;
     case answer_era::begun:
         mark_answered(s, e.kind, s.contact.newest, now, out);
@@ -150,9 +158,9 @@
         read_orders_if_needed(s, now, out);
     if (kind != store_kind::rollouts || !fresh)
         return;
-    if (!is_settled(s, kind, now))
+    if (!is_rewritten(s, kind, now))
     {
-        s.era.unsettled.insert(kind); // An order may be written again.
+        s.settling.unsettled.insert(kind);
         return;
     }
     for (auto& [id, it] : s.services)
@@ -348,8 +356,9 @@
     update_ready(s, out);
 }
 
-/// Replaces this instance's record if it exists although it was not listed, and
-/// creates it if the store has lost it. Other failures show in the next list.
+/// Replaces this instance's record if it exists although it was not listed. One
+/// that is missing is created after the next list, in which other failures show
+/// too.
 auto on_written(
     dispatch_state& s, store_written e, time_point now, commands& out) -> void
 {
@@ -359,12 +368,10 @@
         return on_report_written(s, e, now);
     if (e.kind != store_kind::instances)
         return; // Rollout orders are watched, so their changes arrive anyway.
-    if (s.stop.requested)
-        return;
-    if (e.failure == store_failure::conflict)
-        out.push_back(store_write_record{s.init.self, true});
     if (e.failure == store_failure::missing)
-        out.push_back(store_write_record{s.init.self, false});
+        s.versions[e.kind].erase(s.init.self.name);
+    if (!s.stop.requested && e.failure == store_failure::conflict)
+        out.push_back(store_write_record{s.init.self, true});
 }
 
 auto on_compacted(
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -272,14 +272,15 @@
 };
 
 /// What is known from before the store's present era. An object that the store
-/// no longer has, or has in an earlier state, is used on until then, since its
+/// no longer has, or has in an earlier state, is used on for a while, since its
 /// writer may write it again.
-struct era_progress
+struct era_settling
 {
-    std::map<store_kind, time_point> settles_at;
+    /// When a kind was first listed in the era; `max()`: not yet.
+    std::map<store_kind, time_point> listed_at;
     std::set<store_kind> unsettled; ///< Kinds that have such objects.
 
-    auto operator<=>(era_progress const&) const = default;
+    auto operator<=>(era_settling const&) const = default;
 };
 
 /// The whole state of a dispatcher.
@@ -301,7 +302,7 @@
     routing_config_ptr config; ///< In force; null until one was read.
     std::map<store_kind, follow_state> follows;
     store_contact contact;
-    era_progress era;
+    era_settling settling;
     std::map<store_kind, replica> replicas;
     relay_duty relaying;
     relay_source source;
