Stand-in of the store: it comes back from an older copy

Cause: no test could bring about what the store does in a drill: it is away for a moment and comes back without its last revisions, which it gives out again.

Change: the table keeps undo steps and can lose its last revisions: objects, status and the instances' own kinds. The era rises by one; every answer carries it in Store-Era, errors and 410 too, unless a test leaves it out or replaces it. A watch from a revision that the store has not reached gets 410. Calls are reset while it is away. What operator and targets had written is written again some time later, in order of kind and name, but for what was written since. Calls to /operator/objects/ are served meanwhile, so that a test can write more than was lost before an instance calls. The table moved to a file of its own. A target's registration changes with each write.

Result: called by hand with curl: Store-Era on 200, 404, 410 and 503; left out with era=none, replaced with era=x1; two lost registrations back after 300 ms under the revisions given out again; a watch from a revision that was lost gets 410.

--- a/tests/standin/routed.cpp
+++ b/tests/standin/routed.cpp
@@ -84,7 +84,7 @@
             {"address", "127.0.0.1:" + std::to_string(first + i)},
             {"zone", zones.at(i % settings_.replicas % zones.size())},
             {"version", "v1"}, {"slots", settings_.target_defaults.slots},
-            {"state", state}, {"warmup_left_ms", 0}, {"sequence", 1}},
+            {"state", state}, {"warmup_left_ms", 0}, {"sequence", ++sequence_}},
         {});
     store_.notify_watches();
 }
--- a/tests/standin/routed.hpp
+++ b/tests/standin/routed.hpp
@@ -38,7 +38,8 @@
     /// the service of `single_shard`.
     auto configure(std::uint64_t version, std::size_t single_shard = 0) -> void;
 
-    /// Writes a target's registration with a state such as `ready`.
+    /// Writes a target's registration with a state such as `ready`; each write
+    /// is a change.
     auto register_target(std::size_t i, std::string const& state) -> void;
 
     /// Removes a target's registration.
@@ -63,6 +64,7 @@
     event_base* base_;
     std::vector<std::unique_ptr<routed_target>> targets_;
     std::vector<std::uint32_t> start_counts_; ///< By target.
+    std::uint64_t sequence_ = 0;              ///< Of the last registration.
 };
 
 /// Load that callers send.
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -10,10 +10,10 @@
 namespace
 {
 
-constexpr auto page_size = std::size_t{50};
 constexpr auto sweep_interval = ks::milliseconds{20};
 constexpr auto prefix = std::string_view{"/objects/"};
 constexpr auto status_suffix = std::string_view{"/status"};
+constexpr auto operator_prefix = std::string_view{"/operator"};
 
 auto mode_from_name(std::string const& name) -> store_mode
 {
@@ -34,95 +34,6 @@
 
 } // namespace
 
-auto object_table::record(
-    std::string const& kind, json::object const& o, bool deleted) -> void
-{
-    history_.push_back({revision_, kind, o, deleted});
-}
-
-auto object_table::put(std::string const& kind, std::string const& name,
-    std::string const& part, json::value const& content,
-    std::optional<std::uint64_t> revision) -> std::optional<json::object>
-{
-    auto& objects = kinds_[kind];
-    auto const [it, created] = objects.try_emplace(name);
-    auto& o = it->second;
-    if (created)
-        o = json::object{{"meta", json::object{{"name", name}}},
-            {"spec", nullptr}, {"status", nullptr}};
-    auto& meta = o["meta"].as_object();
-    auto const current =
-        created ? 0 : meta["revision"].to_number<std::uint64_t>();
-    if (revision && *revision != current)
-        return std::nullopt;
-    if (!created && o[part] == content)
-        return o;
-    o[part] = content;
-    meta["revision"] = ++revision_;
-    record(kind, o, false);
-    return o;
-}
-
-auto object_table::remove(std::string const& kind, std::string const& name)
-    -> bool
-{
-    auto& objects = kinds_[kind];
-    auto const it = objects.find(name);
-    if (it == objects.end())
-        return false;
-    ++revision_;
-    auto o = it->second;
-    o["meta"].as_object()["revision"] = revision_;
-    record(kind, o, true);
-    objects.erase(it);
-    return true;
-}
-
-auto object_table::find(std::string const& kind, std::string const& name) const
-    -> json::object const*
-{
-    auto const k = kinds_.find(kind);
-    if (k == kinds_.end())
-        return nullptr;
-    auto const it = k->second.find(name);
-    return it == k->second.end() ? nullptr : &it->second;
-}
-
-auto object_table::list(std::string const& kind, std::string const& after) const
-    -> json::object
-{
-    auto items = json::array{};
-    auto more = false;
-    if (auto const k = kinds_.find(kind); k != kinds_.end())
-        for (auto it = k->second.upper_bound(after); it != k->second.end();
-             ++it)
-        {
-            more = items.size() >= page_size;
-            if (more)
-                break;
-            items.push_back(it->second);
-        }
-    return {{"items", std::move(items)}, {"more", more}, {"at", revision_}};
-}
-
-auto object_table::changes(std::string const& kind, std::uint64_t since) const
-    -> std::optional<std::vector<change>>
-{
-    if (since < oldest_revision_)
-        return std::nullopt;
-    auto out = std::vector<change>{};
-    for (auto const& it : history_)
-        if (it.kind == kind && it.revision > since)
-            out.push_back(it);
-    return out;
-}
-
-auto object_table::compact() -> void
-{
-    oldest_revision_ = ++revision_;
-    history_.clear();
-}
-
 store_server::store_server(event_base* base, std::uint16_t port)
     : server_(base, port,
           {[this](client_id id, ks::http_message m) { on_call(id, m); },
@@ -133,7 +44,12 @@
               },
               {}}),
       base_(base), sweep_timer_(base, [this] { sweep(); }),
-      delay_timer_(base, [] {})
+      delay_timer_(base, [] {}), rewrite_timer_(base,
+                                     [this]
+                                     {
+                                         table_.write_again();
+                                         notify_watches();
+                                     })
 {
     sweep_timer_.after(sweep_interval);
 }
@@ -170,10 +86,31 @@
         [&](waiting_watch const& w) { return answer_watch(w, false); });
 }
 
-auto store_server::on_call(client_id id, ks::http_message const& m) -> void
+auto store_server::is_away() const -> bool
+{
+    return ks::steady_now() < away_until_;
+}
+
+auto store_server::restore(store_loss const& l) -> void
+{
+    table_.restore(l.revisions);
+    away_until_ = ks::steady_now() + l.away;
+    for (auto const& w : std::exchange(waiting_, {}))
+        server_.reset(w.client);
+    rewrite_timer_.after(l.rewrite);
+}
+
+auto store_server::on_call(client_id id, ks::http_message m) -> void
 {
     if (m.target.starts_with("/control"))
         return control(id, m.target);
+    if (m.target.starts_with(operator_prefix))
+    {
+        m.target.erase(0, operator_prefix.size());
+        return serve(id, m);
+    }
+    if (is_away())
+        return server_.reset(id);
     switch (mode_)
     {
     case store_mode::busy:
@@ -194,7 +131,7 @@
         return serve(id, m);
     delayed_.push_back({ks::steady_now() + call_delay_, [this, id, m]
         {
-            serve(id, m);
+            is_away() ? server_.reset(id) : serve(id, m);
         }});
 }
 
@@ -211,6 +148,19 @@
             reply(w.client, 410, json::object{});
         waiting_.clear();
     }
+    if (auto const n = query_param(target, "restore"); !n.empty())
+    {
+        auto l = store_loss{};
+        auto const ms = [&](char const* key, ks::milliseconds fallback)
+        {
+            return ks::milliseconds{
+                parse_number(query_param(target, key), fallback.count())};
+        };
+        restore({parse_number(n, l.revisions), ms("away_ms", l.away),
+            ms("rewrite_ms", l.rewrite)});
+    }
+    if (auto const era = query_param(target, "era"); !era.empty())
+        era_header_ = era;
     notify_watches();
     reply(id, 200, json::object{});
 }
@@ -310,6 +260,9 @@
     auto m = ks::http_message{};
     m.status = status;
     m.fields.push_back({"Content-Type", "application/json"});
+    if (era_header_ != "none")
+        m.fields.push_back({"Store-Era",
+            era_header_ == "own" ? std::to_string(table_.era()) : era_header_});
     m.body = json::serialize(body);
     server_.reply(id, m);
 }
--- a/tests/standin/store.hpp
+++ b/tests/standin/store.hpp
@@ -1,69 +1,17 @@
 /// Stand-in of the platform's store: objects with revisions, lists, watches and
-/// conditional writes, with faults that tests switch on.
+/// conditional writes, with faults that tests switch on. It can be restored
+/// from an older copy of itself.
 #ifndef KNAPWEEDSTREAM_STANDIN_STORE_HPP
 #define KNAPWEEDSTREAM_STANDIN_STORE_HPP
 
+#include "object_table.hpp"
 #include "wire_server.hpp"
 
-#include <boost/json.hpp>
-
 #include <deque>
-#include <map>
-#include <optional>
 
 namespace standin
 {
 
-namespace json = boost::json;
-
-/// Objects by kind and name, with the history of changes.
-class object_table
-{
-public:
-    struct change
-    {
-        std::uint64_t revision = 0;
-        std::string kind;
-        json::object object;
-        bool deleted = false;
-    };
-
-    /// Creates an object or replaces its `spec` or `status`.
-    ///
-    /// @returns The object; nothing if `revision` is given and does not match
-    ///          the object's.
-    auto put(std::string const& kind, std::string const& name,
-        std::string const& part, json::value const& content,
-        std::optional<std::uint64_t> revision) -> std::optional<json::object>;
-
-    auto remove(std::string const& kind, std::string const& name) -> bool;
-    auto find(std::string const& kind, std::string const& name) const
-        -> json::object const*;
-
-    /// One page of a kind's objects in order of name, after the name `after`.
-    auto list(std::string const& kind, std::string const& after) const
-        -> json::object;
-
-    /// Changes of a kind after a revision; nothing if the history no longer
-    /// holds them.
-    auto changes(std::string const& kind, std::uint64_t since) const
-        -> std::optional<std::vector<change>>;
-
-    /// Drops the history, so that watches of older revisions fail.
-    auto compact() -> void;
-
-    auto revision() const -> std::uint64_t { return revision_; }
-
-private:
-    auto record(std::string const& kind, json::object const& o, bool deleted)
-        -> void;
-
-    std::uint64_t revision_ = 100;
-    std::uint64_t oldest_revision_ = 100; ///< Changes up to it are dropped.
-    std::map<std::string, std::map<std::string, json::object>> kinds_;
-    std::deque<change> history_;
-};
-
 /// How the store answers calls.
 enum class store_mode : std::uint8_t
 {
@@ -75,8 +23,20 @@
     lossy,             ///< Executes calls, then resets the connection.
 };
 
+/// A restore from an older copy.
+struct store_loss
+{
+    std::size_t revisions = 40;    ///< Lost ones.
+    ks::milliseconds away{700};    ///< Time in which calls are reset.
+    ks::milliseconds rewrite{900}; ///< Time until operator and targets have
+                                   ///< written again; may be shorter.
+};
+
 /// Serves the table over HTTP. `POST /control?mode=busy&slow_ms=50&compact=1`
-/// sets the mode and the delay of answers and drops the history.
+/// sets the mode and the delay of answers and drops the history;
+/// `restore=40&away_ms=700&rewrite_ms=900` restores the store from an older
+/// copy, and `era=none` or `era=x1` replaces the header `Store-Era` until
+/// `era=own`. Calls to `/operator/objects/` are served in any mode.
 class store_server
 {
 public:
@@ -89,6 +49,9 @@
 
     auto set_mode(store_mode m) -> void { mode_ = m; }
 
+    /// Loses the last revisions and resets all calls for a time.
+    auto restore(store_loss const& l) -> void;
+
 private:
     struct waiting_watch
     {
@@ -98,7 +61,8 @@
         ks::time_point until;
     };
 
-    auto on_call(client_id id, ks::http_message const& m) -> void;
+    auto is_away() const -> bool;
+    auto on_call(client_id id, ks::http_message m) -> void;
     auto serve(client_id id, ks::http_message const& m) -> void;
     auto get(client_id id, std::string const& kind, std::string const& name,
         std::string const& target) -> void;
@@ -113,12 +77,15 @@
     object_table table_;
     store_mode mode_ = store_mode::good;
     ks::milliseconds call_delay_{0};
+    ks::time_point away_until_;
+    std::string era_header_ = "own"; ///< `own`, `none` or the text to send.
     std::vector<waiting_watch> waiting_;
     wire_server server_;
     event_base* base_;
     ks::loop_event sweep_timer_;
     std::deque<std::pair<ks::time_point, std::function<void()>>> delayed_;
     ks::loop_event delay_timer_;
+    ks::loop_event rewrite_timer_;
 };
 
 } // namespace standin
