--- a/tests/process/test_odd_entries.cpp
+++ b/tests/process/test_odd_entries.cpp
@@ -1,7 +1,6 @@
 /// Tests of real processes: entries of another writer in the store, and answers
 /// of targets that are no valid HTTP.
-#include "adapter/http_link.hpp"
-#include "processes.hpp"
+#include "routed_cluster.hpp"
 #include "unit/scripted_target.hpp"
 
 #include <doctest/doctest.h>
@@ -11,142 +10,29 @@
 namespace
 {
 
-/// A store and targets (in one process) and one instance for routed requests.
-class routed_pair
+/// Writes an entry that names no usable target; false if refused.
+auto write_odd_entry(routed_cluster const& c, std::string const& name) -> bool
 {
-public:
-    explicit routed_pair(std::uint16_t first_port) : first_port_(first_port)
-    {
-        auto const name = "ks-test-" + std::to_string(getpid()) + "-" +
-                          std::to_string(first_port);
-        dir_ = std::filesystem::temp_directory_path() / name;
-        std::filesystem::create_directories(dir_);
-        deployment_ = std::make_unique<process>(
-            std::vector<std::string>{KS_STANDIN, "routed", "--port",
-                std::to_string(first_port), "--shards", "2", "--replicas", "2"},
-            (dir_ / "deployment.log").string());
-    }
-
-    ~routed_pair()
-    {
-        instance_.reset();
-        deployment_.reset();
-        if (std::getenv("KS_KEEP_LOGS") == nullptr)
-            std::filesystem::remove_all(dir_);
-    }
-
-    routed_pair(routed_pair const&) = delete;
-    auto operator=(routed_pair const&) -> routed_pair& = delete;
-
-    /// Creates an object in the store; false if that is refused.
-    auto create(std::string const& kind, std::string const& name,
-        json::object const& spec) const -> bool
-    {
-        auto const body = json::object{
-            {"meta", json::object{{"name", name}}}, {"spec", spec}};
-        return wait_for(seconds{10},
-            [&]
-            {
-                return send_http(address(0), EVHTTP_REQ_POST,
-                           "/objects/" + kind, json::serialize(body))
-                           .status == 200;
-            });
-    }
-
-    /// Writes an entry that names no usable target; false if refused.
-    auto write_odd_entry(std::string const& name) const -> bool
-    {
-        return create("servers", name, {});
-    }
-
-    /// Sends `/odd/` to the only target of a service of its own.
-    auto add_route_to(std::string const& target_address) const -> bool
-    {
-        auto const route = json::object{{"name", "odd"},
-            {"hostname", "h.example"}, {"path_prefix", "/odd/"},
-            {"route_type", "safe"}, {"timeout_ms", 1'000}, {"service", "odd"}};
-        auto const config =
-            json::object{{"version", 2}, {"routes", json::array{route}},
-                {"services", json::array{json::object{
-                                 {"name", "odd"}, {"max_connections", 10}}}}};
-        auto const target = json::object{{"service", "odd"},
-            {"address", target_address}, {"zone", "a"}, {"version", "v1"},
-            {"slots", 2}, {"state", "ready"}, {"sequence", 1}};
-        auto const body = json::object{
-            {"meta", json::object{{"name", "main"}}}, {"spec", config}};
-        return create("servers", "odd-1", target) &&
-               send_http(address(0), EVHTTP_REQ_PUT, "/objects/config/main",
-                   json::serialize(body))
-                       .status == 200;
-    }
-
-    auto start_instance() -> void
-    {
-        auto const path = (dir_ / "i.ini").string();
-        std::ofstream{path}
-            << "[instance]\nfront_end = routes\nname = i0\nzone = a\n"
-            << "region = ra\ncaller_address = " << address(10)
-            << "\nready_address = " << address(11)
-            << "\nplatform_address = " << address(0)
-            << "\n[zones]\na = ra\nb = rb\nc = rc\n";
-        instance_ = std::make_unique<process>(
-            std::vector<std::string>{KS_BINARY, "run", path},
-            (dir_ / "i.log").string());
-    }
-
-    auto is_ready() const -> bool
-    {
-        return send_http(address(11), EVHTTP_REQ_GET, "/readiness").status ==
-               200;
-    }
-
-    /// Answer to a routed request; its status is 0 if there was none.
-    auto answer_to(event_base* base, std::string const& path) const
-        -> http_message
-    {
-        auto m = http_message{};
-        m.method = "GET";
-        m.target = path;
-        m.fields = {{"Host", "h.example"}, {"X-Request-Id", "q1"},
-            {"X-Request-Deadline", "1000"}};
-        auto answer = http_message{};
-        auto const stop = [&]
-        {
-            event_base_loopbreak(base);
-        };
-        auto link = http_link{base, address(10), {}, {},
-            {{},
-                [&](http_message&& it, bool)
-                {
-                    answer = std::move(it);
-                    stop();
-                },
-                [&](link_end)
-                {
-                    stop();
-                }}};
-        link.send(request_text(m));
-        event_base_dispatch(base);
-        return answer;
-    }
-
-    /// Status of the answer to a routed request; 0 if there was none.
-    auto ask(std::string const& path) const -> std::uint32_t
-    {
-        return answer_to(make_event_base().get(), path).status;
-    }
-
-private:
-    auto address(int offset) const -> std::string
-    {
-        return "127.0.0.1:" + std::to_string(first_port_ + offset);
-    }
+    return c.create("servers", name, {});
+}
 
-    std::uint16_t first_port_;
-    std::filesystem::path dir_;
-    std::unique_ptr<process> deployment_;
-    std::unique_ptr<process> instance_;
-};
+/// Sends `/odd/` to the only target of a service of its own.
+auto add_route_to(routed_cluster const& c, std::string const& target_address)
+    -> bool
+{
+    auto const route = json::object{{"name", "odd"}, {"hostname", "h.example"},
+        {"path_prefix", "/odd/"}, {"route_type", "safe"}, {"timeout_ms", 1'000},
+        {"service", "odd"}};
+    auto const config =
+        json::object{{"version", 2}, {"routes", json::array{route}},
+            {"services", json::array{json::object{
+                             {"name", "odd"}, {"max_connections", 10}}}}};
+    auto const target = json::object{{"service", "odd"},
+        {"address", target_address}, {"zone", "a"}, {"version", "v1"},
+        {"slots", 2}, {"state", "ready"}, {"sequence", 1}};
+    return c.create("servers", "odd-1", target) &&
+           c.replace("config", "main", config);
+}
 
 } // namespace
 
@@ -161,11 +47,11 @@
              "s\x01\r\n", "s\xc3\xa9"})
     {
         CAPTURE(name);
-        auto c = routed_pair{port};
+        auto c = routed_cluster{port};
         port += 20;
         for (auto i = 0; i < entries_before; ++i)
-            REQUIRE(c.write_odd_entry("a" + std::to_string(i)));
-        REQUIRE(c.write_odd_entry(name));
+            REQUIRE(write_odd_entry(c, "a" + std::to_string(i)));
+        REQUIRE(write_odd_entry(c, name));
         c.start_instance();
         CHECK(wait_for(seconds{5}, [&] { return c.is_ready(); }));
         for (auto i = 0; i < 10; ++i)
@@ -186,8 +72,8 @@
         std::string{"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n"};
     auto const base = make_event_base();
     auto target = scripted::scripted_target{base.get(), {head + rest, ""}};
-    auto c = routed_pair{25'800};
-    REQUIRE(c.add_route_to(scripted::address));
+    auto c = routed_cluster{25'800};
+    REQUIRE(add_route_to(c, scripted::address));
     c.start_instance();
     REQUIRE(wait_for(seconds{5}, [&] { return c.is_ready(); }));
     // True if the client got something of an answer that the target has given.
