--- a/tests/process/test_restored_store.cpp
+++ b/tests/process/test_restored_store.cpp
@@ -233,3 +233,15 @@
     f.suspended = -1;
     f.check(steady_now());
 }
+
+TEST_CASE("restored store: answers whose Store-Era is no number before the "
+          "first one that states the new era do not hide later changes")
+{
+    auto f = restored_fleet{27'400};
+    REQUIRE(f.cluster.control_store("era=x1"));
+    f.restore(away + milliseconds{200});
+    f.send_until_return_and(milliseconds{1'000});
+    REQUIRE(f.cluster.control_store("era=own"));
+    f.change();
+    f.check(steady_now());
+}
