Soak: the store comes back from an older copy

Change: a new kind, "restored store", beside the others and over them, several times in a run: the store loses its last 1 to 60 revisions and is away for up to 1.5 s; operator and targets have written again within 2 s, before the return or after it, at times with more revisions than were lost. At the end of a run it comes once more while no other fault acts but at times a suspended instance; a target drains and the configuration changes, at once or 3 s later. New checks: a configuration is in force within 4 s on every instance (as the drain bound, from its last write or the end of the last fault of the store or the instance); every request is answered with 200 while a restored store is the only fault; 7 s after the change, records of instances that were lost are back.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -49,21 +49,14 @@
     history_.services[name] = deployment_->service_of(i);
     if (!deployment_->is_up(i))
         return;
-    auto const restart = [this, i]
-    {
-        deployment_->restart(i);
-        history_.services[deployment_->name_of(i)] = deployment_->service_of(i);
-    };
     switch (random_below(5))
     {
     case 0: // The target crashes and restarts under a new name.
         deployment_->kill(i);
-        after(random_duration(0.3, 2), restart);
+        after(random_duration(0.3, 2), [this, i] { restart(i); });
         break;
     case 1: // The target drains, then restarts.
-        history_.draining[name] = ks::steady_now();
-        deployment_->register_target(i, "draining");
-        after(random_duration(8, 10), restart);
+        drain(i);
         break;
     case 2: // The registration is removed and added again.
         deployment_->deregister_target(i);
@@ -82,6 +75,19 @@
     }
 }
 
+auto soak_run::drain(std::size_t i) -> void
+{
+    history_.draining[deployment_->name_of(i)] = ks::steady_now();
+    deployment_->register_target(i, "draining");
+    after(random_duration(8, 10), [this, i] { restart(i); });
+}
+
+auto soak_run::restart(std::size_t i) -> void
+{
+    deployment_->restart(i);
+    history_.services[deployment_->name_of(i)] = deployment_->service_of(i);
+}
+
 auto soak_run::inject_link_fault() -> void
 {
     auto const i = random_below(proxies_.size());
@@ -130,6 +136,39 @@
         });
 }
 
+auto soak_run::inject_restored_store() -> void
+{
+    if (!faults_enabled_)
+        return;
+    ++faults_;
+    restore_store(1 + random_below(60), random_below(2) * 100);
+    after(random_duration(1, 8), [this] { inject_restored_store(); });
+}
+
+/// Restores the store from a copy that lacks the last revisions; `more` are
+/// written when operator and targets write again.
+auto soak_run::restore_store(std::size_t lost_revisions, std::size_t more)
+    -> void
+{
+    auto const to_ms = [](ks::duration d)
+    {
+        return std::chrono::duration_cast<ks::milliseconds>(d);
+    };
+    // Operator and targets may have written again before any instance can call.
+    auto const l = standin::store_loss{lost_revisions,
+        to_ms(random_duration(0, 1.5)), to_ms(random_duration(0.05, 2))};
+    history_.store_faults.push_back(
+        {ks::steady_now(), ks::steady_now() + std::max(l.away, l.rewrite)});
+    deployment_->store().restore(l);
+    after(l.rewrite,
+        [this, more]
+        {
+            auto& table = deployment_->store().table();
+            for (std::size_t n = 0; n < more; ++n)
+                table.put("other", "x", "spec", table.revision(), {});
+        });
+}
+
 auto soak_run::inject_instance_fault() -> void
 {
     auto const i = random_below(instances_.size());
@@ -145,7 +184,7 @@
         break;
     case 2:
     case 3:
-        pause(i);
+        pause(i, random_duration(0.1, 1.5));
         break;
     default:
         instances_[i].running->send(SIGHUP);
@@ -154,7 +193,10 @@
 
 auto soak_run::change_config() -> void
 {
-    deployment_->configure(++config_, random_below(settings_.shards));
+    auto const shard = random_below(settings_.shards);
+    deployment_->configure(++config_, shard);
+    history_.configs.push_back(
+        {ks::steady_now(), deployment_->service_of(shard * replicas)});
 }
 
 auto soak_run::stop(std::size_t i) -> void
@@ -188,9 +230,8 @@
     after(random_duration(0.1, 1), [this, i] { start_instance(i); });
 }
 
-auto soak_run::pause(std::size_t i) -> void
+auto soak_run::pause(std::size_t i, ks::duration length) -> void
 {
-    auto const length = random_duration(0.1, 1.5);
     instances_[i].paused = true;
     add_instance_fault(i, length + ks::milliseconds{500});
     instances_[i].running->send(SIGSTOP);
--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -11,9 +11,10 @@
 
 constexpr auto timeout = ks::milliseconds{1'000};    ///< Of all routes.
 constexpr auto answer_slack = ks::milliseconds{500}; ///< Beyond the timeout.
-constexpr auto drain_bound = ks::seconds{4}; ///< For the last new request.
-constexpr auto min_share = 0.5;              ///< Of the shards in a success.
-constexpr auto top_k = std::size_t{10};      ///< Records of a merged answer.
+constexpr auto drain_bound = ks::seconds{4};  ///< For the last new request.
+constexpr auto config_bound = ks::seconds{4}; ///< Until a version is in force.
+constexpr auto min_share = 0.5;               ///< Of the shards in a success.
+constexpr auto top_k = std::size_t{10};       ///< Records of a merged answer.
 constexpr auto record_bytes = std::size_t{16};
 
 using violations = std::vector<violation>;
@@ -183,6 +184,41 @@
     }
 }
 
+/// Checks that a request is served as a version allows that is not replaced for
+/// longer than `config_bound`. The bound counts from the newer version's write,
+/// or from the end of the last fault of the store or of the instance, if later.
+auto check_config(history const& h, request_record const& a,
+    std::vector<run const*> const& runs, violations& out) -> void
+{
+    auto const fault_end = std::max(last_fault_end(h.store_faults, a.sent),
+        last_fault_end(fault_windows_of(h, a.instance), a.sent));
+    if (a.kind == route_kind::all || a.sent <= fault_end + config_bound)
+        return;
+    auto const due = [&](config_record const& it)
+    {
+        return it.written + config_bound < a.sent;
+    };
+    auto const first = std::find_if(h.configs.rbegin(), h.configs.rend(), due);
+    for (auto const* r : runs)
+        if (first != h.configs.rend() &&
+            std::none_of(h.configs.rbegin(), first + 1,
+                [&](config_record const& it)
+                { return it.single_service == h.services.at(r->target); }))
+            out.push_back({"a configuration is in force in time", a.id});
+}
+
+/// Checks that a restored store alone keeps no request from being served.
+auto check_restored(history const& h, request_record const& a, violations& out)
+    -> void
+{
+    auto const due = a.sent + timeout + answer_slack;
+    if (overlaps_fault(h.only_restores, a.sent, a.sent) &&
+        !overlaps_fault(fault_windows_of(h, a.instance), a.sent, due) &&
+        a.answer.status != 200)
+        out.push_back({"each request is served though the store was restored",
+            a.id + " status " + std::to_string(a.answer.status)});
+}
+
 } // namespace
 
 auto check_invariants(history const& h) -> std::vector<violation>
@@ -198,6 +234,8 @@
             it == runs.end() ? std::vector<run const*>{} : it->second;
         check_at_most_once(a, own_runs, out);
         check_deadline(h, a, out);
+        check_config(h, a, own_runs, out);
+        check_restored(h, a, out);
         if (a.ended != ks::time_point{} && !a.disconnected)
             check_answer(h, a, own_runs, out);
     }
--- a/tests/soak/invariants.hpp
+++ b/tests/soak/invariants.hpp
@@ -43,6 +43,13 @@
     ks::time_point to;
 };
 
+/// A version of the configuration that was written.
+struct config_record
+{
+    ks::time_point written;
+    std::string single_service; ///< Of the routes `one` and `once`.
+};
+
 /// Events of a run.
 struct history
 {
@@ -50,6 +57,9 @@
     standin::run_log runs;
     std::map<std::size_t, std::vector<fault_window>> instance_faults;
     std::vector<fault_window> store_faults;
+    /// While the only fault is a store that comes back from an older copy.
+    std::vector<fault_window> only_restores;
+    std::vector<config_record> configs;             ///< Oldest first.
     std::map<std::string, ks::time_point> draining; ///< Start, by target name.
     std::map<std::string, std::string> services;    ///< By target's name.
     std::size_t shards = 0;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr auto replicas = std::uint32_t{3};
 constexpr auto links_per_instance = std::size_t{3};
 constexpr auto no_request = ~std::size_t{0};
 constexpr auto min_served_share = 0.95; ///< Once all faults have ended.
@@ -161,11 +160,11 @@
     after(ks::milliseconds{50}, [this, i, k] { connect(i, k); });
 }
 
-auto soak_run::check_recovery(std::size_t first) -> void
+auto soak_run::check_recovery(std::size_t first, std::size_t last) -> void
 {
     auto served = std::size_t{0};
     auto total = std::size_t{0};
-    for (auto i = first; i < history_.requests.size(); ++i)
+    for (auto i = first; i < last; ++i)
         if (history_.requests[i].ended != ks::time_point{})
         {
             ++total;
@@ -178,21 +177,52 @@
                 std::to_string(served) + " of " + std::to_string(total)});
 }
 
+/// Restores the store while no other fault acts but a paused instance at times.
+/// A target drains and the configuration changes: some time later, or at once
+/// and followed by more revisions than were lost.
+auto soak_run::check_restored_store() -> void
+{
+    auto const start = ks::steady_now();
+    for (std::size_t n = 0; n < 4 * proxies_.size(); ++n)
+        deployment_->register_target(n % proxies_.size(), "ready");
+    change_config();
+    run_for(0.5);
+    auto const at_once = random_below(2) == 0;
+    restore_store(40 + random_below(200), at_once ? 100 : 0);
+    if (random_below(2) == 0)
+        pause(random_below(instances_.size()), random_duration(0.1, 3));
+    run_for(at_once ? 0.01 : 3);
+    drain(random_below(proxies_.size()));
+    change_config();
+    run_for(7);
+    history_.only_restores.push_back({start, ks::steady_now()});
+    for (std::size_t i = 0; i < instances_.size(); ++i)
+        if (deployment_->store().table().find(
+                "knapweedstream-instances", "i" + std::to_string(i)) == nullptr)
+            violations_.push_back({"a lost record of an instance is written "
+                                   "again",
+                "i" + std::to_string(i)});
+}
+
 auto soak_run::run() -> std::vector<violation>
 {
     for (std::size_t i = 0; i < proxies_.size(); ++i)
         history_.services[deployment_->name_of(i)] = deployment_->service_of(i);
+    history_.configs.push_back({ks::steady_now(), deployment_->service_of(0)});
     run_for(2);
     submit();
     inject_next_fault();
+    inject_restored_store();
     run_for(settings_.seconds);
     end_faults();
     run_for(11); // Until stopped instances and drained targets have restarted.
     auto const first = history_.requests.size();
     run_for(3);
+    auto const last = history_.requests.size();
+    check_restored_store();
     sending_ = false;
     run_for(2); // For the last answers.
-    check_recovery(first);
+    check_recovery(first, last);
     for (std::size_t i = 0; i < instances_.size(); ++i)
         if (!instances_[i].stopping &&
             instances_[i].running->exit_code(ks::seconds{0}) != -1)
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -16,6 +16,8 @@
 namespace soak
 {
 
+constexpr auto replicas = std::uint32_t{3}; ///< Of each shard.
+
 /// Settings of a run.
 struct soak_settings
 {
@@ -71,15 +73,20 @@
     auto inject_link_fault() -> void;
     auto inject_store_fault() -> void;
     auto inject_instance_fault() -> void;
+    auto inject_restored_store() -> void;
+    auto restore_store(std::size_t lost_revisions, std::size_t more) -> void;
+    auto drain(std::size_t target) -> void;
+    auto restart(std::size_t target) -> void;
     auto change_config() -> void;
     auto stop(std::size_t i) -> void;
     auto kill_instance(std::size_t i) -> void;
-    auto pause(std::size_t i) -> void;
+    auto pause(std::size_t i, ks::duration length) -> void;
     auto await_exit(std::size_t i, ks::time_point stop_sent) -> void;
     auto end_faults() -> void;
     auto add_instance_fault(std::size_t i, ks::duration length) -> void;
     auto add_store_fault(ks::duration length) -> void;
-    auto check_recovery(std::size_t first) -> void;
+    auto check_recovery(std::size_t first, std::size_t last) -> void;
+    auto check_restored_store() -> void;
 
     auto random_below(std::size_t n) -> std::size_t;
     auto random_duration(double from, double to) -> ks::duration;
@@ -100,7 +107,7 @@
     bool faults_enabled_ = true;
     bool sending_ = true;
     std::size_t faults_ = 0;
-    std::uint64_t config_ = 1;
+    std::uint64_t config_ = 1; ///< Last version written.
 };
 
 } // namespace soak
