Soak: more revisions than were lost are written before any instance can call

Cause: an instance whose watch gets 410 reads all kinds anew anyway.

Change: where more revisions are written than were lost, that happens while the store is away.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -145,8 +145,9 @@
     after(random_duration(1, 8), [this] { inject_restored_store(); });
 }
 
-/// Restores the store from a copy that lacks the last revisions; `more` are
-/// written when operator and targets write again.
+/// Restores the store from a copy that lacks the last revisions. If `more` are
+/// written, that is before any instance can call, as is what operator and
+/// targets write again.
 auto soak_run::restore_store(std::size_t lost_revisions, std::size_t more)
     -> void
 {
@@ -154,9 +155,10 @@
     {
         return std::chrono::duration_cast<ks::milliseconds>(d);
     };
-    // Operator and targets may have written again before any instance can call.
-    auto const l = standin::store_loss{lost_revisions,
-        to_ms(random_duration(0, 1.5)), to_ms(random_duration(0.05, 2))};
+    auto const away = random_duration(0, 1.5);
+    auto const rewrite = more > 0 ? away / 2 : random_duration(0.05, 2);
+    auto const l =
+        standin::store_loss{lost_revisions, to_ms(away), to_ms(rewrite)};
     history_.store_faults.push_back(
         {ks::steady_now(), ks::steady_now() + std::max(l.away, l.rewrite)});
     deployment_->store().restore(l);
