Test fleet: a model of the store that can come back from an older copy

Operator and targets make their lost changes again, each under a new revision; records, reports and states of orders stay lost. Instances can start and stop during a run, and what each uses is followed by its facts.

--- a/tests/dispatch/harness.cpp
+++ b/tests/dispatch/harness.cpp
@@ -27,7 +27,8 @@
 {
 }
 
-harness::harness(dispatcher_init const& init) : core(init)
+harness::harness(dispatcher_init const& init, time_point start)
+    : core(init), now(start)
 {
     carry_out(core.start(now));
 }
--- a/tests/dispatch/harness.hpp
+++ b/tests/dispatch/harness.hpp
@@ -47,7 +47,9 @@
 public:
     explicit harness(dispatch_limits const& limits = {}, std::string zone = "a",
         std::string name = "me");
-    explicit harness(dispatcher_init const& init);
+    /// @param[in] start Time at which the instance starts.
+    explicit harness(dispatcher_init const& init,
+        time_point start = time_point{seconds{100}});
 
     /// Advances the clock by 30 s, so that limits which grow after a start,
     /// such as the retry budget, have their full value.
@@ -119,7 +121,7 @@
     }
 
     dispatcher core;
-    time_point now{seconds{100}};
+    time_point now;
     commands all_commands;
     std::vector<answer_record> answers;
     std::deque<sent_request> unanswered;
--- a/tests/dispatch/store_fleet.cpp
+++ b/tests/dispatch/store_fleet.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/store_fleet.hpp"
 
-#include <knapweedstream/overloaded.hpp>
-
 #include <algorithm>
 
 namespace knapweedstream::dispatch
@@ -11,8 +9,6 @@
 {
 
 constexpr auto step_length = milliseconds{5};
-constexpr auto store_delay = milliseconds{5};
-constexpr auto list_timeout = seconds{3};
 
 auto zone_name(std::size_t i) -> std::string
 {
@@ -24,65 +20,69 @@
     return "i" + std::to_string(i);
 }
 
-/// Index of an instance, from its address.
-auto index_of(std::string const& address) -> std::size_t
-{
-    return std::stoul(address.substr(address.find(':') + 1));
-}
-
 } // namespace
 
-store_fleet::store_fleet(store_fleet_setup const& setup) : setup_(setup)
+store_fleet::store_fleet(store_fleet_setup const& setup)
+    : setup_(setup), random_{setup.seed, 0}
 {
-    write(store_kind::configuration, {"main", 0, config_of(single_route("s"))});
+    store_.write(store_kind::configuration,
+        {"main", 0, config_of(single_route("s"))}, now);
     for (std::size_t i = 0; i < setup.targets; ++i)
     {
         auto const name = "t" + std::to_string(i);
-        write(store_kind::targets,
-            {name, 0,
-                make_registration(name, "s", zone_name(i % setup.zones))});
+        store_.write(store_kind::targets,
+            {name, 0, make_registration(name, "s", zone_name(i % setup.zones))},
+            now);
     }
     for (std::size_t i = 0; i < setup.instances; ++i)
-    {
-        auto init = dispatcher_init{};
-        for (std::size_t z = 0; z < setup.zones; ++z)
-            init.regions[zone_name(z)] = "r";
-        auto const address = "10.0.0.1:" + std::to_string(i);
-        init.self = {instance_name(i), zone_name(i % setup.zones), "r",
-            setup.relays ? address : ""};
-        init.seed = 1'000 + i;
-        init.bounds = setup.bounds;
-        auto n = node{};
-        n.core = std::make_unique<harness>(init);
-        n.core->submit("q"); // Callers are served: targets are in demand.
-        nodes_.push_back(std::move(n));
-    }
+        add_instance(now);
 }
 
-auto store_fleet::write(store_kind kind, stored_object o) -> void
+auto store_fleet::add_instance(time_point start) -> void
 {
-    o.revision = ++revision_;
-    objects_[kind][o.name] = std::move(o);
+    auto const i = nodes_.size();
+    auto init = dispatcher_init{};
+    for (std::size_t z = 0; z < setup_.zones; ++z)
+        init.regions[zone_name(z)] = "r";
+    auto const address = "10.0.0.1:" + std::to_string(i);
+    init.self = {instance_name(i), zone_name(i % setup_.zones), "r",
+        setup_.relays ? address : ""};
+    init.seed = 1'000 + i;
+    init.bounds = setup_.bounds;
+    auto n = node{};
+    n.started = start;
+    n.core = std::make_unique<harness>(init, start);
+    n.core->submit("q"); // Callers are served: targets are in demand.
+    nodes_.push_back(std::move(n));
 }
 
-auto store_fleet::objects_of(store_kind kind) const
-    -> std::vector<stored_object>
+auto store_fleet::start_instance() -> void
 {
-    auto out = std::vector<stored_object>{};
-    if (auto const it = objects_.find(kind); it != objects_.end())
-        for (auto const& [name, o] : it->second)
-            out.push_back(o);
-    return out;
+    constexpr auto start_length = seconds{2};
+    add_instance(now);
+    nodes_.back().disturbed_until = now + start_length;
+    for (auto& it : changes)
+        it.known_at.push_back(time_point::max());
 }
 
-auto store_fleet::changes_after(store_kind kind, std::uint64_t since) const
-    -> std::vector<stored_change>
+auto store_fleet::stop(std::size_t i) -> void
 {
-    auto out = std::vector<stored_change>{};
-    for (auto const& it : objects_of(kind))
-        if (it.revision > since)
-            out.push_back({it, false});
-    return out;
+    nodes_[i].stopping = true;
+    nodes_[i].core->feed(stop_requested{});
+    take_commands(i);
+}
+
+auto store_fleet::write(store_kind kind, stored_object o) -> void
+{
+    if (rewrites_.erase({kind, o.name}) > 0)
+        note_rewritten(o);
+    store_.write(kind, std::move(o), now);
+}
+
+auto store_fleet::remove(store_kind kind, std::string const& name) -> void
+{
+    rewrites_.erase({kind, name});
+    store_.remove(kind, name, now);
 }
 
 auto store_fleet::change_target() -> void
@@ -93,7 +93,7 @@
     auto r = make_registration(name, "s", zone_name(n % setup_.zones));
     r.draining = !fresh;
     write(store_kind::targets, {name, 0, r});
-    changes.push_back({name, revision_, now,
+    changes.push_back({name, r.draining, now,
         std::vector<time_point>(nodes_.size(), time_point::max())});
 }
 
@@ -115,209 +115,136 @@
     nodes_[i].disturbed_until = end;
 }
 
-auto store_fleet::runs(std::size_t i) const -> bool
+auto store_fleet::leave(duration away, outage how) -> void
 {
-    return nodes_[i].alive && now >= nodes_[i].frozen_until;
+    if (how == outage::silent)
+        return silence_until(now + away);
+    broken_until_ = now + away;
+    for (auto& n : nodes_)
+        for (auto& it : n.calls)
+        {
+            it.lost = true;
+            it.failure = store_failure::unreachable;
+            it.fails_at = now;
+        }
 }
 
-auto store_fleet::is_silent(std::size_t i) const -> bool
+auto store_fleet::restore(duration age, duration away, outage how) -> void
 {
-    return now < silent_until_ || now < nodes_[i].cut_until;
+    leave(away, how);
+    schedule_rewrites(store_.restore(now - age), now + away);
 }
 
-auto store_fleet::run(duration length, std::function<void()> const& each_step)
-    -> void
+auto store_fleet::schedule_rewrites(
+    std::vector<acknowledged_change> const& lost, time_point back) -> void
 {
-    for (auto const end = now + length; now < end;)
+    constexpr auto first_rewrite = milliseconds{100};
+    constexpr auto between_rewrites = milliseconds{20};
+    auto when = back + first_rewrite;
+    for (auto const& it : lost)
     {
-        step();
-        if (each_step)
-            each_step();
+        if (it.kind == store_kind::instances || it.kind == store_kind::reports)
+            continue;
+        rewrites_[{it.kind, it.change.object.name}] = {it.change, when};
+        when += between_rewrites;
     }
 }
 
-auto store_fleet::step() -> void
+auto store_fleet::rewrite_lost() -> void
 {
-    now += step_length;
-    for (std::size_t i = 0; i < nodes_.size(); ++i)
-        if (runs(i))
+    for (auto it = rewrites_.begin(); it != rewrites_.end();)
+    {
+        auto const kind = it->first.first;
+        auto o = it->second.change.object;
+        if (now < it->second.at || now < silent_until_ || now < broken_until_)
         {
-            auto& core = *nodes_[i].core;
-            // The steady clock counts the time of a freeze, too.
-            core.advance(now - core.now);
-            end_calls(i);
-            take_commands(i);
+            ++it;
+            continue;
         }
-    deliver_questions();
-}
-
-auto store_fleet::take_commands(std::size_t i) -> void
-{
-    auto& n = nodes_[i];
-    while (n.commands_read < n.core->all_commands.size())
-    {
-        auto const c = n.core->all_commands[n.commands_read++];
-        take_command(i, c);
+        auto const* known = store_.find(kind, o.name);
+        // The operator writes an order; its state is not the operator's.
+        if (auto* order = std::get_if<rollout_order>(&o.value))
+            order->state = known == nullptr
+                               ? order_state::waiting
+                               : std::get<rollout_order>(known->value).state;
+        if (it->second.change.deleted)
+            store_.remove(kind, o.name, now);
+        else if (known == nullptr || known->value != o.value)
+            store_.write(kind, o, now);
+        note_rewritten(o);
+        it = rewrites_.erase(it);
     }
 }
 
-auto store_fleet::take_command(std::size_t i, command const& c) -> void
+auto store_fleet::note_rewritten(stored_object const& o) -> void
 {
-    std::visit(overloaded{[&](store_list const& it)
-                   {
-                       auto n = call{};
-                       n.kind = it.kind;
-                       n.is_list = true;
-                       n.fails_at = now + list_timeout;
-                       start_call(i, n, it.may_be_stale);
-                   },
-                   [&](store_watch const& it)
-                   {
-                       auto n = call{};
-                       n.kind = it.kind;
-                       n.since = it.revision;
-                       n.answer_by = now + it.wait;
-                       n.fails_at = now + it.timeout;
-                       start_call(i, n, it.may_be_stale);
-                   },
-                   [&](store_check const& it)
-                   {
-                       auto n = call{};
-                       n.kind = it.kind;
-                       n.is_check = true;
-                       n.since = it.revision;
-                       n.answer_by = now;
-                       n.fails_at = now + it.timeout;
-                       start_call(i, n, true);
-                   },
-                   [&](store_write_record const& it)
-                   {
-                       calls += 1;
-                       if (!is_silent(i))
-                           write(store_kind::instances,
-                               {it.record.name, 0, it.record});
-                   },
-                   [&](ask_relay const& it)
-                   {
-                       questions_.push_back({i, index_of(it.address),
-                           it.request, relay_caller_id{next_question_++},
-                           now + it.timeout, false, {}});
-                   },
-                   [&](answer_relay const& it) { reply(it); },
-                   [&](report_fact const& it) { note_fact(i, it.what); },
-                   [](auto const&) {
-                   }},
-        c);
+    for (auto& it : changes)
+        if (it.target == o.name)
+            it.at = now;
 }
 
-auto store_fleet::start_call(std::size_t i, call c, bool stale) -> void
+auto store_fleet::runs(std::size_t i) const -> bool
 {
-    constexpr auto stale_price = 0.1;
-    calls += stale ? stale_price : 1.0;
-    c.at = now;
-    c.lost = is_silent(i);
-    auto& all = nodes_[i].calls;
-    // A new call on the same connection replaces the one before.
-    std::erase_if(all, [&](call const& it)
-        { return it.kind == c.kind && it.is_check == c.is_check; });
-    all.push_back(c);
+    return nodes_[i].alive && now >= nodes_[i].frozen_until;
 }
 
-auto store_fleet::end_calls(std::size_t i) -> void
+auto store_fleet::is_silent(std::size_t i) const -> bool
 {
-    auto& all = nodes_[i].calls;
-    if (is_silent(i))
-        for (auto& it : all)
-            it.lost = true;
-    auto const is_due = [&](call const& c)
-    {
-        if (c.lost || now < c.at + store_delay)
-            return false;
-        return c.is_list || now >= c.answer_by ||
-               !changes_after(c.kind, c.since).empty();
-    };
-    auto const pending = all;
-    for (auto const& c : pending)
-    {
-        auto const answered = is_due(c);
-        if (!answered && now < c.fails_at)
-            continue;
-        std::erase_if(all,
-            [&](call const& it) {
-                return it.kind == c.kind && it.is_check == c.is_check &&
-                       it.at == c.at;
-            });
-        if (answered)
-            answer(i, c);
-        else
-            fail(i, c);
-    }
+    return now < silent_until_ || now < nodes_[i].cut_until;
 }
 
-auto store_fleet::answer(std::size_t i, call const& c) -> void
+auto store_fleet::happens(double share) -> bool
 {
-    auto& core = *nodes_[i].core;
-    if (c.is_list)
-        core.feed(store_listed{c.kind, objects_of(c.kind), "", revision_});
-    else if (c.is_check)
-        core.feed(store_checked{
-            c.kind, c.since, changes_after(c.kind, c.since), revision_, {}});
-    else
-        core.feed(
-            store_changed{c.kind, changes_after(c.kind, c.since), revision_});
+    constexpr auto steps = std::uint64_t{1'000'000};
+    return share > 0 && static_cast<double>(draw_below(random_, steps)) <
+                            share * static_cast<double>(steps);
 }
 
-auto store_fleet::fail(std::size_t i, call const& c) -> void
+auto store_fleet::stated_era() -> store_era
 {
-    auto& core = *nodes_[i].core;
-    if (c.is_check)
-        core.feed(
-            store_checked{c.kind, c.since, {}, 0, store_failure::timeout});
-    else
-        core.feed(store_failed{c.kind, store_failure::timeout});
+    return happens(faults.without_era) ? store_era{} : store_era{store_.era()};
 }
 
-auto store_fleet::deliver_questions() -> void
+auto store_fleet::run(duration length, std::function<void()> const& each_step)
+    -> void
 {
-    for (auto& q : questions_)
-        if (!q.delivered && runs(q.to))
-        {
-            q.delivered = true;
-            nodes_[q.to].core->feed(relay_asked{q.id, q.request});
-            take_commands(q.to);
-        }
-    auto const waiting = questions_;
-    for (auto const& q : waiting)
+    for (auto const end = now + length; now < end;)
     {
-        if (!runs(q.from) || (!q.reply && now < q.fails_at))
-            continue;
-        std::erase_if(
-            questions_, [&](auto const& it) { return it.id == q.id; });
-        auto const address = "10.0.0.1:" + std::to_string(q.to);
-        if (q.reply)
-            nodes_[q.from].core->feed(relay_replied{address, *q.reply});
-        else
-            nodes_[q.from].core->feed(relay_failed{address});
+        step();
+        if (each_step)
+            each_step();
     }
 }
 
-auto store_fleet::reply(answer_relay const& c) -> void
+auto store_fleet::step() -> void
 {
-    for (auto& q : questions_)
-        if (std::find(c.callers.begin(), c.callers.end(), q.id) !=
-            c.callers.end())
-            q.reply = c.reply;
+    now += step_length;
+    rewrite_lost();
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+        if (runs(i))
+        {
+            auto& core = *nodes_[i].core;
+            // The steady clock counts the time of a freeze, too.
+            core.advance(now - core.now);
+            answer_writes(i);
+            end_calls(i);
+            take_commands(i);
+        }
+    deliver_questions();
 }
 
 auto store_fleet::note_fact(std::size_t i, fact const& f) -> void
 {
-    if (auto const* it = std::get_if<store_source_changed>(&f))
-        nodes_[i].attached = !it->relay.empty();
+    nodes_[i].view = with_fact(std::move(nodes_[i].view), f);
     auto const* it = std::get_if<target_condition_changed>(&f);
     if (it == nullptr)
         return;
+    auto const drains = it->condition == target_condition::draining ||
+                        it->condition == target_condition::gone;
+    if (!drains && it->condition != target_condition::registered)
+        return;
     for (auto& c : changes)
-        if (c.target == it->target && c.revision <= it->revision)
+        if (c.target == it->target && (drains || !c.draining))
             c.known_at[i] = std::min(c.known_at[i], now);
 }
 
@@ -335,7 +262,7 @@
 auto store_fleet::attached() const -> std::size_t
 {
     return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(),
-        [](node const& it) { return it.alive && it.attached; }));
+        [](node const& it) { return it.alive && it.view.attached; }));
 }
 
 } // namespace knapweedstream::dispatch
