Test fleet: no answer arrives to a call that another one has replaced

When several calls of an instance ended in the same step, the answer to one could make the instance begin a list again, and the answer to the list's old page was still delivered to the new one. The adapter drops such an answer with its connection.

Ended calls are now taken one by one, and the commands that an answer brings about are carried out before the next.

--- a/tests/dispatch/store_fleet.hpp
+++ b/tests/dispatch/store_fleet.hpp
@@ -174,6 +174,7 @@
     auto start_write(std::size_t i, command const& c) -> void;
     auto answer_writes(std::size_t i) -> void;
     auto end_calls(std::size_t i) -> void;
+    auto take_ended(std::size_t i) -> std::optional<store_call>;
     auto send_answer(store_call c) -> store_call;
     auto deliver_questions() -> void;
     auto reply(answer_relay const& c) -> void;
--- a/tests/dispatch/store_fleet_calls.cpp
+++ b/tests/dispatch/store_fleet_calls.cpp
@@ -111,20 +111,27 @@
     for (auto& it : all)
         if (!it.answer && is_due(it, store_, now))
             it = send_answer(std::move(it));
-    auto ended = std::vector<store_call>{};
-    std::erase_if(all,
-        [&](store_call const& it)
-        {
-            auto const ends =
-                (it.answer && now >= it.answer_by) || now >= it.fails_at;
-            if (ends)
-                ended.push_back(it);
-            return ends;
-        });
-    for (auto const& it : ended)
-        nodes_[i].core->feed(it.answer && now >= it.answer_by
-                                 ? *it.answer
-                                 : failure_of(it, it.failure, {}));
+    // What one answer brings about may replace another call.
+    while (auto const c = take_ended(i))
+    {
+        nodes_[i].core->feed(c->answer && now >= c->answer_by
+                                 ? *c->answer
+                                 : failure_of(*c, c->failure, {}));
+        take_commands(i);
+    }
+}
+
+auto store_fleet::take_ended(std::size_t i) -> std::optional<store_call>
+{
+    auto& all = nodes_[i].calls;
+    auto const it = std::find_if(all.begin(), all.end(),
+        [&](store_call const& c)
+        { return (c.answer && now >= c.answer_by) || now >= c.fails_at; });
+    if (it == all.end())
+        return std::nullopt;
+    auto const ended = *it;
+    all.erase(it);
+    return ended;
 }
 
 /// The store answers a call; the answer may take time to arrive.
