Delete the record of a stopping instance again in a new era of the store

A planned stop deletes the instance's record and report once. If the store then comes back from an older copy, it has them again, and nothing removes them: entries of ours do not expire. The others go on counting an instance that is gone, so that their shares of the budgets stay too small, and ask it as a relay.

The stop remembers the era in which it has deleted its objects and deletes them again in a later one, as long as the process runs.

A delete whose answer is lost is still not repeated.

--- a/src/core/dispatch/stop.cpp
+++ b/src/core/dispatch/stop.cpp
@@ -29,6 +29,15 @@
         duration{drain_callers_after}, last - duration{idle_before_exit});
 }
 
+/// Deletes what this instance has written to the store.
+auto delete_own_objects(dispatch_state& s, commands& out) -> void
+{
+    s.stop.deleted_in = s.contact.era;
+    out.push_back(store_delete_record{s.init.self.name});
+    if (s.own_report.exists)
+        out.push_back(store_delete_report{s.init.self.name});
+}
+
 } // namespace
 
 auto update_ready(dispatch_state& s, commands& out) -> void
@@ -61,14 +70,16 @@
         return;
     s.stop = stop_progress{true, now, false, false};
     update_ready(s, out);
-    out.push_back(store_delete_record{s.init.self.name});
-    if (s.own_report.exists)
-        out.push_back(store_delete_report{s.init.self.name});
+    delete_own_objects(s, out);
     arm(s, now + stop_check_interval, stop_due{});
 }
 
+/// A store that came back from an older copy may have the deleted objects
+/// again.
 auto on_stop_due(dispatch_state& s, time_point now, commands& out) -> void
 {
+    if (s.stop.deleted_in != s.contact.era)
+        delete_own_objects(s, out);
     if (now - s.stop.since >= caller_drain_delay(s) && !s.stop.callers_draining)
     {
         s.stop.callers_draining = true;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -233,6 +233,8 @@
     time_point since;
     bool callers_draining = false; ///< Callers' connections are being closed.
     bool exit_ordered = false;
+    /// Era of the store in which this instance's objects were last deleted.
+    store_era deleted_in{};
 
     auto operator<=>(stop_progress const&) const = default;
 };
--- a/tests/dispatch/test_restored_fleet.cpp
+++ b/tests/dispatch/test_restored_fleet.cpp
@@ -173,6 +173,25 @@
         }
 }
 
+TEST_CASE("restored fleet: a record that came back during a planned stop is "
+          "deleted again")
+{
+    for (auto const after : {100, 500, 1'500})
+        for (auto const how : both_outages)
+        {
+            CAPTURE(after);
+            auto d = fleet_drill{drill_setup(8)};
+            d.run(seconds{15});
+            d.fleet.stop(3);
+            d.run(milliseconds{after});
+            d.fleet.restore(seconds{3}, away, how);
+            d.run(seconds{10});
+            CHECK(!d.fleet.alive(3));
+            CHECK(!has_record(d, 3));
+            CHECK(d.fault() == "");
+        }
+}
+
 TEST_CASE("restored fleet: a rollout goes on and its lost state is written "
           "again")
 {
