A new era does not shorten the intervals at which instances are listed

Cause: with a new era the polling of the instances began with its shortest interval again, and its second list was not stale: two calls more per instance. Change: the interval goes on.

--- a/src/core/dispatch/eras.cpp
+++ b/src/core/dispatch/eras.cpp
@@ -64,7 +64,6 @@
     {
         s.last_disruption[kind] = now;
         s.settling.listed_at[kind] = time_point::max();
-        s.follows[kind].polls = 0;
         restart_kind(s, kind, delay, now);
     }
     rewrite_report(s, now + spread_over(s, s.init.limits.report_interval));
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -74,7 +74,7 @@
                           [&](by_poll const&)
                           {
                               return !f.list_fresh &&
-                                     f.polls != fresh_list_index;
+                                     f.lists != fresh_list_index;
                           }},
         policy);
 }
@@ -177,8 +177,7 @@
     f.restarted_at.reset();
     f.known = pages->oldest;
     f.confirmed = f.known;
-    ++f.lists;
-    auto const before = f.polls++;
+    auto const before = f.lists++;
     auto const again = [&](by_poll const& it)
     {
         f.list_fresh = false;
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -86,7 +86,6 @@
     std::uint32_t lists = 0;    ///< Number of complete lists read.
     /// Lists in a row after which a watch found its history discarded.
     std::uint32_t discarded = 0;
-    std::uint32_t polls = 0; ///< Complete lists read in the present era.
     /// Since when the kind is to be read afresh, while what is known of it
     /// stays in use; empty once it has been read.
     std::optional<time_point> restarted_at;
