--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -4,8 +4,12 @@
 
 #include <boost/json.hpp>
 
+#include <knapweedstream/overloaded.hpp>
+
 #include <event2/bufferevent.h>
 
+#include <algorithm>
+
 namespace standin
 {
 
@@ -55,6 +59,7 @@
 
 auto platform::serve(request r) -> void
 {
+    r.add_header("Store-Era", std::to_string(era_));
     auto const path = r.path();
     auto const prefix = std::string{"/v1/objects/"};
     if (path.starts_with("/v1/instances"))
@@ -81,6 +86,8 @@
             ks::milliseconds{parse_number(r.query_param("slow_ms"), 0)};
     if (!r.query_param("lose").empty())
         answers_to_drop_ = parse_number(r.query_param("lose"), 0u);
+    if (!r.query_param("restore").empty())
+        restore(parse_number(r.query_param("restore"), std::size_t{0}));
     if (!down_)
     {
         auto const held = std::exchange(held_, {});
@@ -88,7 +95,39 @@
             serve(it);
     }
     r.reply(200, json::serialize(json::object{{"calls", calls_},
-                     {"writes", writes_}, {"watches", watches_.size()}}));
+                     {"writes", writes_}, {"watches", watches_.size()},
+                     {"revision", revision_}, {"era", era_}}));
+}
+
+auto platform::restore(std::size_t lost_writes) -> void
+{
+    ++era_;
+    auto const lost = std::min(lost_writes, history_.size());
+    for (auto i = std::size_t{0}; i < lost; ++i)
+    {
+        undo(history_.back());
+        history_.pop_back();
+        --revision_;
+    }
+    auto const waiting = std::exchange(watches_, {});
+    for (auto const& it : waiting)
+        drop_connection(it.r);
+}
+
+auto platform::undo(past_write const& w) -> void
+{
+    std::visit(ks::overloaded{[&](object_write const& it)
+                   {
+                       if (it.before.version > 0)
+                           objects_[it.kind][it.name] = it.before;
+                       else
+                           objects_[it.kind].erase(it.name);
+                   },
+                   [&](instance_write const& it)
+                   {
+                       instances_[it.name].pop_back();
+                   }},
+        w);
 }
 
 auto platform::read(request r, std::string const& kind, std::string const& name)
@@ -96,7 +135,7 @@
 {
     auto const& all = objects_[kind];
     auto const it = all.find(name);
-    if (it == all.end())
+    if (it == all.end() || it->second.version == 0)
         return r.reply(404, "{\"error\":\"not_found\"}");
     r.reply(200, json::serialize(
                      object_json(name, it->second.version, it->second.value)));
@@ -106,11 +145,11 @@
     request r, std::string const& kind, std::string const& name) -> void
 {
     auto& it = objects_[kind][name];
-    auto const wanted = r.field("If-Match");
-    if (!wanted.empty() && parse_number(wanted, std::uint64_t{0}) != it.version)
+    if (conflicts(r, it))
         return r.reply(
             412, json::serialize(object_json(name, it.version, it.value)));
     ++writes_;
+    history_.push_back(object_write{kind, name, it});
     it = object{it.version + 1, ++revision_, r.body()};
     if (answers_to_drop_ > 0)
     {
@@ -120,6 +159,15 @@
     r.reply(200, json::serialize(object_json(name, it.version, it.value)));
 }
 
+auto platform::conflicts(request r, object const& o) const -> bool
+{
+    auto const version = r.field("If-Match");
+    auto const era = r.field("If-Era");
+    return (!version.empty() &&
+               parse_number(version, std::uint64_t{0}) != o.version) ||
+           (!era.empty() && parse_number(era, std::uint64_t{0}) != era_);
+}
+
 auto platform::changes(request r, std::string const& kind) -> void
 {
     auto const since = parse_number(r.query_param("since"), std::uint64_t{0});
@@ -146,9 +194,11 @@
     auto const prefix = std::string{"/v1/instances/"};
     if (r.method() == EVHTTP_REQ_PUT)
     {
+        auto const name = unescaped(r.path().substr(prefix.size()), false);
         ++writes_;
-        instances_[unescaped(r.path().substr(prefix.size()), false)].push_back(
-            {now, r.body()});
+        ++revision_;
+        history_.push_back(instance_write{name});
+        instances_[name].push_back({now, r.body()});
         return r.reply(200, "{}");
     }
     auto text = std::string{"{\"instances\":["};
--- a/tests/standin/platform.hpp
+++ b/tests/standin/platform.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <variant>
 
 namespace standin
 {
@@ -22,7 +23,8 @@
 /// The platform. `POST /control?...` switches faults and returns counters:
 /// `down=1` holds all calls until `down=0`, `slow_ms=N` delays them, `lose=N`
 /// closes the connection instead of answering the next N object writes, which
-/// take effect.
+/// take effect, `restore=N` undoes the last N writes, breaks all connections
+/// that wait and begins a new era.
 class platform
 {
 public:
@@ -36,6 +38,22 @@
         std::string value;
     };
 
+    /// A write, with the object's state before it; version 0 if there was none.
+    struct object_write
+    {
+        std::string kind;
+        std::string name;
+        object before;
+    };
+
+    /// A write to the list of instances.
+    struct instance_write
+    {
+        std::string name;
+    };
+
+    using past_write = std::variant<object_write, instance_write>;
+
     struct watch
     {
         request r;
@@ -67,6 +85,10 @@
     auto answer_changes(request r, std::string const& kind, std::uint64_t since)
         -> void;
     auto instances(request r) -> void;
+    /// True if the request's conditions do not hold for the object.
+    auto conflicts(request r, object const& o) const -> bool;
+    auto restore(std::size_t lost_writes) -> void;
+    auto undo(past_write const& w) -> void;
     auto poll() -> void;
 
     event_base* base_;
@@ -74,6 +96,8 @@
     std::map<std::string, std::map<std::string, object>> objects_;
     std::map<std::string, std::vector<list_entry>> instances_;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 1;
+    std::vector<past_write> history_; ///< Oldest first.
     std::list<watch> watches_;
     std::list<delayed> delayed_;
     bool down_ = false;
