Order what is known of the queries' platform by era and revision

Callers saw: after a loss of the platform's data, queries went on being sent to targets that the operator had taken out, and targets that joined got nothing. Cause: a template that is written again gets a version that has been given out before; accept_config and gossip take it as older. Nothing in this front end read the platform's era, and an instance's lost announcement stayed lost.

store_version (era, revision) replaces the bare number for configurations, claims and rollouts, in events, commands and messages between instances. platform_client stamps each answer with its era, drops answers of an earlier one, and begins a later one afresh: it lists the customers from the start and announces the instance again within a second. A conditional write names its era and is not sent, or not taken as done, in another one. Probes carry the era to instances that do not watch the platform. After a watch has failed the next one does not wait, so that the era is learned at once, and is tried every 100 ms.

The configuration in force stays while the platform has an older one of its copy: that is recognised by the last eight configurations known, and only its version is taken over. Another content under a known number is the operator's; a lower number that was never seen is applied after two seconds.

--- a/include/knapweedstream/topology.hpp
+++ b/include/knapweedstream/topology.hpp
@@ -6,6 +6,7 @@
 #include <knapweedstream/ids.hpp>
 #include <knapweedstream/objectives.hpp>
 #include <knapweedstream/rollout.hpp>
+#include <knapweedstream/store_version.hpp>
 #include <knapweedstream/time.hpp>
 
 #include <compare>
@@ -66,7 +67,7 @@
 struct customer_config
 {
     std::string name;                   ///< Name of the customer.
-    std::uint64_t version = 0;          ///< Version of the platform's object.
+    store_version version;              ///< Of the platform's object.
     std::uint32_t max_queries = 256;    ///< Open queries and bookings.
     service_objectives objectives;      ///< Service-level objectives.
     std::vector<std::string> zones_out; ///< Zones taken out of service.
--- a/src/adapter/json_api.hpp
+++ b/src/adapter/json_api.hpp
@@ -51,9 +51,9 @@
 auto to_json(customer_config const& it) -> std::string;
 /// Decodes a customer's configuration as stored in the platform.
 ///
-/// @param[in] version Version of the object, kept in the result.
+/// @param[in] version Of the object; kept in the result.
 /// @returns The configuration, or `decode_error`.
-auto parse_customer(std::string_view value, std::uint64_t version)
+auto parse_customer(std::string_view value, store_version version)
     -> leaf::result<customer_config>;
 /// Encodes an instance as stored in the platform.
 auto to_json(instance_info const& it) -> std::string;
--- a/src/adapter/json_platform.cpp
+++ b/src/adapter/json_platform.cpp
@@ -171,7 +171,7 @@
         {"zones_out", std::move(zones)}, {"services", std::move(services)}});
 }
 
-auto parse_customer(std::string_view value, std::uint64_t version)
+auto parse_customer(std::string_view value, store_version version)
     -> leaf::result<customer_config>
 {
     auto const o = parse_object_text(value);
--- a/src/adapter/log.cpp
+++ b/src/adapter/log.cpp
@@ -69,6 +69,13 @@
     }
 };
 
+/// Text of a version; the era only if the platform states one.
+auto version_text(store_version const& v) -> std::string
+{
+    auto const era = v.era == 0 ? "" : " era=" + std::to_string(v.era);
+    return " version=" + std::to_string(v.revision) + era;
+}
+
 } // namespace
 
 auto start_log(log_level min_level, log_bounds const& bounds) -> void
@@ -180,7 +187,21 @@
             {
                 log(log_level::info, "config",
                     "Configuration applied. customer=" + e.customer +
-                        " version=" + std::to_string(e.version));
+                        version_text(e.version));
+            },
+            [](config_kept const& e)
+            {
+                log(log_level::warning, "config",
+                    "Older configuration of a restored platform ignored. "
+                    "customer=" +
+                        e.customer + version_text(e.version));
+            },
+            [](platform_restored const& e)
+            {
+                log(log_level::warning, "platform",
+                    "Platform came back from an older copy. era_before=" +
+                        std::to_string(e.before) +
+                        " era=" + std::to_string(e.era));
             },
             [](request_banned const& e)
             {
--- a/src/adapter/metrics.cpp
+++ b/src/adapter/metrics.cpp
@@ -42,7 +42,8 @@
         entry{"bookings_unknown_total", &node_stats::bookings_unknown},
         entry{"claim_writes_total", &node_stats::claim_writes},
         entry{"heartbeats_total", &node_stats::heartbeats},
-        entry{"configs_accepted_total", &node_stats::config_accepted}};
+        entry{"configs_accepted_total", &node_stats::config_accepted},
+        entry{"platform_restores_total", &node_stats::platform_restores}};
     auto text = std::string{};
     for (auto const& it : table)
         text += counter_text(it.name, s.*it.member);
--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -2,6 +2,9 @@
 
 #include "adapter/log.hpp"
 
+#include <charconv>
+#include <utility>
+
 namespace knapweedstream
 {
 
@@ -16,7 +19,21 @@
 /// an instance that watches the configuration does.
 constexpr auto initial_lists = 3u;
 constexpr auto retry_interval = milliseconds{500};
+/// Short, so that a restored platform is read before the operator writes again.
+constexpr auto watch_retry_interval = milliseconds{100};
 constexpr auto claim_connections = std::size_t{4};
+/// Time over which the instances announce themselves again in a new era.
+constexpr auto announce_spread = milliseconds{1'000};
+
+/// Era that a reply states; 0 if it states none.
+auto era_of(http_reply const& r) -> std::uint64_t
+{
+    auto const text = r.field("Store-Era");
+    auto era = std::uint64_t{0};
+    auto const* end = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), end, era);
+    return result.ec == std::errc{} && result.ptr == end ? era : 0;
+}
 
 /// Logs that entries of a list were left out.
 auto log_unreadable(char const* what, std::size_t count) -> void
@@ -59,7 +76,42 @@
     http_connection::on_reply f) -> void
 {
     ++calls_;
-    connection.send(r, std::move(f));
+    connection.send(r,
+        [this, f = std::move(f)](http_reply const& reply)
+        {
+            auto const era = era_of(reply);
+            if (era != 0 && era < era_)
+                return f(http_reply{nullptr});
+            begin_era(era);
+            f(reply);
+        });
+}
+
+auto platform_client::send_conditional(http_connection& connection,
+    http_request r, store_version expected, http_connection::on_reply f) -> void
+{
+    if (expected.era != era_)
+        return f(http_reply{nullptr});
+    r.fields.push_back({"If-Match", std::to_string(expected.revision)});
+    if (era_ != 0)
+        r.fields.push_back({"If-Era", std::to_string(era_)});
+    send(connection, r,
+        [this, expected, f = std::move(f)](http_reply const& reply)
+        { f(expected.era == era_ ? reply : http_reply{nullptr}); });
+}
+
+auto platform_client::begin_era(std::uint64_t era) -> void
+{
+    if (era <= era_)
+        return;
+    auto const restored = std::exchange(era_, era) != 0;
+    revision_ = 0;
+    sink_(era_observed{era});
+    if (!restored)
+        return;
+    auto const delay = hash_name(self_.name) % announce_spread.count();
+    announce_timer_.after(milliseconds{delay});
+    watch_timer_.after(duration{0});
 }
 
 auto platform_client::announce(bool leaving) -> void
@@ -114,14 +166,20 @@
 
 auto platform_client::watch() -> void
 {
+    // A watch of an earlier era may wait for a revision that is far ahead.
+    if (watch_pending_ && watch_era_ != era_)
+        watch_connection_.refuse_reply();
     if (!watch_enabled_ || watch_pending_)
         return;
     watch_pending_ = true;
-    auto const wait = milliseconds{watch_wait}.count();
+    watch_era_ = era_;
+    // After a failure, an answer is needed at once: it may state a new era.
+    auto const waits = revision_ != 0 && !watch_failed_;
+    auto const wait = waits ? milliseconds{watch_wait} : milliseconds{0};
     send(watch_connection_,
         {EVHTTP_REQ_GET,
             "/v1/objects/customer?since=" + std::to_string(revision_) +
-                "&wait_ms=" + std::to_string(revision_ == 0 ? 0 : wait),
+                "&wait_ms=" + std::to_string(wait.count()),
             {}, {}},
         [this](http_reply const& r) { on_changes(r); });
 }
@@ -131,7 +189,7 @@
     leaf::try_handle_all(
         [&]() -> leaf::result<void>
         {
-            BOOST_LEAF_AUTO(c, parse_customer(o.value, o.version));
+            BOOST_LEAF_AUTO(c, parse_customer(o.value, {era_, o.version}));
             sink_(config_read{std::move(c)});
             return {};
         },
@@ -146,6 +204,8 @@
 auto platform_client::on_changes(http_reply const& r) -> void
 {
     watch_pending_ = false;
+    if (watch_era_ != era_)
+        return watch_timer_.after(duration{0});
     auto const good = leaf::try_handle_all(
         [&]() -> leaf::result<bool>
         {
@@ -166,7 +226,8 @@
                 "Cannot decode customer configurations.");
             return false;
         });
-    watch_timer_.after(good ? duration{0} : duration{retry_interval});
+    watch_failed_ = !good;
+    watch_timer_.after(good ? duration{0} : duration{watch_retry_interval});
 }
 
 auto platform_client::connection_for(claim_bucket bucket) -> http_connection&
@@ -179,13 +240,14 @@
     -> void
 {
     if (r.status() == 404)
-        return sink_(claims_stored{bucket, 0, {}});
+        return sink_(claims_stored{bucket, {era_, 0}, {}});
     leaf::try_handle_all(
         [&]() -> leaf::result<void>
         {
             BOOST_LEAF_AUTO(object, parse_object(r.body()));
             BOOST_LEAF_AUTO(claims, parse_claims(object.value));
-            sink_(claims_stored{bucket, object.version, std::move(claims)});
+            sink_(claims_stored{
+                bucket, {era_, object.version}, std::move(claims)});
             return {};
         },
         [&] { sink_(claims_failed{bucket}); });
@@ -209,28 +271,28 @@
             [&]() -> leaf::result<void>
             {
                 BOOST_LEAF_AUTO(object, parse_object(r.body()));
-                sink_(claims_written{bucket, object.version});
+                sink_(claims_written{bucket, {era_, object.version}});
                 return {};
             },
             [&] { sink_(claims_failed{bucket}); });
     };
-    send(connection_for(c.bucket),
-        {EVHTTP_REQ_PUT, "/v1/objects/claims/" + bucket_name(c.bucket),
-            {{"If-Match", std::to_string(c.if_version)}}, to_json(c.claims)},
-        done);
+    send_conditional(connection_for(c.bucket),
+        {EVHTTP_REQ_PUT, "/v1/objects/claims/" + bucket_name(c.bucket), {},
+            to_json(c.claims)},
+        c.if_version, done);
 }
 
 auto platform_client::on_rollout(service_id service, http_reply const& r)
     -> void
 {
     if (r.status() == 404)
-        return sink_(rollout_stored{service, 0, {}});
+        return sink_(rollout_stored{service, {era_, 0}, {}});
     leaf::try_handle_all(
         [&]() -> leaf::result<void>
         {
             BOOST_LEAF_AUTO(object, parse_object(r.body()));
             BOOST_LEAF_AUTO(value, parse_rollout(object.value));
-            sink_(rollout_stored{service, object.version, value});
+            sink_(rollout_stored{service, {era_, object.version}, value});
             return {};
         },
         [&] { sink_(rollout_failed{service}); });
@@ -247,10 +309,11 @@
 
 auto platform_client::run(rollout_write const& c) -> void
 {
-    send(control_connection_,
+    send_conditional(control_connection_,
         {EVHTTP_REQ_PUT,
-            "/v1/objects/rollout/" + std::to_string(c.service.value),
-            {{"If-Match", std::to_string(c.if_version)}}, to_json(c.value)},
+            "/v1/objects/rollout/" + std::to_string(c.service.value), {},
+            to_json(c.value)},
+        c.if_version,
         [this, service = c.service](http_reply const& r)
         { on_rollout(service, r); });
 }
@@ -260,4 +323,9 @@
     announce(true);
 }
 
+auto platform_client::run(enter_era const& c) -> void
+{
+    begin_era(c.era);
+}
+
 } // namespace knapweedstream
--- a/src/adapter/platform_client.hpp
+++ b/src/adapter/platform_client.hpp
@@ -25,6 +25,7 @@
     auto run(rollout_write const& c) -> void;
     auto run(watch_config const& c) -> void;
     auto run(announce_leaving const& c) -> void;
+    auto run(enter_era const& c) -> void;
 
     /// Number of calls made since the start.
     auto calls() const -> std::uint64_t { return calls_; }
@@ -32,6 +33,13 @@
 private:
     auto send(http_connection& connection, http_request const& r,
         http_connection::on_reply f) -> void;
+    /// Sends a write that holds only for an object of this version; one of an
+    /// earlier era gets no reply.
+    auto send_conditional(http_connection& connection, http_request r,
+        store_version expected, http_connection::on_reply f) -> void;
+    /// Begins a later era: what the platform has lost is announced and read
+    /// again.
+    auto begin_era(std::uint64_t era) -> void;
     auto announce(bool leaving) -> void;
     auto list_instances() -> void;
     auto watch() -> void;
@@ -54,7 +62,10 @@
     loop_event announce_timer_;
     bool watch_enabled_ = false;
     bool watch_pending_ = false;
+    bool watch_failed_ = false;       ///< The last one got no good answer.
     std::uint32_t list_requests_ = 0; ///< Requests for the instance list.
+    std::uint64_t era_ = 0;           ///< Last seen; 0 if none was stated.
+    std::uint64_t watch_era_ = 0;     ///< Era of the pending watch.
     std::uint64_t revision_ = 0;
     std::uint64_t calls_ = 0;
 };
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -57,6 +57,7 @@
                           },
                           [](config_read const&) { return false; },
                           [](instances_listed const&) { return false; },
+                          [](era_observed const&) { return false; },
                           [](tick const&) { return false; },
                           [](auto const&)
                           {
@@ -179,6 +180,7 @@
             [this](watch_config const& it) { platform_.run(it); },
             [this](rollout_read const& it) { platform_.run(it); },
             [this](rollout_write const& it) { platform_.run(it); },
+            [this](enter_era const& it) { platform_.run(it); },
             [this](count_request const& it)
             {
                 add_request(burn_, it.customer, it.objectives, it.counts,
@@ -245,8 +247,8 @@
     namespace json = boost::json;
     auto configs = json::array{};
     for (auto const& c : node_.configs())
-        configs.push_back(
-            json::object{{"customer", c.name}, {"version", c.version}});
+        configs.push_back(json::object{{"customer", c.name},
+            {"version", c.version.revision}, {"era", c.version.era}});
     auto peers = json::array{};
     for (auto const& [info, available] : node_.peers())
         peers.push_back(json::object{{"name", info.name}, {"zone", info.zone},
--- a/src/core/booking_commit.cpp
+++ b/src/core/booking_commit.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Time over which buckets are read again in a new era of the platform.
+constexpr auto reload_spread = duration{seconds{1}};
+
 /// Answers a booking whose key another booking has claimed.
 ///
 /// @returns False if that booking is still in progress at this executor.
@@ -186,4 +189,16 @@
     commit_waiting(s, bucket, out);
 }
 
+auto reload_buckets(node_state& s, time_point now) -> void
+{
+    for (auto& [id, b] : s.buckets)
+    {
+        b.loaded = false;
+        auto const delay = draw_below(
+            s.random, static_cast<std::uint64_t>(reload_spread.count()));
+        arm(s, now + duration{static_cast<duration::rep>(delay)},
+            bucket_retry_due{id});
+    }
+}
+
 } // namespace knapweedstream
--- a/src/core/booking_commit.hpp
+++ b/src/core/booking_commit.hpp
@@ -28,6 +28,9 @@
 /// claims. Reads the bucket first if its content is not known.
 auto commit_waiting(node_state& s, claim_bucket id, commands& out) -> void;
 
+/// Reads the buckets that are needed again, spread over time.
+auto reload_buckets(node_state& s, time_point now) -> void;
+
 } // namespace knapweedstream
 
 #endif
--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -15,6 +15,56 @@
 {
 
 constexpr auto gossip_fanout = 4u; ///< Peers notified of a new configuration.
+constexpr auto max_earlier = std::size_t{8}; ///< Configurations remembered.
+/// Time that the operator's next write has to replace a configuration of which
+/// it is not known whether it is newer than the one in force.
+constexpr auto settle_time = seconds{2};
+
+/// What a configuration of a later era is, compared with the one in force.
+enum class config_origin : std::uint8_t
+{
+    in_force,   ///< The same.
+    older_copy, ///< An earlier one, as the platform had it before.
+    written,    ///< Another one, written by the operator in that era.
+    unknown,    ///< Perhaps earlier, perhaps written in that era.
+};
+
+auto is_same_content(customer_config a, customer_config const& b) -> bool
+{
+    a.version = b.version;
+    return a == b;
+}
+
+/// Compares a configuration of a later era with what is known of the customer.
+/// A number is given out once in an era, so another content under a known
+/// number was written since.
+auto origin_of(customer_entry const& e, customer_config const& c)
+    -> config_origin
+{
+    auto const number = c.version.revision;
+    auto known_number = e.config.version.revision <= number;
+    if (is_same_content(c, e.config))
+        return config_origin::in_force;
+    if (e.unsettled && e.unsettled->version.era == c.version.era &&
+        e.unsettled->version < c.version)
+        return config_origin::written;
+    for (auto const& it : e.earlier)
+    {
+        if (it.version.revision != number)
+            continue;
+        if (is_same_content(c, it))
+            return config_origin::older_copy;
+        known_number = true;
+    }
+    return known_number ? config_origin::written : config_origin::unknown;
+}
+
+auto remember(customer_entry& e, customer_config const& c) -> void
+{
+    e.earlier.push_back(c);
+    if (e.earlier.size() > max_earlier)
+        e.earlier.erase(e.earlier.begin());
+}
 
 auto make_selector(node_policy const& p) -> selector
 {
@@ -149,13 +199,68 @@
         announce_digest(s, peer);
 }
 
+/// Replaces a customer's configuration, and tells some peers.
+auto apply_config(node_state& s, customer_config const& config,
+    instance_id from, time_point now, commands& out) -> void
+{
+    auto const id = id_of<customer_id>(config.name);
+    auto& e = s.customers[id];
+    e.config = config;
+    e.unsettled.reset();
+    remember(e, config);
+    auto kept = std::vector<service_id>{};
+    for (auto const& it : config.services)
+        kept.push_back(upsert_service(s, config, it, out));
+    auto removed = std::vector<service_id>{};
+    for (auto const& [key, entry] : s.services)
+        if (entry.customer == id &&
+            std::find(kept.begin(), kept.end(), key) == kept.end())
+            removed.push_back(key);
+    for (auto const key : removed)
+        remove_service(s, key, out);
+    ++s.stats.config_accepted;
+    out.push_back(report_fact{config_accepted{config.name, config.version}});
+    rebuild_ownership(s, now, out);
+    s.config_requested_at = {};
+    gossip_digest(s, from);
+}
+
+/// Keeps the configuration in force, under the version that the platform has
+/// in its later era.
+auto keep_config(node_state& s, customer_entry& e, customer_config const& read,
+    instance_id from, commands& out) -> void
+{
+    if (!is_same_content(read, e.config))
+        out.push_back(report_fact{config_kept{read.name, read.version}});
+    remember(e, read);
+    e.config.version = read.version;
+    e.unsettled.reset();
+    s.config_requested_at = {};
+    gossip_digest(s, from);
+}
+
+/// Leaves the configuration in force until `settle_time` is over.
+auto await_rewrite(node_state& s, customer_entry& e,
+    customer_config const& read, time_point now) -> void
+{
+    if (e.unsettled && e.unsettled->version >= read.version)
+        return;
+    e.unsettled = read;
+    arm(s, now + settle_time,
+        config_settle_due{id_of<customer_id>(read.name), read.version});
+}
+
 } // namespace
 
 auto config_digest(node_state const& s) -> std::uint64_t
 {
     auto h = std::uint64_t{1};
     for (auto const& [id, c] : s.customers)
-        h = hash_name("config", h ^ id.value ^ (c.config.version * 0x9e3779b9));
+    {
+        auto const& v = c.config.version;
+        h = hash_name("config",
+            h ^ id.value ^ (v.revision * 0x9e3779b9) ^ (v.era * 0x85ebca6b));
+    }
     return h;
 }
 
@@ -180,28 +285,40 @@
 auto accept_config(node_state& s, customer_config const& config,
     instance_id from, time_point now, commands& out) -> bool
 {
-    auto const id = id_of<customer_id>(config.name);
-    auto const known = s.customers.find(id);
-    if (known != s.customers.end() &&
-        known->second.config.version >= config.version)
+    auto const known = s.customers.find(id_of<customer_id>(config.name));
+    if (known == s.customers.end())
+        return apply_config(s, config, from, now, out), true;
+    auto& e = known->second;
+    if (e.config.version >= config.version)
         return false;
-    s.customers[id].config = config;
-    auto kept = std::vector<service_id>{};
-    for (auto const& it : config.services)
-        kept.push_back(upsert_service(s, config, it, out));
-    auto removed = std::vector<service_id>{};
-    for (auto const& [key, entry] : s.services)
-        if (entry.customer == id &&
-            std::find(kept.begin(), kept.end(), key) == kept.end())
-            removed.push_back(key);
-    for (auto const key : removed)
-        remove_service(s, key, out);
-    ++s.stats.config_accepted;
-    out.push_back(report_fact{config_accepted{config.name, config.version}});
-    rebuild_ownership(s, now, out);
-    s.config_requested_at = {};
-    gossip_digest(s, from);
-    return true;
+    auto const origin = e.config.version.era == config.version.era
+                            ? config_origin::written
+                            : origin_of(e, config);
+    switch (origin)
+    {
+    case config_origin::in_force:
+    case config_origin::older_copy:
+        keep_config(s, e, config, from, out);
+        return true;
+    case config_origin::written:
+        apply_config(s, config, from, now, out);
+        return true;
+    case config_origin::unknown:
+        await_rewrite(s, e, config, now);
+        return false;
+    }
+    return false;
+}
+
+auto on_config_settle_due(node_state& s, config_settle_due const& due,
+    time_point now, commands& out) -> void
+{
+    auto const known = s.customers.find(due.customer);
+    if (known == s.customers.end() || !known->second.unsettled ||
+        known->second.unsettled->version != due.version)
+        return;
+    auto const config = *known->second.unsettled;
+    apply_config(s, config, {}, now, out);
 }
 
 auto on_config_request(node_state& s, instance_id from, config_request const& m)
--- a/src/core/config_store.hpp
+++ b/src/core/config_store.hpp
@@ -1,5 +1,7 @@
 /// Customer configurations in force and their exchange with peers. The version
-/// of a configuration never decreases.
+/// of a configuration never decreases. If the platform comes back from an older
+/// copy, the configuration in force stays until the operator has written one
+/// again.
 #ifndef KNAPWEEDSTREAM_CORE_CONFIG_STORE_HPP
 #define KNAPWEEDSTREAM_CORE_CONFIG_STORE_HPP
 
@@ -23,10 +25,16 @@
 /// announces the change to some peers.
 ///
 /// @param[in] from Peer that sent it; 0 if read from the platform.
-/// @returns False if the configuration is not newer.
+/// @returns False if the configuration is not newer, or if it is not yet known
+///     whether it is.
 auto accept_config(node_state& s, customer_config const& config,
     instance_id from, time_point now, commands& out) -> bool;
 
+/// Puts a configuration in force of which it was not known whether it is newer,
+/// unless a newer one has come.
+auto on_config_settle_due(node_state& s, config_settle_due const& e,
+    time_point now, commands& out) -> void;
+
 /// Sends a peer the configurations that are newer than those it lists.
 auto on_config_request(node_state& s, instance_id from, config_request const& m)
     -> void;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -4,6 +4,7 @@
 #include "core/leaf.hpp"
 #include "core/owner.hpp"
 #include "core/ownership.hpp"
+#include "core/platform_era.hpp"
 #include "core/shard_view.hpp"
 
 #include <algorithm>
@@ -39,7 +40,7 @@
     auto self = s.init.self;
     self.leaving = s.leaving;
     return {self, s.init.incarnation, sequence, reply, config_digest(s),
-        view_digest(s, s.self), random_member(s)};
+        view_digest(s, s.self), s.platform_era, random_member(s)};
 }
 
 auto probe(node_state& s, instance_id id, time_point now) -> void
@@ -244,6 +245,8 @@
         sync_peer(s, from);
     if (!m.reply)
         post(s, from, make_heartbeat(s, true, m.sequence));
+    if (observe_platform_era(s, m.platform_era, now, out))
+        out.push_back(enter_era{m.platform_era});
     for (auto const& known : m.known)
         discover_member(s, known, now, out);
     if (m.view_digest != view_digest(s, from))
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -8,6 +8,7 @@
 #include "core/leaf.hpp"
 #include "core/membership.hpp"
 #include "core/owner.hpp"
+#include "core/platform_era.hpp"
 #include "core/rollout_driver.hpp"
 #include "core/shard_view.hpp"
 
@@ -91,7 +92,7 @@
             self.leaving = true;
             post(s, id,
                 heartbeat{self, s.init.incarnation, 0, true, config_digest(s),
-                    view_digest(s, s.self)});
+                    view_digest(s, s.self), s.platform_era});
         }
     arm(s, now, drain_due{});
 }
@@ -125,6 +126,8 @@
                 on_heartbeat_due(s, now, out);
                 drive_rollouts(s, now, out);
             },
+            [&](config_settle_due const& it)
+            { on_config_settle_due(s, it, now, out); },
             [&](drain_due const&)
             {
                 on_drain_due(s, now, out);
@@ -199,6 +202,8 @@
             [&](rollout_stored const& it) { on_rollout_stored(s, it, out); },
             [&](rollout_failed const& it) { on_rollout_failed(s, it); },
             [&](claims_failed const& it) { on_claims_failed(s, it, now); },
+            [&](era_observed const& it)
+            { observe_platform_era(s, it.era, now, out); },
             [&](tick const&)
             {
                 s.next_wake = {};
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -80,6 +80,7 @@
     std::uint64_t claim_writes = 0;
     std::uint64_t heartbeats = 0;
     std::uint64_t config_accepted = 0;
+    std::uint64_t platform_restores = 0; ///< Changes of its era.
 
     auto operator<=>(node_stats const&) const = default;
 };
--- a/src/core/rollout_driver.cpp
+++ b/src/core/rollout_driver.cpp
@@ -62,7 +62,7 @@
 /// Adopts a rollout state if it is newer than the present one.
 ///
 /// @returns True if it was adopted.
-auto adopt_if_newer(node_state& s, service_id id, std::uint64_t version,
+auto adopt_if_newer(node_state& s, service_id id, store_version version,
     rollout const& value, commands& out) -> bool
 {
     auto const it = s.services.find(id);
@@ -231,7 +231,7 @@
             service.rollout.loaded = false;
             report_outcomes(s, id, service);
         }
-        if (service.rollout.version > 0)
+        if (service.rollout.version.revision > 0)
         {
             auto const peers = random_peers(s, 1);
             for (auto const peer : peers)
@@ -248,12 +248,19 @@
     auto const it = s.services.find(e.service);
     if (it == s.services.end())
         return;
-    it->second.rollout.in_progress = false;
-    it->second.rollout.loaded = true;
+    auto& known = it->second.rollout;
+    known.in_progress = false;
+    known.loaded = e.version.era >= s.platform_era;
     if (adopt_if_newer(s, e.service, e.version, e.value, out))
         broadcast(s, rollout_update{e.service, e.version, e.value}, {});
 }
 
+auto reload_rollouts(node_state& s) -> void
+{
+    for (auto& [id, service] : s.services)
+        service.rollout.loaded = false;
+}
+
 auto on_rollout_failed(node_state& s, rollout_failed const& e) -> void
 {
     auto const it = s.services.find(e.service);
--- a/src/core/rollout_driver.hpp
+++ b/src/core/rollout_driver.hpp
@@ -30,6 +30,8 @@
 /// Handles the state of a rollout as stored in the platform.
 auto on_rollout_stored(node_state& s, rollout_stored const& e, commands& out)
     -> void;
+/// Makes the drivers read their rollouts again before they write.
+auto reload_rollouts(node_state& s) -> void;
 /// Handles a failed read or write of a rollout, or one whose answer was lost;
 /// the driver reads the rollout again.
 auto on_rollout_failed(node_state& s, rollout_failed const& e) -> void;
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -20,6 +20,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <unordered_map>
 #include <vector>
@@ -221,9 +222,9 @@
 /// Cached claims of one shard, with the bookings that wait for a commit.
 struct bucket_entry
 {
-    bool loaded = false;       ///< `claims` matches the platform at `version`.
-    bool in_progress = false;  ///< A read or write is pending.
-    std::uint64_t version = 0; ///< Version of the platform's object.
+    bool loaded = false;      ///< `claims` matches the platform at `version`.
+    bool in_progress = false; ///< A read or write is pending.
+    store_version version;    ///< Of the platform's object.
     std::vector<claim> claims;
     std::vector<claim> writing;       ///< Content of the pending write.
     std::vector<claim_token> waiting; ///< Bookings to commit.
@@ -248,7 +249,7 @@
 /// State of the rollout of a service as known to this node.
 struct rollout_entry
 {
-    std::uint64_t version = 0; ///< Version of the platform's object.
+    store_version version; ///< Of the platform's object.
     rollout value;
     bool loaded = false;      ///< `value` was read by this node as the driver.
     bool in_progress = false; ///< A read or write is pending.
@@ -278,6 +279,12 @@
 {
     customer_config config;
     std::uint32_t open = 0;
+    /// Configurations as the platform had them, oldest first; they show which
+    /// ones an older copy holds.
+    std::vector<customer_config> earlier;
+    /// Lower-numbered configuration of a later era, of which it is not known
+    /// whether the operator wrote it in that era.
+    std::optional<customer_config> unsettled;
 };
 
 /// State of a request that was running on a target when the target was lost.
@@ -315,6 +322,7 @@
     bool watching_config = false;
     time_point idle_since; ///< While leaving: since when no request is open.
     std::uint64_t heartbeat_sequence = 0;
+    std::uint64_t platform_era = 0; ///< Last seen; 0 if none was stated.
     /// When configurations were last requested; 0 once a new one was accepted.
     time_point config_requested_at;
     time_point next_wake; ///< Time of the requested tick; 0 if none.
--- a/src/core/timer.hpp
+++ b/src/core/timer.hpp
@@ -131,6 +131,14 @@
     claim_bucket bucket;
     auto operator<=>(bucket_retry_due const&) const = default;
 };
+/// A configuration of a later era of the platform is applied if it has not been
+/// replaced.
+struct config_settle_due
+{
+    customer_id customer;
+    store_version version;
+    auto operator<=>(config_settle_due const&) const = default;
+};
 /// The next round of heartbeats is due.
 struct heartbeat_due
 {
@@ -146,7 +154,7 @@
 using timer = std::variant<peer_check_due, shard_retry_due, hedge_due, sub_due,
     cancel_due, connect_timeout_due, reopen_due, owner_check_due, canary_due,
     query_due, booking_check_due, exec_due, bucket_retry_due, heartbeat_due,
-    drain_due>;
+    drain_due, config_settle_due>;
 
 /// A timer in the queue. Timers due at the same time run in the order in which
 /// they were armed.
--- a/src/port/command.hpp
+++ b/src/port/command.hpp
@@ -120,7 +120,7 @@
 struct claims_write
 {
     claim_bucket bucket;
-    std::uint64_t if_version = 0; ///< Expected version; 0: must not exist.
+    store_version if_version; ///< Expected; revision 0: must not exist.
     std::vector<claim> claims;
     auto operator<=>(claims_write const&) const = default;
 };
@@ -136,7 +136,7 @@
 struct rollout_write
 {
     service_id service;
-    std::uint64_t if_version = 0; ///< Expected version; 0: must not exist.
+    store_version if_version; ///< Expected; revision 0: must not exist.
     rollout value;
     auto operator<=>(rollout_write const&) const = default;
 };
@@ -157,6 +157,14 @@
     auto operator<=>(watch_config const&) const = default;
 };
 
+/// A peer has seen an era of the platform: what the platform has lost is to be
+/// announced and read again.
+struct enter_era
+{
+    std::uint64_t era = 0;
+    auto operator<=>(enter_era const&) const = default;
+};
+
 /// Announces to the platform that this instance takes no new work.
 struct announce_leaving
 {
@@ -219,9 +227,24 @@
 struct config_accepted
 {
     std::string customer;
-    std::uint64_t version = 0;
+    store_version version;
     auto operator<=>(config_accepted const&) const = default;
 };
+/// The platform came back with an older configuration than the one in force,
+/// which stays in force.
+struct config_kept
+{
+    std::string customer;
+    store_version version; ///< Of the older one.
+    auto operator<=>(config_kept const&) const = default;
+};
+/// The platform came back from an older copy of its data.
+struct platform_restored
+{
+    std::uint64_t before = 0; ///< Era known until then.
+    std::uint64_t era = 0;
+    auto operator<=>(platform_restored const&) const = default;
+};
 /// A request that crashed targets is refused for
 /// `node_limits::fingerprint_ban`.
 struct request_banned
@@ -252,7 +275,8 @@
 /// A state change to report in the log.
 using fact = std::variant<rollout_changed, version_stopped, target_ejected,
     target_restarted, target_warmed, connection_unresponsive, peer_joined,
-    peer_suspected, config_accepted, request_banned>;
+    peer_suspected, config_accepted, config_kept, platform_restored,
+    request_banned>;
 
 /// Writes a fact to the log.
 struct report_fact
@@ -266,7 +290,7 @@
     leaf_open, leaf_close, leaf_search, leaf_book, leaf_cancel, peer_send,
     peer_dial, peer_drop, claims_read, claims_write, watch_config,
     announce_leaving, exit_now, wake_at, report_fact, rollout_read,
-    rollout_write, count_request>;
+    rollout_write, count_request, enter_era>;
 
 using commands = std::vector<command>;
 
--- a/src/port/event.hpp
+++ b/src/port/event.hpp
@@ -143,7 +143,7 @@
 struct claims_stored
 {
     claim_bucket bucket;
-    std::uint64_t version = 0; ///< 0 if the object does not exist.
+    store_version version; ///< Revision 0 if the object does not exist.
     std::vector<claim> claims;
     auto operator<=>(claims_stored const&) const = default;
 };
@@ -152,7 +152,7 @@
 struct claims_written
 {
     claim_bucket bucket;
-    std::uint64_t version = 0;
+    store_version version;
     auto operator<=>(claims_written const&) const = default;
 };
 
@@ -168,7 +168,7 @@
 struct rollout_stored
 {
     service_id service;
-    std::uint64_t version = 0; ///< 0 if the object does not exist.
+    store_version version; ///< Revision 0 if the object does not exist.
     rollout value;
     auto operator<=>(rollout_stored const&) const = default;
 };
@@ -181,6 +181,13 @@
     auto operator<=>(rollout_failed const&) const = default;
 };
 
+/// An answer of the platform stated an era for the first time.
+struct era_observed
+{
+    std::uint64_t era = 0;
+    auto operator<=>(era_observed const&) const = default;
+};
+
 /// The time requested by `wake_at` has come.
 struct tick
 {
@@ -204,7 +211,7 @@
 using event = std::variant<caller_query, caller_booking, caller_gone,
     leaf_opened, leaf_closed, leaf_answered, peer_received, config_read,
     instances_listed, claims_stored, claims_written, claims_failed, tick,
-    turn_ended, stop_requested, rollout_stored, rollout_failed>;
+    turn_ended, stop_requested, rollout_stored, rollout_failed, era_observed>;
 
 } // namespace knapweedstream
 
--- a/src/port/message.hpp
+++ b/src/port/message.hpp
@@ -79,6 +79,7 @@
     bool reply = false; ///< Reply or notice of leaving; gets no reply itself.
     std::uint64_t config_digest = 0;    ///< Hash of all configuration versions.
     std::uint64_t view_digest = 0;      ///< Hash of the sender's shard views.
+    std::uint64_t platform_era = 0;     ///< Last seen; 0 if none is stated.
     std::vector<instance_info> known{}; ///< At most one random live instance.
 
     auto operator<=>(heartbeat const&) const = default;
@@ -171,7 +172,7 @@
 struct rollout_update
 {
     service_id service;
-    std::uint64_t version = 0; ///< Version of the platform's object.
+    store_version version; ///< Of the platform's object.
     rollout value;
 
     auto operator<=>(rollout_update const&) const = default;
@@ -207,7 +208,7 @@
     struct known
     {
         customer_id customer;
-        std::uint64_t version = 0;
+        store_version version;
         auto operator<=>(known const&) const = default;
     };
     std::vector<known> have;
--- a/tests/failure/test_queries.cpp
+++ b/tests/failure/test_queries.cpp
@@ -235,7 +235,7 @@
     auto w = standard_world(14);
     auto const old = w->config;
     w->config.max_queries = 7;
-    ++w->config.version;
+    ++w->config.version.revision;
     // Only one instance receives it from the platform.
     auto newest = w->config;
     w->run_after(us{0}, [&] {});
--- a/tests/fakes.cpp
+++ b/tests/fakes.cpp
@@ -82,7 +82,7 @@
 
 auto world::publish() -> void
 {
-    ++config.version;
+    ++config.version.revision;
     for (std::size_t i = 0; i < instances.size(); ++i)
         deliver(i, config_read{config});
 }
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -71,6 +71,7 @@
         rollout value;
     };
     std::map<std::uint64_t, stored_rollout> rollouts;
+    std::uint64_t era = 0;          ///< Stated in all answers unless 0.
     std::vector<rollout> history;   ///< All states stored, in order.
     bool down = false;              ///< All calls fail.
     std::uint32_t lose_answers = 0; ///< Next writes take effect, then fail.
@@ -98,6 +99,7 @@
     std::vector<event> deferred_events; ///< Received while paused.
     std::optional<time_point> next_wake;
     bool watching = false;
+    std::uint64_t entered_era = 0; ///< Last era that a peer has told it.
 };
 
 /// Instances, leafs and platform, driven by one queue of actions in order of
@@ -156,6 +158,12 @@
 
     auto read_config(std::size_t i, customer_config const& c) -> void;
 
+    /// Tells an instance the platform's era, as each answer does.
+    auto see_era(std::size_t i) -> void
+    {
+        deliver(i, era_observed{platform.era});
+    }
+
     auto stop(std::size_t i) -> void { deliver(i, stop_requested{}); }
 
     /// Runs an action after a delay.
@@ -201,6 +209,9 @@
     /// Delivers an event after a delay unless the instance is killed before.
     auto deliver_after(std::size_t i, us wait, event e) -> void;
 
+    /// Delivers an answer of the platform, which states its era.
+    auto answer_after(std::size_t i, us wait, event e) -> void;
+
     auto deliver_to_owner(connection_id c, event e, us wait) -> void;
 
     auto report(fake_leaf const& l) const -> target_report;
@@ -237,6 +248,13 @@
     /// @returns True if the answer is lost.
     auto loses_answer(std::size_t i, event const& failed) -> bool;
 
+    /// Version of a stored object in the platform's present era.
+    template <class Object>
+    auto version_of(Object const& o) const -> store_version
+    {
+        return {platform.era, o.version};
+    }
+
     auto store_claims(std::size_t i, claims_write const& w) -> void;
 
     auto load_claims(std::size_t i, claims_read const& r) -> void;
--- a/tests/fakes_ports.cpp
+++ b/tests/fakes_ports.cpp
@@ -37,6 +37,13 @@
         });
 }
 
+auto world::answer_after(std::size_t i, us wait, event e) -> void
+{
+    if (platform.era > 0)
+        deliver_after(i, wait, era_observed{platform.era});
+    deliver_after(i, wait, std::move(e));
+}
+
 auto world::deliver_to_owner(connection_id c, event e, us wait) -> void
 {
     deliver_after(owner_of_.at(c), wait, std::move(e));
@@ -199,14 +206,14 @@
         [this, i, w, key, failed]
         {
             auto& o = platform.buckets[key];
-            if (o.version != w.if_version)
-                return deliver_after(
-                    i, us{1'000}, claims_stored{w.bucket, o.version, o.claims});
+            if (version_of(o) != w.if_version)
+                return answer_after(i, us{1'000},
+                    claims_stored{w.bucket, version_of(o), o.claims});
             o = {o.version + 1, w.claims};
             ++platform.writes;
             if (!loses_answer(i, failed))
-                deliver_after(
-                    i, us{1'000}, claims_written{w.bucket, o.version});
+                answer_after(
+                    i, us{1'000}, claims_written{w.bucket, version_of(o)});
         });
 }
 
@@ -217,8 +224,8 @@
         [this, i, r, key]
         {
             auto const& o = platform.buckets[key];
-            deliver_after(
-                i, us{1'000}, claims_stored{r.bucket, o.version, o.claims});
+            answer_after(
+                i, us{1'000}, claims_stored{r.bucket, version_of(o), o.claims});
         });
 }
 
@@ -229,15 +236,15 @@
         [this, i, w, failed]
         {
             auto& o = platform.rollouts[w.service.value];
-            if (o.version == w.if_version)
+            if (version_of(o) == w.if_version)
             {
                 o = {o.version + 1, w.value};
                 platform.history.push_back(w.value);
                 if (loses_answer(i, failed))
                     return;
             }
-            deliver_after(
-                i, us{1'000}, rollout_stored{w.service, o.version, o.value});
+            answer_after(i, us{1'000},
+                rollout_stored{w.service, version_of(o), o.value});
         });
 }
 
@@ -247,8 +254,8 @@
         [this, i, r]
         {
             auto const& o = platform.rollouts[r.service.value];
-            deliver_after(
-                i, us{1'000}, rollout_stored{r.service, o.version, o.value});
+            answer_after(i, us{1'000},
+                rollout_stored{r.service, version_of(o), o.value});
         });
 }
 
@@ -309,6 +316,7 @@
             [&](claims_write const& it) { store_claims(i, it); },
             [&](watch_config const& it) { instances[i]->watching = it.on; },
             [&](wake_at const& it) { wake(i, it.when); },
+            [&](enter_era const& it) { instances[i]->entered_era = it.era; },
             [&](exit_now const&) { instances[i]->exited = true; },
             [](auto const&) {
             }},
--- a/tests/process/test_restored_platform.cpp
+++ b/tests/process/test_restored_platform.cpp
@@ -24,8 +24,10 @@
     {
         REQUIRE(c.start(2, 2, 2));
         for (auto i = 2; i <= 4; ++i)
+        {
             REQUIRE(publish(c.configuration({{"max_queries", 100 + i}})));
-        REQUIRE(wait_for(config_bound, [&] { return has_version(4); }));
+            REQUIRE(wait_for(config_bound, [&] { return has_version(i); }));
+        }
     }
 
     auto publish(std::string const& config) const -> bool
--- a/tests/property/test_fuzz.cpp
+++ b/tests/property/test_fuzz.cpp
@@ -73,7 +73,7 @@
     run([&] { return parse_object(text); });
     run([&] { return parse_changes(text); });
     run([&] { return parse_instances(text); });
-    run([&] { return parse_customer(text, 1); });
+    run([&] { return parse_customer(text, {0, 1}); });
     run([&] { return parse_claims(text); });
     run([&] { return parse_rollout(text); });
     run([&] { return decode<std::vector<message>>(text, "messages"); });
--- a/tests/unit/test_adapters.cpp
+++ b/tests/unit/test_adapters.cpp
@@ -119,8 +119,8 @@
                      "[target unheard t]\naddress = 127.0.0.1:1\n"
                      "zone = z\nshard = 0\n";
     CHECK(template_errors(two).size() == 3);
-    auto const decoded = value_of(parse_customer(to_json(c), 7));
-    CHECK(decoded.version == 7);
+    auto const decoded = value_of(parse_customer(to_json(c), {2, 7}));
+    CHECK(decoded.version == store_version{2, 7});
     CHECK(decoded.services == c.services);
     CHECK(decoded.zones_out == c.zones_out);
 }
@@ -246,7 +246,7 @@
     CHECK(c.objectives.latency == milliseconds{59});
     CHECK(c.services[0].rollout.steps_percent ==
           std::vector<std::uint32_t>{1, 10, 50});
-    CHECK(value_of(parse_customer(to_json(c), 1)).services == c.services);
+    CHECK(value_of(parse_customer(to_json(c), {})).services == c.services);
     auto const wrong = two + "max_latency_ratio = 0.5\n"
                              "[rollout unheard]\nid = 1\n";
     CHECK(template_errors(wrong).size() == 2);
