Store claims again that the platform has lost

A caller saw a booking run twice: its claim was lost with the platform's last writes, the next write of the bucket replaced what its executor knew by what the platform had, and a resend claimed the key again.

The claims that the executor knows from the earlier era are added to what the platform has and written, until a write is confirmed; of two claims on a key the one by which the booking ran prevails. Answers of an earlier era count as lost.

Two simulated tests (the outcome is stored again with and without a resend; claims written in the new era under the version known before are kept) pass. What remains: the claim and its executor are lost at once.

--- a/src/core/booking_commit.cpp
+++ b/src/core/booking_commit.cpp
@@ -137,7 +137,7 @@
 auto commit_waiting(node_state& s, claim_bucket id, commands& out) -> void
 {
     auto& b = s.buckets[id];
-    if (b.in_progress || b.waiting.empty())
+    if (b.in_progress || (b.waiting.empty() && !b.restoring))
         return;
     if (!b.loaded)
     {
@@ -166,7 +166,7 @@
             waiting.push_back(token);
     }
     b.waiting = waiting;
-    if (writes == 0)
+    if (writes == 0 && !b.restoring)
         return;
     mark_claims_sent(s, claims);
     b.in_progress = true;
@@ -194,6 +194,7 @@
     for (auto& [id, b] : s.buckets)
     {
         b.loaded = false;
+        b.restoring = b.restoring || !b.claims.empty();
         auto const delay = draw_below(
             s.random, static_cast<std::uint64_t>(reload_spread.count()));
         arm(s, now + duration{static_cast<duration::rep>(delay)},
--- a/src/core/booking_commit.hpp
+++ b/src/core/booking_commit.hpp
@@ -25,10 +25,12 @@
 auto claimed_by_other(node_state& s, booking_execution const& e) -> bool;
 
 /// Writes the waiting bookings of a bucket in one commit, outcomes before new
-/// claims. Reads the bucket first if its content is not known.
+/// claims, with claims that the platform has lost. Reads the bucket first if
+/// its content is not known.
 auto commit_waiting(node_state& s, claim_bucket id, commands& out) -> void;
 
-/// Reads the buckets that are needed again, spread over time.
+/// Reads the buckets with known claims again, spread over time, and stores the
+/// claims that the platform has lost.
 auto reload_buckets(node_state& s, time_point now) -> void;
 
 } // namespace knapweedstream
--- a/src/core/booking_exec.cpp
+++ b/src/core/booking_exec.cpp
@@ -204,23 +204,32 @@
 auto on_claims_stored(node_state& s, claims_stored const& e, time_point now,
     commands& out) -> void
 {
+    if (e.version.era < s.platform_era)
+        return on_claims_failed(s, {e.bucket}, now);
     auto& b = s.buckets[e.bucket];
     b.in_progress = false;
     b.loaded = true;
+    if (b.version.era < e.version.era)
+        b.to_restore = b.claims;
     b.version = e.version;
-    b.claims = e.claims;
+    b.claims = with_lost_claims(e.claims, b.to_restore);
+    b.restoring = b.claims != e.claims;
     apply_stored_claims(s, e.bucket, now, out);
 }
 
 auto on_claims_written(node_state& s, claims_written const& e, time_point now,
     commands& out) -> void
 {
+    if (e.version.era < s.platform_era)
+        return on_claims_failed(s, {e.bucket}, now);
     auto& b = s.buckets[e.bucket];
     b.in_progress = false;
     b.loaded = true;
     b.version = e.version;
     b.claims = std::move(b.writing);
     b.writing.clear();
+    b.to_restore.clear();
+    b.restoring = false;
     apply_stored_claims(s, e.bucket, now, out);
 }
 
--- a/src/core/claims.hpp
+++ b/src/core/claims.hpp
@@ -36,6 +36,12 @@
 auto record_outcome(booking_execution const& e, std::vector<claim>& claims)
     -> commit_step;
 
+/// Adds the claims that the platform has lost to those that it has. Of two
+/// claims on a key, the one by which the booking ran prevails, then the one by
+/// which it may have run.
+auto with_lost_claims(std::vector<claim> stored, std::vector<claim> const& lost)
+    -> std::vector<claim>;
+
 } // namespace knapweedstream
 
 #endif
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -226,7 +226,11 @@
     bool in_progress = false; ///< A read or write is pending.
     store_version version;    ///< Of the platform's object.
     std::vector<claim> claims;
-    std::vector<claim> writing;       ///< Content of the pending write.
+    std::vector<claim> writing; ///< Content of the pending write.
+    /// Claims of an earlier era of the platform, until they are stored in the
+    /// present one.
+    std::vector<claim> to_restore;
+    bool restoring = false; ///< `to_restore` has to be compared or stored.
     std::vector<claim_token> waiting; ///< Bookings to commit.
 };
 
--- a/tests/failure/test_restored_platform.cpp
+++ b/tests/failure/test_restored_platform.cpp
@@ -48,6 +48,26 @@
     return w;
 }
 
+auto runs_of(world const& w, std::string const& key) -> int
+{
+    auto n = 0;
+    for (auto const& [address, l] : w.leafs)
+        if (auto const it = l.booking_runs.find(key);
+            it != l.booking_runs.end())
+            n += it->second;
+    return n;
+}
+
+/// Number of stored claims on a key that record that the booking ran.
+auto stored_outcomes(world const& w, std::string const& key) -> int
+{
+    auto n = 0;
+    for (auto const& [bucket, object] : w.platform.buckets)
+        for (auto const& it : object.claims)
+            n += it.key == key && it.state == claim_state::done ? 1 : 0;
+    return n;
+}
+
 } // namespace
 
 TEST_CASE("restored platform: a configuration that has got a lower version is "
@@ -127,3 +147,58 @@
     for (auto const& it : w->instances)
         CHECK(it->live_node->stats().platform_restores == 1);
 }
+
+TEST_CASE("restored platform: a booking whose claim was lost does not run "
+          "again, and its outcome is stored again")
+{
+    for (auto const resend_first : {false, true})
+    {
+        auto w = world_in_era_1(64);
+        auto const before = w->platform.buckets;
+        auto const a = w->book(0, "voorraad", "k");
+        w->run_for(milliseconds{500});
+        REQUIRE(runs_of(*w, "k") == 1);
+        REQUIRE(stored_outcomes(*w, "k") == 1);
+        w->platform.buckets = before;
+        ++w->platform.era;
+        if (!resend_first)
+        {
+            w->see_era(0);
+            w->run_for(seconds{2});
+            CHECK(stored_outcomes(*w, "k") == 1);
+        }
+        auto ids = std::vector<std::uint64_t>{};
+        for (std::size_t i = 0; i < 3; ++i)
+            ids.push_back(w->book(i, "voorraad", "k"));
+        w->run_for(seconds{2});
+        for (auto const id : ids)
+            CHECK(w->callers[id].booking == w->callers[a].booking);
+        CHECK(runs_of(*w, "k") == 1);
+        w->see_era(0);
+        w->run_for(seconds{2});
+        CHECK(stored_outcomes(*w, "k") == 1);
+    }
+}
+
+TEST_CASE("restored platform: claims written in the new era are not "
+          "overwritten under a version of the earlier one")
+{
+    auto w = world_in_era_1(65);
+    auto const a = w->book(0, "voorraad", "k");
+    w->run_for(milliseconds{500});
+    REQUIRE(stored_outcomes(*w, "k") == 1);
+    // Another instance's claim has got the version that the executor knows.
+    for (auto& [bucket, object] : w->platform.buckets)
+        object.claims = {{"other", {7}, {7}, claim_state::done, "r", 1'000}};
+    ++w->platform.era;
+    // More keys than shards: some share the bucket of "k".
+    for (auto i = 0; i < 24; ++i)
+        w->book(0, "voorraad", "k" + std::to_string(i));
+    w->run_for(seconds{2});
+    CHECK(stored_outcomes(*w, "other") == 1);
+    CHECK(stored_outcomes(*w, "k") == 1);
+    CHECK(runs_of(*w, "k") == 1);
+    for (auto i = 0; i < 24; ++i)
+        CHECK(runs_of(*w, "k" + std::to_string(i)) == 1);
+    CHECK(w->callers[a].count == 1);
+}
