Keep the state of a rollout that the platform has lost

After a loss the driver of a rollout read an older step and adopted it, as the version of a later era is newer: traffic would go back to the old version, and a version that was rolled back would run again until its faults were seen.

The state in force and what the platform has at its version are kept apart. A state never goes back: the one that is further along stays at all instances, and the driver writes it again before it goes on.

Simulated test "a rollout does not go back, and goes on" passes; with the comparison of progress switched off (trial) it fails.

--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -141,6 +141,7 @@
     auto next = rollout_entry{};
     next.version = e.version;
     next.value = e.value;
+    next.stored = e.stored;
     return next;
 }
 
--- a/src/core/rollout.cpp
+++ b/src/core/rollout.cpp
@@ -1,6 +1,7 @@
 #include "core/rollout.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace knapweedstream
 {
@@ -58,6 +59,15 @@
                : rollout_fault::none;
 }
 
+auto is_further(rollout const& a, rollout const& b) -> bool
+{
+    auto const progress = [](rollout const& it)
+    {
+        return std::tuple{it.id, it.phase != rollout_phase::running, it.step};
+    };
+    return progress(a) > progress(b);
+}
+
 auto share_percent(rollout const& r, rollout_policy const& policy)
     -> std::uint32_t
 {
--- a/src/core/rollout.hpp
+++ b/src/core/rollout.hpp
@@ -24,6 +24,10 @@
 auto compare_versions(version_record const& before, version_record const& after,
     rollout_policy const& policy) -> rollout_fault;
 
+/// True if `a` is further along than `b`: of a later rollout, ended, or at a
+/// later step.
+auto is_further(rollout const& a, rollout const& b) -> bool;
+
 /// Percentage of requests that go to the new version.
 auto share_percent(rollout const& r, rollout_policy const& policy)
     -> std::uint32_t;
--- a/src/core/rollout_driver.cpp
+++ b/src/core/rollout_driver.cpp
@@ -59,19 +59,27 @@
     out.push_back(rollout_write{id, e.version, next});
 }
 
-/// Adopts a rollout state if it is newer than the present one.
+/// Adopts a rollout state if it is newer than the present one. A state never
+/// goes back: one that is further along stays, though the platform has lost it.
 ///
 /// @returns True if it was adopted.
 auto adopt_if_newer(node_state& s, service_id id, store_version version,
     rollout const& value, commands& out) -> bool
 {
     auto const it = s.services.find(id);
-    if (it == s.services.end() || it->second.rollout.version >= version)
+    if (it == s.services.end())
         return false;
     auto& e = it->second.rollout;
+    auto const newer = version > e.version;
+    if (newer)
+    {
+        e.version = version;
+        e.stored = value;
+    }
+    if (!is_further(value, e.value) && (!newer || is_further(e.value, value)))
+        return false;
     auto const changed = e.value.phase != value.phase ||
                          e.value.step != value.step || e.value.id != value.id;
-    e.version = version;
     e.value = value;
     if (changed)
         out.push_back(report_fact{rollout_changed{it->second.info.name,
@@ -165,6 +173,8 @@
         out.push_back(rollout_read{id});
         return;
     }
+    if (is_further(e.value, e.stored))
+        return write_rollout(id, e, e.value, out);
     auto const token = fresh_id<claim_token>(s);
     if (e.value.id < policy.id)
         return write_rollout(
@@ -251,6 +261,8 @@
     auto& known = it->second.rollout;
     known.in_progress = false;
     known.loaded = e.version.era >= s.platform_era;
+    if (e.version == known.version)
+        known.stored = e.value;
     if (adopt_if_newer(s, e.service, e.version, e.value, out))
         broadcast(s, rollout_update{e.service, e.version, e.value}, {});
 }
--- a/src/core/state.hpp
+++ b/src/core/state.hpp
@@ -254,7 +254,8 @@
 struct rollout_entry
 {
     store_version version; ///< Of the platform's object.
-    rollout value;
+    rollout value;  ///< In force; further along than `stored` if that was lost.
+    rollout stored; ///< What the platform has at `version`.
     bool loaded = false;      ///< `value` was read by this node as the driver.
     bool in_progress = false; ///< A read or write is pending.
     rollout_fault fault = rollout_fault::none; ///< Detected here or by a peer.
--- a/tests/failure/test_restored_platform.cpp
+++ b/tests/failure/test_restored_platform.cpp
@@ -202,3 +202,34 @@
         CHECK(runs_of(*w, "k" + std::to_string(i)) == 1);
     CHECK(w->callers[a].count == 1);
 }
+
+TEST_CASE("restored platform: a rollout does not go back, and goes on")
+{
+    auto w = world_in_era_1(66);
+    auto& policy = w->config.services[0].rollout;
+    policy = {1, "v1", "v2", {5, 25, 50}, seconds{6}};
+    w->read_config(0, config_of(*w, {1, 7}, 106));
+    auto const percent = [&](std::size_t i)
+    {
+        auto const all = w->instances[i]->live_node->rollouts();
+        return all.empty() ? 0u : all.at(0).percent;
+    };
+    w->run_for(milliseconds{1'000});
+    REQUIRE(percent(0) == 5);
+    auto const copy = w->platform.rollouts;
+    w->run_for(milliseconds{1'700});
+    REQUIRE(percent(0) == 25);
+    w->platform.rollouts = copy;
+    ++w->platform.era;
+    w->see_era(0);
+    for (auto i = 0; i < 100; ++i)
+    {
+        w->run_for(milliseconds{10});
+        for (std::size_t k = 0; k < 3; ++k)
+            CHECK(percent(k) >= 25);
+    }
+    CHECK(w->platform.rollouts.begin()->second.value.step >= 1);
+    w->run_for(seconds{5});
+    for (std::size_t k = 0; k < 3; ++k)
+        CHECK(percent(k) == 100);
+}
