Apply a template only in the era in which it was compared

apply reads the customer's object, then writes it under the version read. If the platform is restored in between, that version may have been given out to another state, which the write would replace. The write now names the era that was read; a platform that states eras refuses it in another one, and apply reports a conflict.

--- a/src/app/cli_config.cpp
+++ b/src/app/cli_config.cpp
@@ -24,18 +24,29 @@
     return "/v1/objects/customer/" + uri_encoded(customer);
 }
 
+/// The customer's object and the era of the platform's data in which it was
+/// read.
+struct read_result
+{
+    platform_object object;
+    std::string era; ///< Empty if the platform states none.
+
+    auto operator<=>(read_result const&) const = default;
+};
+
 /// Reads the customer's object from the platform; version 0 if there is none.
 auto read_object(std::string const& platform, std::string const& customer)
-    -> leaf::result<platform_object>
+    -> leaf::result<read_result>
 {
     BOOST_LEAF_AUTO(
         reply, call(platform, {EVHTTP_REQ_GET, object_path(customer), {}, {}},
                    call_timeout));
     if (reply.status == 404)
-        return platform_object{customer, 0, {}};
+        return read_result{{customer, 0, {}}, reply.era};
     if (reply.status != 200)
         return leaf::new_error(status_error{reply.status, reply.body});
-    return parse_object(reply.body);
+    BOOST_LEAF_AUTO(object, parse_object(reply.body));
+    return read_result{std::move(object), reply.era};
 }
 
 /// Splits JSON text after each comma and opening bracket. Commas inside strings
@@ -78,19 +89,24 @@
     return text;
 }
 
-/// Writes the object if its version has not changed since it was read.
+/// Writes the object if neither its version nor the era has changed since it
+/// was read.
 ///
 /// @remarks If the reply is lost or reports a conflict, the object is read
 ///     back: the write succeeded if it holds `value`.
 /// @returns The new version, or `conflict_error` with the version found.
-auto write_object(std::string const& platform, platform_object const& before,
+auto write_object(std::string const& platform, read_result const& before,
     std::string const& value) -> leaf::result<std::uint64_t>
 {
-    auto const request = http_request{EVHTTP_REQ_PUT, object_path(before.name),
-        {{"If-Match", std::to_string(before.version)}}, value};
+    auto const& name = before.object.name;
+    auto request = http_request{EVHTTP_REQ_PUT, object_path(name),
+        {{"If-Match", std::to_string(before.object.version)}}, value};
+    if (!before.era.empty())
+        request.fields.push_back({"If-Era", before.era});
     auto const read_back = [&]() -> leaf::result<std::uint64_t>
     {
-        BOOST_LEAF_AUTO(now, read_object(platform, before.name));
+        BOOST_LEAF_AUTO(found, read_object(platform, name));
+        auto const& now = found.object;
         if (now.value == value)
             return now.version;
         return leaf::new_error(conflict_error{now.version, now.value});
@@ -130,7 +146,8 @@
     BOOST_LEAF_AUTO(text, read_file(path));
     BOOST_LEAF_AUTO(config, parse_template(path, text));
     auto const value = to_json(config);
-    BOOST_LEAF_AUTO(before, read_object(platform, config.name));
+    BOOST_LEAF_AUTO(found, read_object(platform, config.name));
+    auto const& before = found.object;
     if (v.count("if-version") > 0 &&
         v["if-version"].as<std::uint64_t>() != before.version)
         return leaf::new_error(conflict_error{before.version, before.value});
@@ -143,7 +160,7 @@
     std::cout << diff(before.value, value);
     if (v.count("dry-run") > 0)
         return 0;
-    BOOST_LEAF_AUTO(version, write_object(platform, before, value));
+    BOOST_LEAF_AUTO(version, write_object(platform, found, value));
     std::cout << "accepted customer=" << config.name << " version=" << version
               << "\n";
     return 0;
--- a/src/app/http_call.cpp
+++ b/src/app/http_call.cpp
@@ -13,7 +13,8 @@
         connection.send(r,
             [&](http_reply const& it)
             {
-                reply = {it.status(), std::string(it.body())};
+                reply = {it.status(), std::string(it.body()),
+                    std::string(it.field("Store-Era"))};
                 event_base_loopbreak(base.get());
             });
         event_base_dispatch(base.get());
--- a/src/app/http_call.hpp
+++ b/src/app/http_call.hpp
@@ -15,6 +15,7 @@
 {
     std::uint32_t status = 0;
     std::string body;
+    std::string era{}; ///< Of the platform's data; empty if not stated.
 
     auto operator<=>(call_reply const&) const = default;
 };
--- a/tests/process/test_restored_platform.cpp
+++ b/tests/process/test_restored_platform.cpp
@@ -1,6 +1,7 @@
 /// Tests of real processes: the platform comes back from an older copy of its
 /// data, and the operator writes again what was lost.
 #include "processes.hpp"
+#include "unit/scripted_target.hpp"
 
 #include <doctest/doctest.h>
 
@@ -245,3 +246,28 @@
     CHECK(r.received_during_queries(0) > 0);
     CHECK(r.incomplete == 0);
 }
+
+TEST_CASE(
+    "restored platform: a template is written only in the era in which it "
+    "was compared")
+{
+    auto l = scripted::loop{};
+    auto const platform = scripted::scripted_target{l.base.get(),
+        {"HTTP/1.1 404 Not Found\r\nStore-Era: 7\r\nContent-Length: "
+         "0\r\n\r\n",
+            ""}};
+    auto const name = "ks-test-" + std::to_string(getpid()) + "-era.ini";
+    auto const path = std::filesystem::temp_directory_path() / name;
+    std::ofstream{path} << "[customer]\nname = c\n[service s]\nshards = 1\n"
+                           "[target s t]\naddress = 127.0.0.1:9\nzone = a\n"
+                           "shard = 0\n";
+    auto const apply = process{
+        {KS_BINARY, "apply", path.string(), "--platform", scripted::address},
+        "/dev/null"};
+    auto const has = [&](char const* text)
+    {
+        return platform.received.find(text) != std::string::npos;
+    };
+    CHECK(l.run_until([&] { return has("PUT ") && has("If-Era: 7\r\n"); }));
+    std::filesystem::remove(path);
+}
