--- a/src/core/dispatch/observations.hpp
+++ b/src/core/dispatch/observations.hpp
@@ -26,6 +26,7 @@
 {
     instance_report value;
     time_point at; ///< When it was read.
+    store_version version;
 
     auto operator<=>(received_report const&) const = default;
 };
@@ -37,6 +38,8 @@
     bool exists = false; ///< The store holds a report of this instance.
     bool due = false;    ///< A timer for the next report is armed.
     time_point at;       ///< When it was last written.
+    /// Of the report in the store, as last confirmed by a write.
+    store_version version;
 
     auto operator<=>(written_report const&) const = default;
 };
--- a/src/core/dispatch/registrations.cpp
+++ b/src/core/dispatch/registrations.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/registrations.hpp"
 
 #include "core/dispatch/crashes.hpp"
+#include "core/dispatch/eras.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
 #include "core/dispatch/pool.hpp"
@@ -30,9 +31,10 @@
 auto report_target(
     target_entry const& t, target_condition condition, commands& out) -> void
 {
-    out.push_back(report_fact{target_condition_changed{t.info.name,
-        t.info.service, t.info.address, condition,
-        "zone=" + t.info.zone + " version=" + t.info.version, t.revision}});
+    out.push_back(report_fact{
+        target_condition_changed{t.info.name, t.info.service, t.info.address,
+            condition, "zone=" + t.info.zone + " version=" + t.info.version,
+            t.version.revision}});
 }
 
 /// How long the notices of a target are kept after its registration has gone.
@@ -79,6 +81,47 @@
            a.service != b.service;
 }
 
+/// True if a target has written a registration before the one that is known:
+/// the store may execute a write late, or come back from an older copy, also
+/// with an earlier start of the target.
+auto is_earlier(dispatch_state const& s, target_registration const& r,
+    target_registration const& known, time_point now) -> bool
+{
+    if (r.started_ms == 0)
+        return false;
+    if (r.started_ms == known.started_ms)
+        return r.sequence < known.sequence;
+    return r.started_ms < known.started_ms &&
+           !is_settled(s, store_kind::targets, now);
+}
+
+/// Keeps a target as it is known although the store has an earlier state.
+auto keep_target(dispatch_state& s, target_entry& t, store_version version)
+    -> void
+{
+    t.version = version;
+    t.lapses_at = time_point::max();
+    s.settling.unsettled.insert(store_kind::targets);
+}
+
+/// The registration to use in place of one that the store has in a new era and
+/// that may be of an earlier state, in which the target was not yet draining,
+/// or not yet cold.
+auto without_setback(dispatch_state& s, target_entry const& t,
+    target_registration const& r, time_point now) -> target_registration
+{
+    if (r.sequence > t.info.sequence || is_settled(s, store_kind::targets, now))
+        return r;
+    auto const warmup =
+        std::chrono::duration_cast<milliseconds>(t.cold_until - now);
+    auto kept = r;
+    kept.draining = r.draining || t.info.draining;
+    kept.warmup_left = std::max(r.warmup_left, warmup);
+    if (kept != r)
+        s.settling.unsettled.insert(store_kind::targets);
+    return kept;
+}
+
 } // namespace
 
 auto remove_target(
@@ -121,10 +164,13 @@
 }
 
 auto apply_target(dispatch_state& s, target_registration const& r,
-    std::uint64_t revision, time_point now, commands& out) -> void
+    store_version version, time_point now, commands& out) -> void
 {
     auto const id = id_of<target_id>(r.name);
     auto const known = s.targets.find(id);
+    if (known != s.targets.end() && known->second.listed &&
+        is_earlier(s, r, known->second.info, now))
+        return keep_target(s, known->second, version);
     auto const restarted =
         known != s.targets.end() && is_restart(known->second.info, r);
     if (restarted)
@@ -134,6 +180,7 @@
     if (fresh || !t.listed)
         t.notices = kept_notices(s, id, r.started_ms);
     auto const drains = r.draining && !t.info.draining;
+    auto const known_before = !fresh && t.listed;
     if (fresh || !t.listed)
     {
         auto& service = service_entry_of(s, r.service);
@@ -143,15 +190,15 @@
         t.listed = true;
         invalidate_shares(s, t.service);
     }
-    t.info = r;
+    t.info = known_before ? without_setback(s, t, r, now) : r;
     update_versions(s, s.services.at(t.service), now);
-    t.revision = revision;
+    t.version = version;
     t.distance = proximity_to(s, r.zone);
     t.region = region_of(s, r.zone);
     t.evacuated = s.evacuated.contains(r.zone);
     t.displaced = false;
     t.lapses_at = time_point::max();
-    t.cold_until = now + r.warmup_left;
+    t.cold_until = now + t.info.warmup_left;
     if (fresh)
         report_target(t, target_condition::registered, out);
     if (drains)
--- a/src/port/store.hpp
+++ b/src/port/store.hpp
@@ -5,6 +5,7 @@
 #include <knapweedstream/registration.hpp>
 #include <knapweedstream/report.hpp>
 #include <knapweedstream/route.hpp>
+#include <knapweedstream/store_version.hpp>
 
 #include <array>
 #include <compare>
@@ -97,6 +98,7 @@
     unreadable,  ///< The answer could not be decoded.
     conflict,    ///< The object has another revision or exists already.
     missing,     ///< The object or the watched history does not exist.
+    outdated,    ///< The answer is of an earlier era.
 };
 
 } // namespace knapweedstream
