--- a/src/core/booking_commit.cpp
+++ b/src/core/booking_commit.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Time over which buckets are read again in a new era of the platform.
+constexpr auto reload_spread = duration{seconds{1}};
+
 /// Answers a booking whose key another booking has claimed.
 ///
 /// @returns False if that booking is still in progress at this executor.
@@ -134,7 +137,7 @@
 auto commit_waiting(node_state& s, claim_bucket id, commands& out) -> void
 {
     auto& b = s.buckets[id];
-    if (b.in_progress || b.waiting.empty())
+    if (b.in_progress || (b.waiting.empty() && !b.restoring))
         return;
     if (!b.loaded)
     {
@@ -163,7 +166,7 @@
             waiting.push_back(token);
     }
     b.waiting = waiting;
-    if (writes == 0)
+    if (writes == 0 && !b.restoring)
         return;
     mark_claims_sent(s, claims);
     b.in_progress = true;
@@ -186,4 +189,17 @@
     commit_waiting(s, bucket, out);
 }
 
+auto reload_buckets(node_state& s, time_point now) -> void
+{
+    for (auto& [id, b] : s.buckets)
+    {
+        b.loaded = false;
+        b.restoring = b.restoring || !b.claims.empty();
+        auto const delay = draw_below(
+            s.random, static_cast<std::uint64_t>(reload_spread.count()));
+        arm(s, now + duration{static_cast<duration::rep>(delay)},
+            bucket_retry_due{id});
+    }
+}
+
 } // namespace knapweedstream
--- a/src/port/store.hpp
+++ b/src/port/store.hpp
@@ -5,6 +5,7 @@
 #include <knapweedstream/registration.hpp>
 #include <knapweedstream/report.hpp>
 #include <knapweedstream/route.hpp>
+#include <knapweedstream/store_version.hpp>
 
 #include <array>
 #include <compare>
@@ -46,15 +47,6 @@
 /// its data; its revisions go back then. Empty if an answer does not state it.
 using store_era = std::optional<std::uint64_t>;
 
-/// A point in the store's history. Revisions of two eras are not comparable:
-/// all of a later era come after those of an earlier one.
-struct store_version
-{
-    std::uint64_t era = 0; ///< 0 if the store states none.
-    std::uint64_t revision = 0;
-    auto operator<=>(store_version const&) const = default;
-};
-
 /// An operator's order to move a service's traffic to another version.
 struct rollout_order
 {
