A target that left before the store was restored is not taken up again

A target drains, its registration is deleted, and the store comes back from a copy in which it is ready. The instances had forgotten the target, took it as a new one and sent it requests at once (DRAIN).

Departed targets are now remembered for a minute whether or not they had stated something, with the era in which they went. One of the same start that is in the lists of a later era counts as draining until targets have had the time to write their state again; then the kind is read again and taken as it is. A target that started again is used at once.

--- a/src/core/dispatch/observations.hpp
+++ b/src/core/dispatch/observations.hpp
@@ -49,7 +49,8 @@
 {
     std::int64_t started_ms = 0; ///< Start of the target, as registered.
     target_notices notices;
-    time_point at; ///< When its registration went.
+    time_point at;         ///< When its registration went.
+    std::uint64_t era = 0; ///< Era of the store in which it went.
 
     auto operator<=>(departed_target const&) const = default;
 };
--- a/src/core/dispatch/registrations.cpp
+++ b/src/core/dispatch/registrations.cpp
@@ -37,31 +37,29 @@
             t.version.revision}});
 }
 
-/// How long the notices of a target are kept after its registration has gone.
+/// How long a target is remembered after its registration has gone.
 constexpr auto departed_kept = seconds{60};
 
-/// Keeps the notices of a target that is removed.
-auto keep_notices(dispatch_state& s, target_entry const& t, time_point now)
+/// Remembers a target that is removed.
+auto remember_departed(dispatch_state& s, target_entry const& t, time_point now)
     -> void
 {
     std::erase_if(s.departed, [&](auto const& it)
         { return now - it.second.at > duration{departed_kept}; });
-    if (!is_empty(t.notices, now))
-        s.departed[t.id] = {t.info.started_ms, t.notices, now};
+    s.departed[t.id] = {
+        t.info.started_ms, t.notices, now, s.contact.era.value_or(0)};
 }
 
-/// Notices of a target that registers: those from before if it is the same
-/// start.
-auto kept_notices(dispatch_state& s, target_id id, std::int64_t started_ms)
-    -> target_notices
+/// What is remembered of a target that registers if it is the same start.
+auto take_departed(dispatch_state& s, target_id id, std::int64_t started_ms)
+    -> std::optional<departed_target>
 {
     auto const it = s.departed.find(id);
     if (it == s.departed.end())
-        return {};
-    auto const n = it->second.started_ms == started_ms ? it->second.notices
-                                                       : target_notices{};
+        return std::nullopt;
+    auto const found = it->second;
     s.departed.erase(it);
-    return n;
+    return found.started_ms == started_ms ? std::optional{found} : std::nullopt;
 }
 
 /// Updates which versions a service's targets have.
@@ -122,6 +120,21 @@
     return kept;
 }
 
+/// The registration to use of a target that went in an earlier era: the store
+/// may have come back with one that was deleted.
+auto without_return(dispatch_state& s,
+    std::optional<departed_target> const& before, target_registration const& r,
+    std::uint64_t era, time_point now) -> target_registration
+{
+    if (!before || before->era >= era ||
+        is_settled(s, store_kind::targets, now))
+        return r;
+    s.settling.unsettled.insert(store_kind::targets);
+    auto kept = r;
+    kept.draining = true;
+    return kept;
+}
+
 } // namespace
 
 auto remove_target(
@@ -132,7 +145,7 @@
         return;
     auto& t = it->second;
     close_idle(s, t, out);
-    keep_notices(s, t, now);
+    remember_departed(s, t, now);
     note_ended(s, t, now, out);
     report_target(t, target_condition::gone, out);
     auto const service = t.service;
@@ -177,12 +190,13 @@
         remove_target(s, id, now, out);
     auto const [it, fresh] = s.targets.try_emplace(id);
     auto& t = it->second;
-    if (fresh || !t.listed)
-        t.notices = kept_notices(s, id, r.started_ms);
-    auto const drains = r.draining && !t.info.draining;
     auto const known_before = !fresh && t.listed;
-    if (fresh || !t.listed)
+    auto const before = known_before ? std::optional<departed_target>{}
+                                     : take_departed(s, id, r.started_ms);
+    auto const drains = r.draining && !t.info.draining;
+    if (!known_before)
     {
+        t.notices = before ? before->notices : target_notices{};
         auto& service = service_entry_of(s, r.service);
         t.id = id;
         t.service = id_of<service_id>(r.service);
@@ -190,7 +204,8 @@
         t.listed = true;
         invalidate_shares(s, t.service);
     }
-    t.info = known_before ? without_setback(s, t, r, now) : r;
+    t.info = known_before ? without_setback(s, t, r, now)
+                          : without_return(s, before, r, version.era, now);
     update_versions(s, s.services.at(t.service), now);
     t.version = version;
     t.distance = proximity_to(s, r.zone);
