--- a/bench/core_cost.cpp
+++ b/bench/core_cost.cpp
@@ -57,7 +57,7 @@
         send_event(ks::tick{});
         auto c = ks::customer_config{};
         c.name = "c";
-        c.version = 1;
+        c.version = {0, 1};
         c.max_queries = 100'000;
         auto s = ks::service_info{};
         s.name = "s";
--- a/examples/one_node.cpp
+++ b/examples/one_node.cpp
@@ -18,7 +18,7 @@
     s.targets = {{"leaf-a", "10.0.0.1:7000", "gent-dok", {0}, {}}};
     auto c = ks::customer_config{};
     c.name = "regie";
-    c.version = 1;
+    c.version = {0, 1};
     c.services = {s};
     return c;
 }
