--- a/tests/dispatch/harness.cpp
+++ b/tests/dispatch/harness.cpp
@@ -130,6 +130,23 @@
     feed(connection_closed{s.connection, how, false});
 }
 
+auto harness::sends_to(
+    std::string const& target, int requests, duration interval) -> bool
+{
+    auto found = false;
+    for (auto i = 0; i < requests; ++i)
+    {
+        submit("n" + std::to_string(callers_));
+        for (auto const& it : take_sent())
+        {
+            found = found || it.target == target;
+            succeed(it);
+        }
+        advance(interval);
+    }
+    return found;
+}
+
 auto harness::take_sent() -> std::vector<sent_request>
 {
     auto out = std::vector<sent_request>(unanswered.begin(), unanswered.end());
--- a/tests/dispatch/harness.hpp
+++ b/tests/dispatch/harness.hpp
@@ -94,6 +94,11 @@
     /// except those already answered.
     auto take_sent() -> std::vector<sent_request>;
 
+    /// True if some of the next requests reach a target. Those that reach any
+    /// succeed.
+    auto sends_to(std::string const& target, int requests, duration interval)
+        -> bool;
+
     /// The answer to a caller, if there is one.
     auto answer_to(caller_id c) const -> std::optional<answer_record>;
 
--- a/tests/dispatch/test_eras.cpp
+++ b/tests/dispatch/test_eras.cpp
@@ -63,18 +63,7 @@
     /// True if some of the next requests reach a target.
     auto is_sent_to(std::string const& target) -> bool
     {
-        auto found = false;
-        for (auto i = 0; i < 60; ++i)
-        {
-            r.submit("q" + std::to_string(++requests));
-            for (auto const& it : r.take_sent())
-            {
-                found = found || it.target == target;
-                r.succeed(it);
-            }
-            r.advance(ks::milliseconds{20});
-        }
-        return found;
+        return r.sends_to(target, 60, ks::milliseconds{20});
     }
 
     auto config_version() const -> std::uint64_t
@@ -83,7 +72,6 @@
     }
 
     harness r;
-    int requests = 0;
 };
 
 } // namespace
--- a/tests/dispatch/test_restored_targets.cpp
+++ b/tests/dispatch/test_restored_targets.cpp
@@ -66,22 +66,10 @@
     /// True if some of the next requests reach a target.
     auto is_sent_to(std::string const& target) -> bool
     {
-        auto found = false;
-        for (auto i = 0; i < 40; ++i)
-        {
-            r.submit("q" + std::to_string(++requests));
-            for (auto const& it : r.take_sent())
-            {
-                found = found || it.target == target;
-                r.succeed(it);
-            }
-            r.advance(before_settled / 40);
-        }
-        return found;
+        return r.sends_to(target, 40, before_settled / 40);
     }
 
     harness r;
-    int requests = 0;
 };
 
 } // namespace
