--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -200,7 +200,7 @@
         announce_digest(s, peer);
 }
 
-/// Replaces a customer's configuration, and tells some peers.
+/// Replaces a customer's configuration, and notifies some peers.
 auto apply_config(node_state& s, customer_config const& config,
     instance_id from, time_point now, commands& out) -> void
 {
--- a/src/core/dispatch/eras.hpp
+++ b/src/core/dispatch/eras.hpp
@@ -1,9 +1,10 @@
 /// Follows the eras of the store: each begins when the store comes back from an
 /// older copy of its data, without what was written since.
 ///
-/// A new era starts all kinds of objects anew. What is in force stays in force
-/// meanwhile. What the store no longer has, or has in an earlier state, is kept
-/// until its writer must have written it again; then the store's state counts.
+/// A new era starts all kinds of objects afresh. What is in force stays in
+/// force meanwhile. What the store no longer has, or has in an earlier state,
+/// is kept until its writer must have written it again; then the store's state
+/// counts.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_ERAS_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_ERAS_HPP
 
--- a/src/core/dispatch/version_shift.hpp
+++ b/src/core/dispatch/version_shift.hpp
@@ -98,7 +98,7 @@
     time_point now) -> version_shift;
 
 /// Applies a change of the order in the store. An order to another version, or
-/// one that is open again after its end, starts anew. An order that is first
+/// one that is open again after its end, starts over. An order that is first
 /// read in a new era of the store goes on: its state may have been lost, and is
 /// then written again.
 auto with_order(version_shift const& v, rollout_order const& o,
--- a/tests/failure/test_restored_platform.cpp
+++ b/tests/failure/test_restored_platform.cpp
@@ -22,7 +22,7 @@
     return all;
 }
 
-/// A version of the configuration, told apart by its limit.
+/// A version of the configuration, distinguished by its limit.
 auto config_of(world const& w, store_version version, std::uint32_t max_queries)
     -> customer_config
 {
