--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -99,7 +99,7 @@
     std::vector<event> deferred_events; ///< Received while paused.
     std::optional<time_point> next_wake;
     bool watching = false;
-    std::uint64_t entered_era = 0; ///< Last era that a peer has told it.
+    std::uint64_t entered_era = 0; ///< Last era that a peer has stated.
 };
 
 /// Instances, leafs and platform, driven by one queue of actions in order of
