A relay's answer no longer ends the probing of a lost store

Cause: while calls fail, one kind probes the store and the timers of the other kinds run out without effect; the answer to the probe arms them again. The answer of a relay ended the probing too, but armed nothing: a kind whose timer had run out was never called for again. An instance that was asked as a relay itself stayed with the configuration of then, and one that followed a relay never listed the instances again, so that its shares of budgets were those of an older fleet. A kind that had not failed did not keep the instance from serving as a relay, so others took over its state.

Change: a relay's answer says what the store had, not that this instance can reach it. The probing ends by an answer of the store, or when the kind that probes turns to a relay or all kinds turn from one; then all waiting kinds are called for.

--- a/src/core/dispatch/relays.cpp
+++ b/src/core/dispatch/relays.cpp
@@ -128,6 +128,16 @@
             reason, s.contact.newest.revision}});
 }
 
+/// Lets every kind call the store again, including those that wait until the
+/// kind that probes it gets an answer.
+auto end_probing(dispatch_state& s, time_point now) -> void
+{
+    s.contact.probing.reset();
+    for (auto const& [kind, f] : s.follows)
+        if (std::holds_alternative<pausing>(f.phase))
+            arm(s, now, follow_due{kind});
+}
+
 /// Follows the store by this instance's own calls.
 auto follow_directly(dispatch_state& s, char const* reason, time_point now,
     commands& out) -> void
@@ -144,11 +154,13 @@
         if (auto const* it = std::get_if<pausing>(&f.phase))
             arm(s, it->until, follow_due{kind});
     }
+    end_probing(s, now);
     report_source(s, reason, out);
 }
 
-/// Follows the store by what the relay passes on.
-auto follow_relay(dispatch_state& s, commands& out) -> void
+/// Follows the store by what the relay passes on. A kind that probed the store
+/// no longer does.
+auto follow_relay(dispatch_state& s, time_point now, commands& out) -> void
 {
     if (s.source.active)
         return;
@@ -156,6 +168,8 @@
     for (auto& [kind, f] : s.follows)
         if (is_passed_on(s, kind))
             f = with_relay(f);
+    if (s.contact.probing && s.follows[*s.contact.probing].attached)
+        end_probing(s, now);
     report_source(s, "served", out);
 }
 
@@ -215,7 +229,7 @@
         apply_changes(s, u.kind, u.changes, u.version.era, now, out);
     auto& f = s.follows[u.kind];
     f = with_relayed(f, u.version, u.complete);
-    s.contact = with_answer(s.contact, u.version);
+    s.contact = with_relayed_version(s.contact, u.version);
 }
 
 } // namespace
@@ -332,7 +346,7 @@
             apply_update(s, it, now, out);
     if (s.relaying.until > now || s.stop.requested)
         return follow_directly(s, "asked by another instance", now, out);
-    follow_relay(s, out);
+    follow_relay(s, now, out);
     update_ready(s, out);
     auto const all = usable_candidates(s, now);
     auto const again = std::find_if(all.begin(), all.end(),
--- a/src/core/dispatch/store_contact.cpp
+++ b/src/core/dispatch/store_contact.cpp
@@ -25,6 +25,12 @@
 auto with_answer(store_contact c, store_version version) -> store_contact
 {
     c.probing.reset();
+    return with_relayed_version(c, version);
+}
+
+auto with_relayed_version(store_contact c, store_version version)
+    -> store_contact
+{
     c.newest = std::max(c.newest, version);
     return c;
 }
--- a/src/core/dispatch/store_contact.hpp
+++ b/src/core/dispatch/store_contact.hpp
@@ -32,6 +32,11 @@
 /// Contact after an answer that shows the store at a version.
 auto with_answer(store_contact c, store_version version) -> store_contact;
 
+/// Contact after a relay has passed on what the store had at a version. It says
+/// nothing about whether this instance can reach the store.
+auto with_relayed_version(store_contact c, store_version version)
+    -> store_contact;
+
 /// Contact after a failed call for the kind that `f` follows.
 auto with_failed_call(store_contact c, follow_state const& f, store_failure why,
     time_point now) -> store_contact;
