Tests state the signal that ended a process

The exit code is 1000 plus the signal's number now; every other value is as before, and as many checks compare it with 0.

--- a/tests/process/processes.hpp
+++ b/tests/process/processes.hpp
@@ -42,6 +42,9 @@
     return true;
 }
 
+constexpr auto still_runs = -1;
+constexpr auto ended_by_signal = 1'000; ///< Added to the signal's number.
+
 /// A process, which is killed with the object. Output goes to a log file.
 class process
 {
@@ -80,17 +83,18 @@
 
     auto send(int signal) const -> void { kill(pid_, signal); }
 
-    /// Waits until the process exits. Returns the exit code, -1 after the
-    /// timeout, or -2 if a signal killed it.
+    /// Waits until the process exits. Returns the exit code, `still_runs` after
+    /// the timeout, or `ended_by_signal` plus the signal's number.
     auto exit_code(seconds timeout) -> int
     {
         auto status = 0;
         auto const ended = wait_for(
             timeout, [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
         if (!ended)
-            return -1;
+            return still_runs;
         pid_ = 0;
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+        return WIFEXITED(status) ? WEXITSTATUS(status)
+                                 : ended_by_signal + WTERMSIG(status);
     }
 
 private:
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -215,7 +215,7 @@
 auto soak_run::await_exit(std::size_t i, ks::time_point stop_sent) -> void
 {
     auto const code = instances_[i].running->exit_code(ks::seconds{0});
-    if (code == -1 && ks::steady_now() < stop_sent + grace)
+    if (code == processes::still_runs && ks::steady_now() < stop_sent + grace)
         return after(ks::milliseconds{50},
             [this, i, stop_sent] { await_exit(i, stop_sent); });
     if (code != 0)
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -225,7 +225,8 @@
     check_recovery(first, last);
     for (std::size_t i = 0; i < instances_.size(); ++i)
         if (!instances_[i].stopping &&
-            instances_[i].running->exit_code(ks::seconds{0}) != -1)
+            instances_[i].running->exit_code(ks::seconds{0}) !=
+                processes::still_runs)
             violations_.push_back({"no instance exits unless it is stopped",
                 "i" + std::to_string(i)});
     auto all = check_invariants(history_);
