A signal that arrives while a stopped instance exits does not end it

Operators saw: an instance that had finished its stop ended by SIGTERM, SIGINT or SIGHUP instead of exit code 0, if one more of them arrived at the last moment.

Cause: the handlers are removed when the event loop has ended, so the default action holds until the process has exited. Change: the signals are blocked first, as they are during the start.

The product's own front end has the same line; its window is a few instructions long and was not tested.

--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -104,6 +104,7 @@
     execute(dispatcher_.start(steady_now()));
     held.release();
     event_base_dispatch(base_.get());
+    held.hold();
     log(log_level::info, "node", "Stopped. name=" + settings_.self.name);
     flush_log();
     return {};
--- a/src/app/held_signals.hpp
+++ b/src/app/held_signals.hpp
@@ -1,4 +1,4 @@
-/// Holds signals back until their handlers are in place.
+/// Holds signals back while no handlers for them are in place.
 #ifndef KNAPWEEDSTREAM_APP_HELD_SIGNALS_HPP
 #define KNAPWEEDSTREAM_APP_HELD_SIGNALS_HPP
 
@@ -8,7 +8,8 @@
 {
 
 /// Blocks SIGTERM, SIGINT and SIGHUP, whose default is to end the process.
-/// Signals that arrive while a process starts are delivered after `release`.
+/// Signals that arrive while a process starts are delivered after `release`;
+/// those after `hold`, when it is about to exit, are not.
 class held_signals
 {
 public:
@@ -17,7 +18,7 @@
         sigemptyset(&set_);
         for (auto const it : {SIGTERM, SIGINT, SIGHUP})
             sigaddset(&set_, it);
-        sigprocmask(SIG_BLOCK, &set_, nullptr);
+        hold();
     }
 
     /// True if a request to stop has arrived and is held back.
@@ -29,6 +30,8 @@
                sigismember(&pending, SIGINT) == 1;
     }
 
+    auto hold() const -> void { sigprocmask(SIG_BLOCK, &set_, nullptr); }
+
     auto release() const -> void { sigprocmask(SIG_UNBLOCK, &set_, nullptr); }
 
 private:
--- a/src/app/runtime.cpp
+++ b/src/app/runtime.cpp
@@ -106,6 +106,7 @@
     push(tick{});
     held.release();
     event_base_dispatch(base_.get());
+    held.hold();
     recorder_.flush();
     log(log_level::info, "node", "Stopped. name=" + settings_.self.name);
     flush_log();
