Store: idle connections are closed once a call has got no answer

Cause: each kind of call keeps a connection of its own, and a call without an answer closed only that one. Change: it closes all idle ones, so that the next calls open new ones. Calls that are pending have their own timeouts.

--- a/src/adapter/call_channel.cpp
+++ b/src/adapter/call_channel.cpp
@@ -76,6 +76,12 @@
     handle(how, in_time);
 }
 
+auto call_channel::drop_idle() -> void
+{
+    if (!pending_)
+        drop_link();
+}
+
 auto call_channel::drop_link() -> void
 {
     if (link_ == nullptr)
--- a/src/adapter/call_channel.hpp
+++ b/src/adapter/call_channel.hpp
@@ -26,6 +26,10 @@
     auto call(http_message const& m, duration limit, reply_handler on_reply,
         failure_handler on_failure) -> void;
 
+    /// Closes the connection unless a call is pending, so that the next call
+    /// opens a new one.
+    auto drop_idle() -> void;
+
     /// Frees closed connections; must not be called from the callback of one.
     auto free_closed() -> void { closed_.clear(); }
 
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -154,8 +154,19 @@
         m, limit,
         [this, decode_reply = std::move(decode_reply)](http_message const& it)
         { sink_(decode_reply(it)); },
-        [this, make_failure = std::move(make_failure)](link_end how,
-            bool in_time) { sink_(make_failure(failure_of(how, in_time))); });
+        [this, make_failure = std::move(make_failure)](
+            link_end how, bool in_time)
+        {
+            if (!in_time)
+                drop_idle();
+            sink_(make_failure(failure_of(how, in_time)));
+        });
+}
+
+auto store_client::drop_idle() -> void
+{
+    for (auto& [name, it] : channels_)
+        it.drop_idle();
 }
 
 auto store_client::free_closed() -> void
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -72,6 +72,9 @@
         reply_decoder decode_reply, failure_builder make_failure) -> void;
     auto write(std::string const& channel_key, store_kind kind,
         std::string const& name, http_message const& m) -> void;
+    /// Closes the idle connections: once a call has got no answer, they may
+    /// deliver nothing more either.
+    auto drop_idle() -> void;
 
     event_base* base_;
     std::string address_;
