An instance that is no longer asked as a relay asks one again

Operators saw: more calls to the store than planned for at large sites.

Cause: an instance that is asked becomes a relay for 30 s after the last question. Its timer for asking a relay itself ran out within that time and was not armed again, so it followed the store by own calls for good. Change: the timer is armed for the end of that time.

Before: "relays: an instance that is no longer asked ..." fails (1 > 1). The effect on calls was not counted.

--- a/src/core/dispatch/relays.cpp
+++ b/src/core/dispatch/relays.cpp
@@ -344,8 +344,11 @@
     for (auto const& it : e.reply.updates)
         if (is_passed_on(s, it.kind))
             apply_update(s, it, now, out);
-    if (s.relaying.until > now || s.stop.requested)
-        return follow_directly(s, "asked by another instance", now, out);
+    if (is_relay(s, now) || s.stop.requested)
+    {
+        follow_directly(s, "asked by another instance", now, out);
+        return look_again(s, s.relaying.until);
+    }
     follow_relay(s, now, out);
     update_ready(s, out);
     auto const all = usable_candidates(s, now);
@@ -374,9 +377,10 @@
 auto on_relay_due(dispatch_state& s, time_point now, commands& out) -> void
 {
     answer_relay_callers(s, now, out);
-    if (s.source.pending || now < s.source.retry_at || s.stop.requested ||
-        is_relay(s, now))
+    if (s.source.pending || now < s.source.retry_at || s.stop.requested)
         return;
+    if (is_relay(s, now))
+        return look_again(s, s.relaying.until);
     if (!has_initial_data(s) || s.instances.empty())
         return look_again(s, now + duration{first_look});
     ask_next(s, "no relay serves", now, out);
--- a/tests/dispatch/test_relay_contact.cpp
+++ b/tests/dispatch/test_relay_contact.cpp
@@ -173,3 +173,16 @@
     i.r->advance(seconds{1});
     CHECK(i.count<store_watch>(ks::store_kind::configuration) > before);
 }
+
+TEST_CASE("relays: an instance that is no longer asked asks a relay again")
+{
+    constexpr auto duty = seconds{30};
+    auto i = asking_instance{};
+    i.r->feed(relay_asked{relay_caller_id{1}, {"other", {}, {}}});
+    i.reply({});
+    auto const before = i.r->commands_of<ask_relay>().size();
+    i.r->advance(duty / 2);
+    CHECK(i.r->commands_of<ask_relay>().size() == before);
+    i.r->advance(duty);
+    CHECK(i.r->commands_of<ask_relay>().size() > before);
+}
