--- a/tests/process/test_restored_store.cpp
+++ b/tests/process/test_restored_store.cpp
@@ -15,6 +15,7 @@
 constexpr auto replicas = 7;
 constexpr auto drain_bound = milliseconds{4'000};
 constexpr auto config_bound = milliseconds{4'000};
+constexpr auto evacuate_bound = milliseconds{5'000};
 constexpr auto lost_revisions = 60;
 constexpr auto away = milliseconds{700};
 
@@ -93,6 +94,31 @@
         write_next_config("/new/");
     }
 
+    /// Evacuates the instances' zone.
+    auto evacuate() -> void
+    {
+        CHECK(cluster.create("evacuations", "a", {{"zone", "a"}}));
+    }
+
+    /// Checks that the zone's targets get no requests once all instances must
+    /// know of its evacuation, and that all requests are served.
+    auto check_evacuation(time_point since) -> void
+    {
+        for (auto i = 0; i < instance_count; ++i)
+            CHECK(count(0, i, drained) > 0);
+        send_until(since + evacuate_bound);
+        auto const first = log_.size();
+        send_for(milliseconds{2'000});
+        for (auto i = 0; i < instance_count; ++i)
+            for (auto const& it : {drained, removed, joined})
+            {
+                CAPTURE(i);
+                CAPTURE(it);
+                CHECK(count(first, i, it) == 0);
+            }
+        CHECK(are_all_served());
+    }
+
     /// Writes more revisions than were lost.
     auto write_more() -> void
     {
@@ -115,8 +141,7 @@
             CHECK(count(first, i, joined) > 0);
             CHECK(cluster.ask("/new/x", i) == 200);
         }
-        CHECK(std::all_of(log_.begin(), log_.end(),
-            [](served const& it) { return it.status == 200; }));
+        CHECK(are_all_served());
     }
 
     routed_cluster cluster;
@@ -131,6 +156,12 @@
         log_.push_back({now, i, m.status, stamp.substr(0, stamp.find('.'))});
     }
 
+    auto are_all_served() const -> bool
+    {
+        return std::all_of(log_.begin(), log_.end(),
+            [](served const& it) { return it.status == 200; });
+    }
+
     auto count(std::size_t first, int instance, std::string const& target) const
         -> std::ptrdiff_t
     {
@@ -205,6 +236,22 @@
     check_changes_after(27'100, milliseconds{5'000});
 }
 
+TEST_CASE(
+    "restored store: a zone that is evacuated afterwards gets no requests")
+{
+    auto port = std::uint16_t{27'500};
+    for (auto const delay : {milliseconds{1'000}, milliseconds{5'000}})
+    {
+        CAPTURE(delay.count());
+        auto f = restored_fleet{port};
+        port += 50;
+        f.restore(away + milliseconds{200});
+        f.send_until_return_and(delay);
+        f.evacuate();
+        f.check_evacuation(steady_now());
+    }
+}
+
 TEST_CASE(
     "restored store: changes are not passed over when more revisions were "
     "written than lost before an instance reached the store")
