--- a/tests/dispatch/test_rollouts.cpp
+++ b/tests/dispatch/test_rollouts.cpp
@@ -181,3 +181,29 @@
         CHECK(sum > 0);
     }
 }
+
+TEST_CASE("rollouts: no state is written under a revision from before the "
+          "store came back from an older copy")
+{
+    constexpr auto restored_era = std::uint64_t{2};
+    auto f = rollout_fixture{};
+    auto const writes = [&]
+    {
+        return f.r.commands_of<store_write_order_state>();
+    };
+    f.r.advance(ks::seconds{1});
+    REQUIRE(!writes().empty());
+    f.r.feed(store_changed{ks::store_kind::targets, {}, 50, restored_era});
+    auto const before = writes().size();
+    f.r.advance(order_length / 2);
+    CHECK(writes().size() == before);
+    auto const again = std::uint64_t{60};
+    f.r.feed(store_listed{ks::store_kind::rollouts,
+        {{"s", again,
+            ks::rollout_order{
+                "s", "v2", order_length, ks::order_state::waiting}}},
+        "", again, false, restored_era});
+    f.r.advance(ks::seconds{6});
+    REQUIRE(writes().size() > before);
+    CHECK(writes().back().revision == again);
+}
