--- a/tests/process/test_restored_store.cpp
+++ b/tests/process/test_restored_store.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace processes;
 
@@ -136,6 +137,7 @@
         for (auto i = 0; i < instance_count; ++i)
         {
             CAPTURE(i);
+            CAPTURE(targets_of(first, i));
             CHECK(count(first, i, drained) == 0);
             CHECK(count(first, i, removed) == 0);
             CHECK(count(first, i, joined) > 0);
@@ -156,6 +158,19 @@
         log_.push_back({now, i, m.status, stamp.substr(0, stamp.find('.'))});
     }
 
+    /// Targets that got an instance's requests, with their numbers.
+    auto targets_of(std::size_t first, int instance) const -> std::string
+    {
+        auto numbers = std::map<std::string, int>{};
+        for (auto n = first; n < log_.size(); ++n)
+            if (log_[n].instance == instance)
+                ++numbers[log_[n].target];
+        auto out = std::string{};
+        for (auto const& [target, n] : numbers)
+            out += target + "=" + std::to_string(n) + " ";
+        return out;
+    }
+
     auto are_all_served() const -> bool
     {
         return std::all_of(log_.begin(), log_.end(),
