A request whose connection is reset is charged to the retry budget

Cause: a connection without a reply that was reset sooner than a usual reply was taken as one beyond the target's limit, so its request counted as not received: the repeat was neither asked of the retry budget nor charged, and neither counted as a run. Targets that work on a request and reset the connection look the same. Change: only a request of which nothing was written is repeated for free. An early reset still delays new connections to the target, but only within the time in which a full target resets a new connection; a later one counts as a failure of the target. The test "a retry after a rejected connection is not charged" demanded the fault; in its place one test demands that such a request is charged and runs on no more targets than its route allows, and one that the repeat of a request that was not written is free, over as many breaks as before.

--- a/src/core/dispatch/attempt_outcome.cpp
+++ b/src/core/dispatch/attempt_outcome.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatch/attempt_outcome.hpp"
 
+#include "core/dispatch/pool.hpp"
+
 #include <knapweedstream/overloaded.hpp>
 
 namespace knapweedstream::dispatch
@@ -8,26 +10,14 @@
 namespace
 {
 
-/// True if a connection that has carried no reply was reset sooner than a reply
-/// could come. This shows that the target had more connections than it accepts
-/// and did not read the request.
-auto was_reset_unread(dispatch_state const& s, attempt const& a, link const& l,
-    connection_closed const& e, time_point now) -> bool
+/// True if a connection that has carried no reply was reset as early as a
+/// target with too many connections resets new ones.
+auto is_early_reset(target_entry const& t, link const& l,
+    connection_closed const& e, dispatch_limits const& limits, time_point now)
+    -> bool
 {
-    auto const r = s.requests.find(a.part.request);
-    if (l.replied || e.how != connection_end::reset || r == s.requests.end())
-        return false;
-    auto const& t = s.targets.at(l.target);
-    auto const round_trip =
-        t.connect_time + duration{s.init.limits.turned_away_slack};
-    auto const known = s.latencies.find(r->second.value.matched_route->name);
-    auto const sooner =
-        known == s.latencies.end()
-            ? round_trip
-            : earliest_latency(
-                  known->second.at[static_cast<std::size_t>(t.distance)],
-                  round_trip);
-    return now - a.sent_at < sooner;
+    return !l.replied && e.how == connection_end::reset &&
+           now - l.opened <= time_to_settle(t, limits);
 }
 
 } // namespace
@@ -54,17 +44,14 @@
         r);
 }
 
-auto outcome_of_loss(dispatch_state const& s, attempt const& a, link const& l,
+auto outcome_of_loss(dispatch_state const& s, link const& l,
     connection_closed const& e, time_point now) -> attempt_outcome
 {
     if (e.unsent)
         return {attempt_end::unsent, false, 0};
-    auto const r = s.requests.find(a.part.request);
-    auto const idempotent =
-        r != s.requests.end() && r->second.value.matched_route->delivery ==
-                                     delivery_semantics::idempotent;
-    if (idempotent && was_reset_unread(s, a, l, e, now))
-        return {attempt_end::turned_away, false, 0};
+    auto const& t = s.targets.at(l.target);
+    if (is_early_reset(t, l, e, s.init.limits, now))
+        return {attempt_end::turned_away, true, 0};
     return {attempt_end::lost, true, 0};
 }
 
--- a/src/core/dispatch/attempt_outcome.hpp
+++ b/src/core/dispatch/attempt_outcome.hpp
@@ -18,8 +18,10 @@
 /// Outcome of an attempt that got a reply.
 auto outcome_of_reply(target_reply const& r) -> attempt_outcome;
 
-/// Outcome of an attempt whose connection was lost.
-auto outcome_of_loss(dispatch_state const& s, attempt const& a, link const& l,
+/// Outcome of an attempt whose connection was lost. Once any part of the
+/// request was written, the target may have run it, however soon the connection
+/// was reset.
+auto outcome_of_loss(dispatch_state const& s, link const& l,
     connection_closed const& e, time_point now) -> attempt_outcome;
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -139,16 +139,15 @@
     if (reply != nullptr)
         p.replied_on.push_back(a.connection);
     report_failure(s, a, m, now, out);
-    auto const not_received =
-        m.how == attempt_end::unsent || m.how == attempt_end::turned_away;
+    auto const unsent = m.how == attempt_end::unsent;
     p.runs -= !m.ran && p.runs > 0 ? 1 : 0;
-    p.sends -= not_received && p.sends > 0 ? 1 : 0;
+    p.sends -= unsent && p.sends > 0 ? 1 : 0;
     if (m.how == attempt_end::overloaded)
         e.refusal = refusal_reason::overloaded;
     if (reply != nullptr)
         if (auto const* f = std::get_if<reply_failure>(reply))
             e.failure = f->message;
-    auto const again = not_received ? a.kind : attempt_kind::retry;
+    auto const again = unsent ? a.kind : attempt_kind::retry;
     if (m.how == attempt_end::overloaded && !has_untried(s, p, e.value, now) &&
         may_send_again(s, e, p))
         schedule_retry(s, a.part, now);
@@ -169,11 +168,11 @@
 auto lose_attempt(dispatch_state& s, attempt const a, link const& l,
     connection_closed const& e, time_point now, commands& out) -> void
 {
-    auto const m = outcome_of_loss(s, a, l, e, now);
+    auto const m = outcome_of_loss(s, l, e, now);
     s.attempts.erase(a.id);
     remove_link(s, l);
     auto& t = s.targets.at(l.target);
-    if (m.ran)
+    if (m.how == attempt_end::lost)
     {
         ++s.stats.lost_attempts;
         t.health = with_lost(t.health, s.init.limits, now);
--- a/src/core/dispatch/latency.hpp
+++ b/src/core/dispatch/latency.hpp
@@ -26,7 +26,6 @@
 /// Latency quantiles of one route's requests to targets of one proximity.
 struct latency_estimate
 {
-    quantile_estimate low{0.05};
     quantile_estimate median{0.5};
     quantile_estimate high{0.95}; ///< The hedge delay is derived from it.
 
@@ -47,7 +46,7 @@
     -> latency_estimate
 {
     auto const us = static_cast<double>(took.count());
-    return {observe(e.low, us), observe(e.median, us), observe(e.high, us)};
+    return {observe(e.median, us), observe(e.high, us)};
 }
 
 /// Samples needed before the median and the high quantile are used.
@@ -62,19 +61,6 @@
     return duration{static_cast<duration::rep>(e.median.value_us)};
 }
 
-/// Samples needed before the low quantile is used.
-constexpr auto min_low_samples = 20u;
-
-/// Low quantile of latency: hardly any reply comes sooner. `fallback` if there
-/// are too few samples.
-inline auto earliest_latency(latency_estimate const& e, duration fallback)
-    -> duration
-{
-    if (e.low.samples < min_low_samples)
-        return fallback;
-    return duration{static_cast<duration::rep>(e.low.value_us)};
-}
-
 /// Time without a reply after which a request is hedged: the high quantile,
 /// kept between two multiples of the median; `initial_hedge_delay` if there are
 /// too few samples.
--- a/src/core/dispatch/limits.hpp
+++ b/src/core/dispatch/limits.hpp
@@ -32,7 +32,7 @@
     milliseconds abandoned_timeout{400};
     /// Sends of a part that are allowed beyond the route's maximum of attempts.
     /// An attempt that the target refused without running it counts as a send
-    /// only; one that the target did not receive counts as neither.
+    /// only; one of which nothing was written counts as neither.
     std::uint32_t spare_sends = 4;
 
     milliseconds connect_timeout{400}; ///< For opening a connection.
@@ -51,10 +51,8 @@
     /// A new connection that is reset within this time, before it carried a
     /// request, exceeded the target's connection limit.
     milliseconds turned_away_within{500};
-    /// While a route's latencies are unknown, a reply is assumed to take at
-    /// least the time to open a connection plus this. A new connection that is
-    /// reset sooner after its first request exceeded the target's connection
-    /// limit.
+    /// A target that has too many connections resets a new one within the time
+    /// to open one plus this.
     milliseconds turned_away_slack{5};
     /// Minimum share of a target's connection limit that the instances divide
     /// among themselves. The rest is left for borrowed connections, which are
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -18,7 +18,7 @@
 
 /// Counts an attempt in the retry budget of its service: an extra request is
 /// charged, the first request of a part adds to the budget. A repeat of a first
-/// request that the target did not receive is not counted.
+/// request of which nothing was written is not counted.
 auto charge_budget(
     dispatch_state& s, part const& p, attempt_kind kind, time_point now) -> void
 {
@@ -90,8 +90,9 @@
     a.late_after =
         late_after(usual, duration{e.value.matched_route->latency_objective});
     auto& l = s.links.at(connection);
-    l = link{
-        l.id, l.target, link_state::busy, a.id, now, l.usable_until, l.replied};
+    l.state = link_state::busy;
+    l.attempt = a.id;
+    l.since = now;
     t.health = with_sent(t.health, now);
     if (now < t.cold_until)
         t.warmup = with_sent(t.warmup);
--- a/src/core/dispatch/pool.cpp
+++ b/src/core/dispatch/pool.cpp
@@ -231,6 +231,12 @@
         arm(s, next.usable_until, link_due{l.id});
 }
 
+auto time_to_settle(target_entry const& t, dispatch_limits const& limits)
+    -> duration
+{
+    return t.connect_time + duration{limits.turned_away_slack};
+}
+
 auto was_turned_away(dispatch_state const& s, link const& l, connection_end how,
     time_point now) -> bool
 {
@@ -250,6 +256,7 @@
     auto& t = s.targets.at(it->second.target);
     t.opening -= t.opening > 0 ? 1 : 0;
     t.connect_time = smoothed(t.connect_time, now - it->second.since);
+    it->second.opened = now;
     release_link(s, it->second, duration{0}, now);
     report_condition(s, t, now, out);
     if (!is_usable(t, now))
--- a/src/core/dispatch/pool.hpp
+++ b/src/core/dispatch/pool.hpp
@@ -89,6 +89,11 @@
 auto on_opened(dispatch_state& s, connection_opened const& e, time_point now,
     commands& out) -> void;
 
+/// Time since a connection opened after which a target that has too many
+/// connections would have reset it.
+auto time_to_settle(target_entry const& t, dispatch_limits const& limits)
+    -> duration;
+
 /// True if a new idle connection was reset soon after it opened: the target had
 /// more connections than it accepts.
 auto was_turned_away(dispatch_state const& s, link const& l, connection_end how,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -60,6 +60,7 @@
     link_state state = link_state::opening;
     attempt_id attempt; ///< Set while busy.
     time_point since;   ///< When it entered this state.
+    time_point opened;  ///< When it was established.
     /// While idle: when to close it, before the target does.
     time_point usable_until = time_point::max();
     bool replied = false; ///< True once a reply has come on it.
@@ -111,7 +112,7 @@
     bool queued = false; ///< True while it is in its service's queue.
     /// Kind of the attempt that is queued.
     attempt_kind queued_kind = attempt_kind::first;
-    /// Attempts sent, except those that the target did not receive.
+    /// Attempts sent, except those of which nothing was written.
     std::uint32_t sends = 0;
     /// Attempts that a target may have run.
     std::uint32_t runs = 0;
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -16,7 +16,7 @@
 /// Why a request was sent to a target.
 enum class attempt_kind : std::uint8_t
 {
-    first,  ///< First send for its part; repeated if it was not received.
+    first,  ///< First send for its part; repeated if it was not written.
     hedge,  ///< An earlier attempt is slow.
     rescue, ///< Like a hedge, but sent after the latency objective.
     retry,  ///< An earlier attempt failed.
@@ -33,7 +33,8 @@
     unusable,     ///< The reply was to another request or invalid.
     lost,         ///< The connection broke.
     unsent,       ///< The connection broke before any byte was written.
-    turned_away,  ///< Reset unread: the target had too many connections.
+    turned_away,  ///< A new connection was reset at once, as by a target that
+                  ///< has too many; the request may have run.
     abandoned,    ///< Its result is no longer needed.
 };
 
--- /dev/null
+++ b/tests/dispatch/budget_fleet.cpp
@@ -0,0 +1,160 @@
+#include "dispatch/budget_fleet.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+constexpr auto step_length = milliseconds{250};
+constexpr auto turns_of_step = 5; ///< In which retries may follow.
+
+auto name_of(std::size_t i) -> std::string
+{
+    return "i" + std::to_string(i);
+}
+
+auto sum(std::vector<arrival_counts> const& all,
+    std::uint32_t arrival_counts::*member, std::size_t from, std::size_t length)
+    -> double
+{
+    auto n = 0.0;
+    for (auto i = from; i < std::min(from + length, all.size()); ++i)
+        n += all[i].*member;
+    return n;
+}
+
+} // namespace
+
+budget_fleet::budget_fleet(std::size_t instances, std::uint64_t seed)
+    : random_{seed, 0}
+{
+    bounds_.retry_budget_extra = static_cast<std::uint32_t>(10 * instances);
+    for (auto i = std::size_t{0}; i < instances; ++i)
+    {
+        fleet_.push_back(start(i));
+        fleet_.back()->advance(seconds{30});
+    }
+    now_ += seconds{30};
+    for (auto i = std::size_t{0}; i < instances; ++i)
+        read_list(i, instances);
+}
+
+auto budget_fleet::run(duration length, target_faults const& faults) -> void
+{
+    for (auto const end = now_ + length; now_ < end; now_ += step_length)
+    {
+        arrivals_.emplace_back();
+        for (auto& it : fleet_)
+            it->submit("q" + std::to_string(requests_++));
+        for (auto turn = 0; turn < turns_of_step; ++turn)
+            for (auto& it : fleet_)
+            {
+                answer(*it, faults);
+                it->advance(step_length / turns_of_step);
+            }
+    }
+}
+
+auto budget_fleet::restart(std::size_t i, bool listed) -> void
+{
+    fleet_[i] = start(i);
+    if (listed)
+        read_list(i, fleet_.size());
+}
+
+auto budget_fleet::read_list(std::size_t i, std::size_t n) -> void
+{
+    auto objects = std::vector<stored_object>{};
+    for (auto const& it : records(i, n))
+        objects.push_back({it.name, 1, it});
+    fleet_[i]->feed(store_listed{store_kind::instances, objects, "", 1'000});
+}
+
+auto budget_fleet::worst_use_of_budget() const -> double
+{
+    auto const steps = duration{bounds_.budget_window} / step_length;
+    auto worst = 0.0;
+    for (auto i = std::size_t{0}; i < arrivals_.size(); ++i)
+        worst = std::max(worst, sum(arrivals_, &arrival_counts::extra, i,
+                                    static_cast<std::size_t>(steps)) /
+                                    allowed_from(i));
+    return worst;
+}
+
+auto budget_fleet::start(std::size_t i) -> std::unique_ptr<harness>
+{
+    auto init = dispatcher_init{};
+    init.regions = {{"a", "north"}, {"b", "north"}, {"c", "north"}};
+    init.self = {name_of(i), "a", "north"};
+    init.bounds = bounds_;
+    init.seed = i + 1;
+    auto made = std::make_unique<harness>(init, now_);
+    auto r = single_route("s");
+    r.max_attempts = 3;
+    made->feed(store_listed{
+        store_kind::configuration, {{"main", 2, config_of(r)}}, "", 2});
+    auto targets = std::vector<stored_object>{};
+    for (auto const& it : three_targets("s"))
+        targets.push_back({it.name, 3, it});
+    made->feed(store_listed{store_kind::targets, targets, "", 3});
+    return made;
+}
+
+auto budget_fleet::records(std::size_t i, std::size_t n) const
+    -> std::vector<instance_record>
+{
+    auto all = std::vector<instance_record>{};
+    for (auto k = std::size_t{0}; k < fleet_.size(); ++k)
+        if (k < n || k == i)
+            all.push_back({name_of(k), "a", "north"});
+    return all;
+}
+
+auto budget_fleet::answer(harness& from, target_faults const& faults) -> void
+{
+    for (auto const& it : from.take_sent())
+    {
+        count(it.request);
+        auto const drawn = draw();
+        if (drawn < faults.reset)
+            from.break_connection(it);
+        else if (drawn < faults.reset + faults.refuse)
+            from.reply(it, reply_overloaded{});
+        else
+            from.succeed(it);
+    }
+}
+
+auto budget_fleet::count(std::string const& request) -> void
+{
+    auto& c = arrivals_.back();
+    ++(arrived_.insert(request).second ? c.first : c.extra);
+}
+
+auto budget_fleet::draw() -> double
+{
+    constexpr auto steps = std::uint64_t{1} << 20;
+    return static_cast<double>(draw_below(random_, steps)) /
+           static_cast<double>(steps);
+}
+
+auto budget_fleet::allowed_from(std::size_t step) const -> double
+{
+    auto const n =
+        static_cast<std::size_t>(duration{bounds_.budget_window} / step_length);
+    auto const first = [&](std::size_t from)
+    {
+        return sum(arrivals_, &arrival_counts::first, from, n);
+    };
+    auto most = first(step);
+    if (step >= n / 2)
+        most = std::max(most, first(step - n / 2));
+    if (step >= n)
+        most = std::max(most, first(step - n));
+    return bounds_.retry_budget_ratio * most + bounds_.retry_budget_extra;
+}
+
+} // namespace knapweedstream::dispatch
--- /dev/null
+++ b/tests/dispatch/budget_fleet.hpp
@@ -0,0 +1,78 @@
+/// Instances that share targets and their retry budget, in virtual time. Counts
+/// what the targets get, whatever the instances believe.
+#ifndef KNAPWEEDSTREAM_TESTS_DISPATCH_BUDGET_FLEET_HPP
+#define KNAPWEEDSTREAM_TESTS_DISPATCH_BUDGET_FLEET_HPP
+
+#include "core/random.hpp"
+#include "dispatch/harness.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace knapweedstream::dispatch
+{
+
+/// Requests that the targets of the service got in one step.
+struct arrival_counts
+{
+    std::uint32_t first = 0; ///< First arrivals of their request.
+    std::uint32_t extra = 0; ///< Further arrivals.
+
+    auto operator<=>(arrival_counts const&) const = default;
+};
+
+/// How a simulated target treats requests.
+struct target_faults
+{
+    double reset = 0;  ///< Share of requests after which it resets.
+    double refuse = 0; ///< Share of requests that it refuses.
+
+    auto operator<=>(target_faults const&) const = default;
+};
+
+/// A fleet of instances that send requests to one service.
+class budget_fleet
+{
+public:
+    explicit budget_fleet(std::size_t instances, std::uint64_t seed = 1);
+
+    /// Lets each instance send a request per step for a while.
+    auto run(duration length, target_faults const& faults) -> void;
+
+    /// Replaces the process of an instance. The new one reads the configuration
+    /// and, if `listed` holds, the list of instances.
+    auto restart(std::size_t i, bool listed = true) -> void;
+
+    /// An instance reads a list that holds the first `n` instances, and itself.
+    auto read_list(std::size_t i, std::size_t n) -> void;
+
+    /// The most extra arrivals in a window, divided by those allowed.
+    auto worst_use_of_budget() const -> double;
+
+    auto instances() const -> std::size_t { return fleet_.size(); }
+    auto bounds() const -> dispatch_bounds const& { return bounds_; }
+
+private:
+    auto start(std::size_t i) -> std::unique_ptr<harness>;
+    auto records(std::size_t i, std::size_t n) const
+        -> std::vector<instance_record>;
+    auto answer(harness& from, target_faults const& faults) -> void;
+    auto count(std::string const& request) -> void;
+    auto draw() -> double;
+    auto allowed_from(std::size_t step) const -> double;
+
+    dispatch_bounds bounds_;
+    std::vector<std::unique_ptr<harness>> fleet_;
+    std::vector<arrival_counts> arrivals_; ///< By step.
+    std::set<std::string> arrived_;        ///< Requests that have arrived.
+    random_state random_;
+    time_point now_{seconds{100}};
+    std::uint64_t requests_ = 0;
+};
+
+} // namespace knapweedstream::dispatch
+
+#endif
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -152,7 +152,30 @@
     CHECK(extra > n / 10);
 }
 
-TEST_CASE("budget: a retry after a rejected connection is not charged")
+TEST_CASE("budget: a request is charged and counted as run however soon its "
+          "connection is reset")
+{
+    auto limits = dispatch_limits{};
+    limits.reopen_first = milliseconds{5};
+    auto r = harness{limits};
+    r.finish_startup();
+    r.feed_lists(config_of(single_route("s")), three_targets("s"));
+    r.submit("q");
+    auto arrivals = 0u;
+    for (auto i = 0; i < 200; ++i)
+    {
+        for (auto const& it : r.take_sent())
+        {
+            ++arrivals;
+            r.break_connection(it);
+        }
+        r.advance(milliseconds{1});
+    }
+    CHECK(arrivals == single_route("s").max_attempts);
+    CHECK(r.core.stats().retries == arrivals - 1);
+}
+
+TEST_CASE("budget: a repeat of a request that was not written is free")
 {
     auto limits = dispatch_limits{};
     limits.reopen_first = milliseconds{5};
@@ -160,7 +183,6 @@
     r.finish_startup();
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     auto const c = r.submit("q");
-    // Each target breaks two new connections at their first request.
     auto const next_sent = [&]
     {
         for (auto i = 0; i < 12 && r.unanswered.empty(); ++i)
@@ -170,7 +192,8 @@
         return all[0];
     };
     for (auto i = 0; i < 6; ++i)
-        r.break_connection(next_sent());
+        r.feed(ks::dispatch::connection_closed{
+            next_sent().connection, connection_end::reset, true});
     CHECK(!r.answer_to(c));
     CHECK(r.core.stats().retries == 0);
     r.succeed(next_sent());
--- /dev/null
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -0,0 +1,36 @@
+#include "dispatch/budget_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+namespace ks = knapweedstream;
+using namespace knapweedstream::dispatch;
+using ks::milliseconds;
+using ks::seconds;
+
+namespace
+{
+
+constexpr auto fleet_size = std::size_t{40};
+constexpr auto calm = target_faults{};
+constexpr auto resetting = target_faults{0.9, 0};
+constexpr auto refusing = target_faults{0, 0.9};
+
+} // namespace
+
+TEST_CASE("budget sums: targets that reset most requests")
+{
+    auto fleet = budget_fleet{fleet_size};
+    fleet.run(seconds{30}, resetting);
+    CHECK(fleet.worst_use_of_budget() <= 1);
+    CHECK(fleet.worst_use_of_budget() > 0.5);
+}
+
+TEST_CASE("budget sums: targets that begin to reset requests")
+{
+    auto fleet = budget_fleet{fleet_size};
+    fleet.run(seconds{20}, calm);
+    fleet.run(seconds{20}, {0.5, 0.3});
+    fleet.run(seconds{20}, calm);
+    fleet.run(seconds{20}, resetting);
+    CHECK(fleet.worst_use_of_budget() <= 1);
+}
