A process that has just started leaves the retry budget to the one before it

Cause: a share grew from the first moment of a process, to half within a window, while the process before it may have spent all of its own in that window. If many instances restart at once, the sum exceeds the budget. Change: the share is granted a window after the start; until then only the ratio of own first requests.

--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -11,8 +11,6 @@
 /// Used part of the bound; the rest covers instances that disagree about how
 /// many instances there are.
 constexpr auto used_fraction = 0.9;
-/// Windows after a start until the full share may be used.
-constexpr auto ramp_up_windows = 2;
 
 auto slot_of(dispatch_bounds const& bounds, time_point now) -> std::int64_t
 {
@@ -37,13 +35,12 @@
     return next;
 }
 
-/// Part of the share that may be used at an age of the process, from 0 to 1.
-auto ramp_up_factor(dispatch_bounds const& bounds, duration age) -> double
+/// The share that may be used at an age of the process. The process before it
+/// may have spent its own in the same window.
+auto granted_share(extra_budget const& b, dispatch_bounds const& bounds,
+    duration age) -> double
 {
-    auto const span = duration{bounds.budget_window} * ramp_up_windows;
-    return std::clamp(
-        static_cast<double>(age.count()) / static_cast<double>(span.count()),
-        0.0, 1.0);
+    return age < duration{bounds.budget_window} ? 0 : b.share;
 }
 
 /// Part of the share that is kept for more urgent requests.
@@ -111,8 +108,7 @@
     auto const oldest = index_of(present, present.newest + 1);
     first -= present.slots[oldest].first;
     auto const ratio = used_fraction * bounds.retry_budget_ratio;
-    return ratio * first + ramp_up_factor(bounds, now - started) * b.share -
-           extra;
+    return ratio * first + granted_share(b, bounds, now - started) - extra;
 }
 
 auto allows_extra(extra_budget const& b, double left, urgency u) -> bool
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -3,8 +3,8 @@
 ///
 /// In each window an instance may send `retry_budget_ratio` times its own first
 /// requests in that window, plus its share of `retry_budget_extra`. Since every
-/// instance keeps to this, all instances together keep to the budget. After a
-/// start the share is granted gradually, since the previous process may have
+/// instance keeps to this, all instances together keep to the budget. The share
+/// is granted a window after the start, since the previous process may have
 /// spent it in the same window.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -34,3 +34,29 @@
     fleet.run(seconds{20}, resetting);
     CHECK(fleet.worst_use_of_budget() <= 1);
 }
+
+TEST_CASE("budget sums: all instances restart at once after spending it")
+{
+    for (auto const before : {2, 7, 12, 20})
+    {
+        CAPTURE(before);
+        auto fleet = budget_fleet{fleet_size};
+        fleet.run(seconds{before}, refusing);
+        for (auto i = std::size_t{0}; i < fleet_size; ++i)
+            fleet.restart(i);
+        fleet.run(seconds{30}, refusing);
+        CHECK(fleet.worst_use_of_budget() <= 1);
+    }
+}
+
+TEST_CASE("budget sums: all instances restart again and again")
+{
+    auto fleet = budget_fleet{fleet_size};
+    for (auto k = 0; k < 8; ++k)
+    {
+        fleet.run(seconds{3 + 2 * k}, refusing);
+        for (auto i = std::size_t{0}; i < fleet_size; ++i)
+            fleet.restart(i);
+    }
+    CHECK(fleet.worst_use_of_budget() <= 1);
+}
