Shares of the retry budget are divided by the fleet as it was, until it is known to be smaller

Cause: an instance that had not read the list of instances divided the budget by one. An instance that listed fewer, while the others were stopping or starting again, gave itself a larger share at once; what those had spent and went on to spend came on top. Change: fleet_count. No share before a complete list; a larger fleet counts at once, a smaller one after two budget windows.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -90,8 +90,17 @@
     else
         s.instances.erase(known);
     invalidate_all_shares(s);
-    for (auto& [id, it] : s.services)
-        it.budget = with_share(it.budget, budget_share_of(s));
+}
+
+/// Counts the instances after a list of them and divides the retry budgets.
+auto count_instances(dispatch_state& s, time_point now) -> void
+{
+    constexpr auto hold_windows = 2;
+    auto const hold = duration{s.init.bounds.budget_window} * hold_windows;
+    auto const others =
+        s.instances.size() - s.instances.count(s.init.self.name);
+    s.fleet = with_listed(s.fleet, others + 1, hold, now);
+    share_budgets(s);
 }
 
 auto apply_object(dispatch_state& s, store_kind kind, stored_object const& o,
@@ -228,6 +237,13 @@
     return it->second;
 }
 
+auto share_budgets(dispatch_state& s) -> void
+{
+    auto const share = budget_share_of(s);
+    for (auto& [id, it] : s.services)
+        it.budget = with_share(it.budget, share);
+}
+
 auto apply_list(dispatch_state& s, store_kind kind,
     std::span<stored_object const> objects, store_version version,
     time_point now, commands& out) -> void
@@ -249,6 +265,8 @@
             s.versions[kind].erase(name);
             drop_object(s, kind, name, 0, now, out);
         }
+    if (kind == store_kind::instances)
+        count_instances(s, now);
     if (kind == store_kind::targets)
         preconnect_all(s, now, out);
 }
@@ -263,6 +281,9 @@
     for (auto const& it : changes)
         apply_change(s, kind, it, era, now, outdated, out);
     report_outdated(s, outdated, out);
+    // An incomplete list alone says nothing about how many instances there are.
+    if (kind == store_kind::instances && s.fleet.divisor != 0)
+        count_instances(s, now);
     if (kind == store_kind::targets)
         preconnect_all(s, now, out);
 }
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -140,7 +140,9 @@
 
 auto budget_share_of(dispatch_state const& s) -> double
 {
-    return budget_share(s.init.bounds, s.instances.size());
+    if (s.fleet.divisor == 0)
+        return 0;
+    return budget_share(s.init.bounds, s.fleet.divisor);
 }
 
 dispatcher::dispatcher(dispatcher_init const& init)
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -8,6 +8,7 @@
 #include "core/dispatch/crash_suspicion.hpp"
 #include "core/dispatch/dispatcher.hpp"
 #include "core/dispatch/extra_budget.hpp"
+#include "core/dispatch/fleet_count.hpp"
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
@@ -317,6 +318,7 @@
         versions;
     std::set<std::string> evacuated;
     std::map<std::string, instance_record> instances; ///< By name.
+    fleet_count fleet;
     /// Reports of the other instances, by name.
     std::map<std::string, received_report> reports;
     crash_suspicions suspicions;
@@ -358,9 +360,12 @@
 }
 
 /// This instance's share of the fixed part of the retry budget: extra requests
-/// to one service in a budget window.
+/// to one service in a budget window. 0 until the instances were counted.
 auto budget_share_of(dispatch_state const& s) -> double;
 
+/// Gives the retry budgets of all services the present share.
+auto share_budgets(dispatch_state& s) -> void;
+
 /// Returns a handle that was not used before in this process.
 template <class Handle>
 auto next_handle(dispatch_state& s) -> Handle
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -1,3 +1,4 @@
+#include "core/dispatch/fleet_count.hpp"
 #include "dispatch/budget_fleet.hpp"
 
 #include <doctest/doctest.h>
@@ -60,3 +61,51 @@
     }
     CHECK(fleet.worst_use_of_budget() <= 1);
 }
+
+TEST_CASE("budget sums: instances that have not read the list of instances")
+{
+    auto fleet = budget_fleet{fleet_size};
+    for (auto i = std::size_t{0}; i < fleet_size; ++i)
+        fleet.restart(i, false);
+    fleet.run(seconds{40}, refusing);
+    CHECK(fleet.worst_use_of_budget() <= 1);
+}
+
+TEST_CASE("budget sums: half of the instances stop and start, others list less")
+{
+    auto fleet = budget_fleet{fleet_size};
+    auto const rest = fleet_size / 2;
+    fleet.run(seconds{20}, refusing);
+    // The records of those that stop are deleted while they answer requests.
+    for (auto i = std::size_t{0}; i < rest; ++i)
+        fleet.read_list(i, rest);
+    fleet.run(seconds{6}, refusing);
+    for (auto i = rest; i < fleet_size; ++i)
+        fleet.restart(i);
+    fleet.run(seconds{14}, refusing);
+    for (auto i = std::size_t{0}; i < rest; ++i)
+        fleet.read_list(i, fleet_size);
+    fleet.run(seconds{20}, refusing);
+    CHECK(fleet.worst_use_of_budget() <= 1);
+}
+
+TEST_CASE("budget sums: fewer listed instances count only after a while")
+{
+    auto const hold = ks::duration{seconds{20}};
+    auto const t = ks::time_point{seconds{100}};
+    auto c = with_listed({}, 40, hold, t);
+    CHECK(c.divisor == 40);
+    c = with_listed(c, 20, hold, t + seconds{1});
+    c = with_listed(c, 30, hold, t + seconds{11});
+    c = with_listed(c, 25, hold, t + seconds{20});
+    CHECK(c.divisor == 40);
+    c = with_listed(c, 25, hold, t + seconds{21});
+    CHECK(c.divisor == 30);
+    c = with_listed(c, 50, hold, t + seconds{22});
+    CHECK(c.divisor == 50);
+    // A list that holds all of them again starts the wait anew.
+    c = with_listed(c, 10, hold, t + seconds{23});
+    c = with_listed(c, 50, hold, t + seconds{30});
+    c = with_listed(c, 10, hold, t + seconds{44});
+    CHECK(c.divisor == 50);
+}
