A reloaded retry budget counts at once

Cause: shares of the retry budget were computed when the list of instances changed, not when the bounds did: after SIGHUP a lower bound had no effect until an instance came or went. Change: the shares are divided anew. Measured: "budget: a changed bound divides the budget anew" fails without the change (1 retry instead of 0) and passes with it.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -181,6 +181,7 @@
 {
     state_->init.limits = clamped(limits, bounds);
     state_->init.bounds = bounds;
+    share_budgets(*state_);
 }
 
 auto dispatcher::stats() const -> dispatch_stats const&
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -292,3 +292,21 @@
     REQUIRE(r.answer_to(c));
     CHECK(is<ks::answer_relayed>(r.answer_to(c)->answer));
 }
+
+TEST_CASE("budget: a changed bound divides the budget anew")
+{
+    auto r = harness{};
+    r.finish_startup();
+    r.feed_lists(config_of(single_route("s")), three_targets("s"));
+    auto bounds = dispatch_bounds{};
+    bounds.retry_budget_extra = 0;
+    r.core.reconfigure({}, bounds);
+    r.submit("q");
+    r.reply(r.take_sent().at(0), ks::reply_overloaded{});
+    r.advance(milliseconds{500});
+    CHECK(r.core.stats().retries == 0);
+    bounds.retry_budget_extra = 50;
+    r.core.reconfigure({}, bounds);
+    r.advance(milliseconds{100});
+    CHECK(r.core.stats().retries > 0);
+}
