Instances of a large fleet use the fractions of their retry budgets

Cause: with 295 instances a share is about two requests in a window, and each instance rounded it down: a quarter of the budget could not be used, while parts waited for it. Change: each instance rounds at an offset by its rank, evenly spread, so that the sum is that of the exact shares; not if the unused tenth of the bound does not cover the deviations.

--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -232,16 +232,16 @@
     if (fresh)
     {
         it->second.name = name;
-        it->second.budget = with_share({}, budget_share_of(s));
+        it->second.budget = with_share_of({}, s);
     }
     return it->second;
 }
 
 auto share_budgets(dispatch_state& s) -> void
 {
-    auto const share = budget_share_of(s);
+    auto const shared = with_share_of({}, s);
     for (auto& [id, it] : s.services)
-        it.budget = with_share(it.budget, share);
+        it.budget = with_share(it.budget, shared.share, shared.rounding);
 }
 
 auto apply_list(dispatch_state& s, store_kind kind,
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -138,11 +138,16 @@
            static_cast<double>(steps);
 }
 
-auto budget_share_of(dispatch_state const& s) -> double
-{
-    if (s.fleet.divisor == 0)
-        return 0;
-    return budget_share(s.init.bounds, s.fleet.divisor);
+auto with_share_of(extra_budget const& b, dispatch_state const& s)
+    -> extra_budget
+{
+    auto const n = s.fleet.divisor;
+    if (n == 0)
+        return with_share(b, 0);
+    auto const rank =
+        rank_of_self(s, [](instance_record const& it) { return it.name; });
+    return with_share(b, budget_share(s.init.bounds, n),
+        budget_rounding(s.init.bounds, std::min(rank, n - 1), n));
 }
 
 dispatcher::dispatcher(dispatcher_init const& init)
--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/extra_budget.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweedstream::dispatch
 {
@@ -71,10 +72,25 @@
     return used_fraction * bounds.retry_budget_extra / n;
 }
 
-auto with_share(extra_budget const& b, double share) -> extra_budget
+auto budget_rounding(dispatch_bounds const& bounds, std::size_t rank,
+    std::size_t instances) -> double
+{
+    // Each instance deviates by half a request at most.
+    constexpr auto largest_deviation = 0.5;
+    constexpr auto deviations = 3;
+    auto const n = static_cast<double>(std::max<std::size_t>(1, instances));
+    auto const unused = (1 - used_fraction) * bounds.retry_budget_extra;
+    if (unused < deviations * largest_deviation * std::sqrt(n))
+        return 0;
+    return (static_cast<double>(rank) + 0.5) / n;
+}
+
+auto with_share(extra_budget const& b, double share, double rounding)
+    -> extra_budget
 {
     auto next = b;
     next.share = share;
+    next.rounding = rounding;
     return next;
 }
 
@@ -113,7 +129,7 @@
 
 auto allows_extra(extra_budget const& b, double left, urgency u) -> bool
 {
-    return left >= 1 + reserve(b.share, u);
+    return left + b.rounding >= 1 + reserve(b.share, u);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -36,6 +36,8 @@
 {
     /// Extra requests allowed per window even without first requests.
     double share = 1;
+    /// What is added to a fraction of a request before it is rounded down.
+    double rounding = 0;
     std::int64_t newest = 0; ///< Number of the newest slot.
     /// Ring buffer, indexed by slot number. It has one slot more than a window,
     /// so that extra requests count for at least a window and first requests
@@ -59,8 +61,15 @@
 auto budget_share(dispatch_bounds const& bounds, std::size_t instances)
     -> double;
 
-/// Sets the share after the number of instances has changed.
-auto with_share(extra_budget const& b, double share) -> extra_budget;
+/// What an instance adds before it rounds down, by its rank among all: evenly
+/// spread, so that the fractions of all instances together are used and no
+/// more. 0 if the unused part of the bound does not cover the deviations.
+auto budget_rounding(dispatch_bounds const& bounds, std::size_t rank,
+    std::size_t instances) -> double;
+
+/// Sets the share and the rounding after the instances have changed.
+auto with_share(extra_budget const& b, double share, double rounding = 0)
+    -> extra_budget;
 
 /// Counts the first request of a part.
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -359,9 +359,10 @@
     return n;
 }
 
-/// This instance's share of the fixed part of the retry budget: extra requests
-/// to one service in a budget window. 0 until the instances were counted.
-auto budget_share_of(dispatch_state const& s) -> double;
+/// The retry budget of a service with this instance's share of the fixed part:
+/// 0 until the instances were counted.
+auto with_share_of(extra_budget const& b, dispatch_state const& s)
+    -> extra_budget;
 
 /// Gives the retry budgets of all services the present share.
 auto share_budgets(dispatch_state& s) -> void;
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -45,6 +45,7 @@
     extra_budget budget;
     ks::time_point started;
     bool greedy = false; ///< Sends all extra requests that it may.
+    std::size_t rank = 0;
 };
 
 } // namespace
@@ -55,12 +56,14 @@
         []
         {
             auto bounds = dispatch_bounds{};
-            bounds.retry_budget_extra = *rc::gen::inRange(50u, 250u);
-            auto const n = *rc::gen::inRange(std::size_t{6}, std::size_t{100});
+            bounds.retry_budget_extra = *rc::gen::inRange(50u, 700u);
+            auto const n = *rc::gen::inRange(std::size_t{6}, std::size_t{300});
             auto fleet = std::vector<simulated_instance>(n);
             for (auto& it : fleet)
             {
-                it.budget = with_share({}, budget_share(bounds, n));
+                it.rank = static_cast<std::size_t>(&it - fleet.data());
+                it.budget = with_share({}, budget_share(bounds, n),
+                    budget_rounding(bounds, it.rank, n));
                 it.greedy = *rc::gen::inRange(0, 4) != 0;
             }
             auto first = counts{};
@@ -77,12 +80,14 @@
                 if (*rc::gen::inRange(0, 20) == 0)
                 { // A process is killed and restarts.
                     auto& it = fleet[*rc::gen::inRange(std::size_t{0}, n)];
-                    it.budget = with_share({}, budget_share(bounds, n));
+                    it.budget = with_share({}, budget_share(bounds, n),
+                        budget_rounding(bounds, it.rank, n));
                     it.started = now;
                 }
                 for (auto& it : fleet)
                 {
-                    for (auto k = 0; k < rate; ++k, ++first.back())
+                    auto const own = *rc::gen::inRange(0, rate + 1);
+                    for (auto k = 0; k < own; ++k, ++first.back())
                         it.budget = with_first(it.budget, bounds, now);
                     while (it.greedy &&
                            allows_extra(it.budget,
@@ -310,3 +315,24 @@
     r.advance(milliseconds{100});
     CHECK(r.core.stats().retries > 0);
 }
+
+TEST_CASE("budget: instances of a large fleet use fractions of a request")
+{
+    auto bounds = dispatch_bounds{};
+    bounds.retry_budget_extra = 600;
+    auto const n = std::size_t{300};
+    auto const now = ks::time_point{ks::seconds{100}};
+    auto sent = std::size_t{0};
+    for (auto rank = std::size_t{0}; rank < n; ++rank)
+    {
+        auto b = with_share(
+            {}, budget_share(bounds, n), budget_rounding(bounds, rank, n));
+        for (; allows_extra(b, extra_left(b, bounds, {}, now), urgency::needed);
+             ++sent)
+            b = with_extra(b, bounds, now);
+    }
+    CHECK(sent <= 600);
+    CHECK(sent >= 530);
+    bounds.retry_budget_extra = 50;
+    CHECK(budget_rounding(bounds, n - 1, n) == 0);
+}
