Logs and metrics tell repeats that are not charged from those beyond a share

Cause: a repeat that no instance had charged left no trace, nor did the number of instances by which one divides.

--- a/src/adapter/dispatch_log.cpp
+++ b/src/adapter/dispatch_log.cpp
@@ -108,7 +108,8 @@
            " service=" + it.service + " target=" + it.target +
            " status=" + std::to_string(it.status) +
            " after_ms=" + ms(it.after) +
-           " connection=" + std::to_string(it.connection.value);
+           " connection=" + std::to_string(it.connection.value) +
+           " connection_age_ms=" + ms(it.connection_age);
 }
 
 auto line_of(dispatch::budget_exhausted const& it) -> std::string
--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -33,6 +33,7 @@
         entry{"target_hedges_total", &d::hedges},
         entry{"target_retries_total", &d::retries},
         entry{"target_probes_total", &d::probes},
+        entry{"target_free_repeats_total", &d::free_repeats},
         entry{"retry_budget_refusals_total", &d::budget_refusals},
         entry{"target_overload_replies_total", &d::overload_replies},
         entry{"target_lost_attempts_total", &d::lost_attempts},
@@ -62,6 +63,7 @@
            gauge_text("target_connections", g.connections) +
            gauge_text("targets", g.targets) +
            gauge_text("instances", g.instances) +
+           gauge_text("retry_budget_instances", g.budget_instances) +
            gauge_text("config_version", g.config_version) +
            gauge_text("store_era", g.store_era) +
            gauge_text("ready", g.ready ? 1 : 0) +
--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -110,7 +110,7 @@
         return;
     out.push_back(report_fact{attempt_failed{r->second.value.request->id,
         t->second.info.service, t->second.info.name, m.how, m.status,
-        now - a.sent_at, a.connection}});
+        now - a.sent_at, a.connection, now - a.connection_opened}});
 }
 
 /// Applies the outcome of an attempt to its part: answers, retries or fails it.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -203,6 +203,7 @@
     g.connections = state_->links.size();
     g.targets = state_->targets.size();
     g.instances = state_->instances.size();
+    g.budget_instances = state_->fleet.divisor;
     g.config_version = state_->config ? state_->config->version : 0;
     g.store_era = state_->contact.era.value_or(0);
     g.ready = state_->ready;
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -39,6 +39,8 @@
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t probes = 0;
+    /// First requests sent again since nothing of them was written.
+    std::uint64_t free_repeats = 0;
     /// Extra sends refused by the retry budget.
     std::uint64_t budget_refusals = 0;
     std::uint64_t overload_replies = 0;
@@ -73,6 +75,7 @@
     std::uint64_t connections = 0;
     std::uint64_t targets = 0;
     std::uint64_t instances = 0;
+    std::uint64_t budget_instances = 0; ///< That share the retry budgets.
     std::uint64_t config_version = 0;
     std::uint64_t store_era = 0; ///< 0: the store has not stated one.
     bool ready = false;
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -60,7 +60,8 @@
     charge_budget(s, p, a.kind, now);
     if (a.kind == attempt_kind::first)
     {
-        s.stats.first_sends += p.first_sent == time_point{} ? 1 : 0;
+        auto const repeated = p.first_sent != time_point{};
+        ++(repeated ? s.stats.free_repeats : s.stats.first_sends);
         p.first_sent = now;
         return;
     }
@@ -90,6 +91,7 @@
     a.late_after =
         late_after(usual, duration{e.value.matched_route->latency_objective});
     auto& l = s.links.at(connection);
+    a.connection_opened = l.opened;
     l.state = link_state::busy;
     l.attempt = a.id;
     l.since = now;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -76,6 +76,7 @@
     part_key part;
     target_id target;
     connection_id connection;
+    time_point connection_opened;
     attempt_kind kind = attempt_kind::first;
     time_point sent_at;
     duration hedge_delay{0}; ///< Time without a reply after which to hedge.
--- a/src/port/dispatch_fact.hpp
+++ b/src/port/dispatch_fact.hpp
@@ -62,6 +62,7 @@
     std::uint32_t status = 0; ///< HTTP status of a failure; otherwise 0.
     duration after{0};        ///< Time since it was sent.
     connection_id connection;
+    duration connection_age{0}; ///< Since the connection was opened.
     auto operator<=>(attempt_failed const&) const = default;
 };
 
