A lost connection weighs more in a target's failure rate

Cause: since a reset counts as a run, a part has two attempts, and a request that needs more budget than there is fails. An instance of a large fleet sends few requests to a target, and one loss hardly moved its failure rate, so the next request went there again. Change: a loss weighs 0.4 in the failure rate, other failures 0.15 as before.

--- a/src/core/dispatch/health.cpp
+++ b/src/core/dispatch/health.cpp
@@ -17,6 +17,8 @@
 constexpr auto slowness_weight = 0.35;
 /// Weight of the newest outcome in the failure rate.
 constexpr auto failure_weight = 0.15;
+/// The same if the connection was lost: its repeat may be the last one allowed.
+constexpr auto lost_weight = 0.4;
 /// A sample's latency ratio is clamped to this range.
 constexpr auto min_ratio = 0.2;
 constexpr auto max_ratio = 30.0;
@@ -47,13 +49,13 @@
 }
 
 /// Records the outcome of a request in the failure rate.
-auto with_outcome(target_health const& h, bool failed,
+auto with_outcome(target_health const& h, bool failed, double weight,
     dispatch_limits const& limits, time_point now) -> target_health
 {
     auto next = h;
     next.slowness = slowness_at(h, limits, now);
-    next.failure_rate = failure_rate_at(h, limits, now) * (1 - failure_weight) +
-                        (failed ? failure_weight : 0);
+    next.failure_rate =
+        failure_rate_at(h, limits, now) * (1 - weight) + (failed ? weight : 0);
     next.observed = now;
     return next;
 }
@@ -79,7 +81,8 @@
 auto with_reply(target_health const& h, double ratio, bool failed, bool overdue,
     dispatch_limits const& limits, time_point now) -> target_health
 {
-    auto next = with_outcome(without_request(h), failed, limits, now);
+    auto next =
+        with_outcome(without_request(h), failed, failure_weight, limits, now);
     if (ratio > 0)
         next.slowness +=
             slowness_weight *
@@ -97,13 +100,14 @@
 auto with_lost(target_health const& h, dispatch_limits const& limits,
     time_point now) -> target_health
 {
-    return with_outcome(without_request(h), true, limits, now);
+    return with_outcome(without_request(h), true, lost_weight, limits, now);
 }
 
 auto with_timeout(target_health const& h, dispatch_limits const& limits,
     time_point now) -> target_health
 {
-    auto const next = with_outcome(without_request(h), true, limits, now);
+    auto const next =
+        with_outcome(without_request(h), true, failure_weight, limits, now);
     return suspend(next, limits, now);
 }
 
