--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -118,7 +118,7 @@
     CHECK(c.divisor == 30);
     c = with_listed(c, 50, hold, t + seconds{22});
     CHECK(c.divisor == 50);
-    // A list that holds all of them again starts the wait anew.
+    // A list that holds all of them again ends the wait.
     c = with_listed(c, 10, hold, t + seconds{23});
     c = with_listed(c, 50, hold, t + seconds{30});
     c = with_listed(c, 10, hold, t + seconds{44});
