A starting process probes suspended targets again

Cause: with a share of nearly nothing in its first window, a process still kept back the reserve of its full share from probes. A target that it had suspended in that time got no probe, and so no request, until the window had passed. Change: the reserve is that of the share that may be used now.

--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -96,6 +96,13 @@
     return next;
 }
 
+auto with_usable_share(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point started, time_point now) -> extra_budget
+{
+    auto const usable = usable_fraction(bounds, now - started);
+    return with_share(b, b.share * usable / used_fraction, b.rounding);
+}
+
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
     time_point now) -> extra_budget
 {
@@ -125,9 +132,10 @@
     }
     auto const oldest = index_of(present, present.newest + 1);
     first -= present.slots[oldest].first;
-    auto const usable = usable_fraction(bounds, now - started);
-    auto const share = b.share * usable / used_fraction;
-    return usable * bounds.retry_budget_ratio * first + share - extra;
+    auto const ratio =
+        usable_fraction(bounds, now - started) * bounds.retry_budget_ratio;
+    return ratio * first + with_usable_share(b, bounds, started, now).share -
+           extra;
 }
 
 auto allows_extra(extra_budget const& b, double left, urgency u) -> bool
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -71,6 +71,13 @@
 auto with_share(extra_budget const& b, double share, double rounding = 0)
     -> extra_budget;
 
+/// The budget with the share that may be used now: in its first window a
+/// process has little of it, and reserves accordingly less.
+///
+/// @param[in] started Start time of this process.
+auto with_usable_share(extra_budget const& b, dispatch_bounds const& bounds,
+    time_point started, time_point now) -> extra_budget;
+
 /// Counts the first request of a part.
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
     time_point now) -> extra_budget;
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -190,8 +190,10 @@
     auto const it = s.services.find(p.service);
     if (it == s.services.end())
         return false;
-    return allows_extra(it->second.budget, budget_left(s, p.service, now),
-        urgency_of(e, kind, now));
+    auto const usable =
+        with_usable_share(it->second.budget, s.init.bounds, s.started, now);
+    return allows_extra(
+        usable, budget_left(s, p.service, now), urgency_of(e, kind, now));
 }
 
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -336,3 +336,17 @@
     bounds.retry_budget_extra = 50;
     CHECK(budget_rounding(bounds, n - 1, n) == 0);
 }
+
+TEST_CASE("budget: a process that has just started may probe suspended targets")
+{
+    auto const bounds = dispatch_bounds{};
+    auto const now = ks::time_point{ks::seconds{100}};
+    auto const started = now - ks::seconds{5};
+    auto b = with_share({}, budget_share(bounds, 2));
+    for (auto i = 0; i < 500; ++i)
+        b = with_first(b, bounds, now);
+    auto const usable = with_usable_share(b, bounds, started, now);
+    auto const left = extra_left(b, bounds, started, now);
+    CHECK(allows_extra(usable, left, urgency::optional));
+    CHECK(!allows_extra(b, left, urgency::optional));
+}
