--- a/tests/dispatch/budget_fleet.cpp
+++ b/tests/dispatch/budget_fleet.cpp
@@ -28,18 +28,18 @@
 
 } // namespace
 
-budget_fleet::budget_fleet(std::size_t instances, std::uint64_t seed)
-    : random_{seed, 0}
+budget_fleet::budget_fleet(fleet_plan const& plan)
+    : plan_(plan), receivers_(plan.instances), random_{plan.seed, 0}
 {
-    bounds_.retry_budget_extra = static_cast<std::uint32_t>(10 * instances);
-    for (auto i = std::size_t{0}; i < instances; ++i)
+    bounds_.retry_budget_extra = plan.extra;
+    for (auto i = std::size_t{0}; i < plan.instances; ++i)
     {
         fleet_.push_back(start(i));
         fleet_.back()->advance(seconds{30});
     }
     now_ += seconds{30};
-    for (auto i = std::size_t{0}; i < instances; ++i)
-        read_list(i, instances);
+    for (auto i = std::size_t{0}; i < plan.instances; ++i)
+        read_list(i, plan.instances);
 }
 
 auto budget_fleet::run(duration length, target_faults const& faults) -> void
@@ -47,8 +47,7 @@
     for (auto const end = now_ + length; now_ < end; now_ += step_length)
     {
         arrivals_.emplace_back();
-        for (auto& it : fleet_)
-            it->submit("q" + std::to_string(requests_++));
+        submit_step();
         for (auto turn = 0; turn < turns_of_step; ++turn)
             for (auto& it : fleet_)
             {
@@ -58,6 +57,32 @@
     }
 }
 
+auto budget_fleet::run_silent(duration length) -> void
+{
+    for (auto const end = now_ + length; now_ < end; now_ += step_length)
+    {
+        arrivals_.emplace_back();
+        submit_step();
+        for (auto turn = 0; turn < turns_of_step; ++turn)
+            for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
+            {
+                hold(*fleet_[i], i);
+                fleet_[i]->advance(step_length / turns_of_step);
+            }
+    }
+    deliver_held();
+}
+
+auto budget_fleet::grow(std::size_t n) -> void
+{
+    auto const before = fleet_.size();
+    for (auto i = before; i < before + n; ++i)
+        fleet_.push_back(start(i));
+    for (auto i = before; i < before + n; ++i)
+        read_list(i, fleet_.size());
+    receivers_ = fleet_.size();
+}
+
 auto budget_fleet::restart(std::size_t i, bool listed) -> void
 {
     fleet_[i] = start(i);
@@ -113,6 +138,29 @@
     return all;
 }
 
+auto budget_fleet::submit_step() -> void
+{
+    for (auto i = std::size_t{0}; i < receivers_; ++i)
+        if (plan_.request_share >= 1 || draw() < plan_.request_share)
+            fleet_[i]->submit("q" + std::to_string(requests_++));
+}
+
+auto budget_fleet::hold(harness& from, std::size_t i) -> void
+{
+    for (auto const& it : from.take_sent())
+        held_.push_back({i, it});
+}
+
+auto budget_fleet::deliver_held() -> void
+{
+    for (auto const& it : held_)
+    {
+        count(it.sent.request);
+        fleet_[it.instance]->succeed(it.sent);
+    }
+    held_.clear();
+}
+
 auto budget_fleet::answer(harness& from, target_faults const& faults) -> void
 {
     for (auto const& it : from.take_sent())
--- a/tests/dispatch/budget_fleet.hpp
+++ b/tests/dispatch/budget_fleet.hpp
@@ -33,15 +33,37 @@
     auto operator<=>(target_faults const&) const = default;
 };
 
+/// Size of a simulated fleet and of its traffic.
+struct fleet_plan
+{
+    std::size_t instances = 40;
+    std::uint32_t extra = 400; ///< Fixed part of the retry budget.
+    /// Probability that an instance gets a request in a step.
+    double request_share = 1;
+    std::uint64_t seed = 1;
+
+    auto operator<=>(fleet_plan const&) const = default;
+};
+
 /// A fleet of instances that send requests to one service.
 class budget_fleet
 {
 public:
-    explicit budget_fleet(std::size_t instances, std::uint64_t seed = 1);
+    explicit budget_fleet(fleet_plan const& plan = {});
 
     /// Lets each instance send a request per step for a while.
     auto run(duration length, target_faults const& faults) -> void;
 
+    /// The same while the targets read nothing. All that was sent to them
+    /// arrives at the end, and is answered.
+    auto run_silent(duration length) -> void;
+
+    /// Adds instances, which list all; those before do not list them.
+    auto grow(std::size_t n) -> void;
+
+    /// Callers send to the first `n` instances only.
+    auto send_to(std::size_t n) -> void { receivers_ = n; }
+
     /// Replaces the process of an instance. The new one reads the configuration
     /// and, if `listed` holds, the list of instances.
     auto restart(std::size_t i, bool listed = true) -> void;
@@ -57,6 +79,9 @@
 
 private:
     auto start(std::size_t i) -> std::unique_ptr<harness>;
+    auto submit_step() -> void;
+    auto hold(harness& from, std::size_t i) -> void;
+    auto deliver_held() -> void;
     auto records(std::size_t i, std::size_t n) const
         -> std::vector<instance_record>;
     auto answer(harness& from, target_faults const& faults) -> void;
@@ -64,7 +89,17 @@
     auto draw() -> double;
     auto allowed_from(std::size_t step) const -> double;
 
+    /// A request that its target has not read yet.
+    struct held_request
+    {
+        std::size_t instance = 0;
+        sent_request sent;
+    };
+
+    fleet_plan plan_;
     dispatch_bounds bounds_;
+    std::size_t receivers_ = 0; ///< Instances that get requests.
+    std::vector<held_request> held_;
     std::vector<std::unique_ptr<harness>> fleet_;
     std::vector<arrival_counts> arrivals_; ///< By step.
     std::set<std::string> arrived_;        ///< Requests that have arrived.
