--- a/include/knapweedstream/registration.hpp
+++ b/include/knapweedstream/registration.hpp
@@ -38,6 +38,9 @@
     auto operator<=>(zone_evacuation const&) const = default;
 };
 
+/// All of a fleet's retry budget, in the unit of `instance_record`'s claim.
+constexpr auto whole_budget = std::uint32_t{1'000'000};
+
 /// An instance of the query tier, written by the instance itself.
 struct instance_record
 {
@@ -47,6 +50,9 @@
     /// Where other instances ask it for changes of the store's objects; empty
     /// if it does not pass them on.
     std::string relay_address = {};
+    /// What it claims of the fixed part of the retry budget, out of
+    /// `whole_budget`.
+    std::uint32_t budget_claim = 0;
 
     auto operator<=>(instance_record const&) const = default;
 };
--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -64,6 +64,8 @@
            gauge_text("targets", g.targets) +
            gauge_text("instances", g.instances) +
            gauge_text("retry_budget_instances", g.budget_instances) +
+           gauge_text("retry_budget_claim_ppm", g.budget_claim) +
+           gauge_text("retry_budget_unsettled", g.unsettled_extras) +
            gauge_text("config_version", g.config_version) +
            gauge_text("store_era", g.store_era) +
            gauge_text("ready", g.ready ? 1 : 0) +
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -105,7 +105,7 @@
 auto store_client::run(dispatch::store_write_record const& c) -> void
 {
     write("write", store_kind::instances, c.record.name,
-        codec_.record(c.record, c.exists));
+        codec_.record(c.record, c.replaced));
 }
 
 auto store_client::run(dispatch::store_write_order_state const& c) -> void
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -23,7 +23,9 @@
     std::function<http_message(dispatch::store_watch const&)> watch;
     /// Call that replaces an instance's record, or creates it if `exists` is
     /// false.
-    std::function<http_message(instance_record const&, bool exists)> record;
+    std::function<http_message(
+        instance_record const&, std::optional<std::uint64_t> revision)>
+        record;
     std::function<http_message(dispatch::store_write_order_state const&)>
         order_state;
     std::function<http_message(instance_report const&, bool exists)> report;
--- /dev/null
+++ b/src/core/dispatch/budget_claim.cpp
@@ -0,0 +1,138 @@
+#include "core/dispatch/budget_claim.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+/// A claim that is larger than an equal share by less than this is kept.
+constexpr auto excess_kept = 0.05;
+/// The same for one that is smaller.
+constexpr auto lack_kept = 0.1;
+
+auto equal_share(budget_claim const& c) -> std::uint32_t
+{
+    return whole_budget / static_cast<std::uint32_t>(c.others.size() + 1);
+}
+
+/// What all other claims leave.
+auto left_by_others(budget_claim const& c) -> std::uint32_t
+{
+    auto sum = std::uint64_t{0};
+    for (auto const& [name, it] : c.others)
+        sum += it.claim;
+    return whole_budget - static_cast<std::uint32_t>(
+                              std::min<std::uint64_t>(whole_budget, sum));
+}
+
+auto with_others(budget_claim c, std::span<instance_record const> listed,
+    time_point now) -> budget_claim
+{
+    for (auto const& it : listed)
+        c.others[it.name] = {std::min(it.budget_claim, whole_budget), now};
+    std::erase_if(c.others, [&](auto const& it)
+        { return now - it.second.listed_at >= duration{claim_hold}; });
+    return c;
+}
+
+/// The claims after the use is limited to `most`.
+auto limited(budget_claim c, std::uint32_t most) -> budget_claim
+{
+    c.used = std::min(c.used, most);
+    c.next = std::min(c.next, most);
+    return c;
+}
+
+/// The claims after a list that shows what the others leave of this one.
+auto with_allowed(budget_claim c, std::uint32_t allowed, time_point begun,
+    duration window, time_point now) -> budget_claim
+{
+    if (now >= c.next_from)
+        c.used = c.next;
+    c = limited(std::move(c), allowed);
+    if (allowed > c.next && now >= c.next_from)
+    {
+        c.next = allowed;
+        c.next_from = begun + window;
+    }
+    return c;
+}
+
+/// True if the list was begun when the store was known to hold the claim.
+auto confirms(budget_claim const& c, claim_list const& l) -> bool
+{
+    return l.fresh && c.stored == l.own && c.stored_at <= l.begun;
+}
+
+/// Brings the claim nearer to an equal share. A larger one must be confirmed
+/// before it is used.
+auto with_new_claim(budget_claim c) -> budget_claim
+{
+    auto const equal = equal_share(c);
+    auto const most = std::min(equal, left_by_others(c));
+    if (c.claimed > equal * (1 + excess_kept))
+    {
+        c.claimed = equal;
+        c = limited(std::move(c), equal);
+    }
+    else if (most > c.claimed && c.claimed < equal * (1 - lack_kept))
+        c.claimed = most;
+    return c;
+}
+
+} // namespace
+
+auto claimants(budget_claim const& c) -> std::size_t
+{
+    return c.listed ? c.others.size() + 1 : 0;
+}
+
+auto with_stored(budget_claim const& c, stored_claim const& s, time_point now)
+    -> budget_claim
+{
+    auto next = c;
+    next.stored = s;
+    next.stored_at = now;
+    return next;
+}
+
+auto with_list(budget_claim const& c, claim_list const& l, duration window,
+    time_point now) -> budget_claim
+{
+    auto next = with_others(c, l.others, now);
+    next.listed = true;
+    if (l.own && !c.stored && c.claimed == 0)
+        next.claimed = l.own->claim; // Of the process before.
+    if (confirms(next, l))
+        next = with_allowed(std::move(next),
+            std::min(l.own->claim, left_by_others(next)), l.begun, window, now);
+    else if (l.own && next.stored != l.own &&
+             (l.fresh || !next.stored || next.stored->version < l.own->version))
+        next = with_stored(next, *l.own, now);
+    if (l.own)
+        next.renewed_at = l.begun;
+    // Before the fleet has been read once, most of it may be missing.
+    if (c.listed)
+        next = with_new_claim(std::move(next));
+    next.needs_fresh = next.claimed > std::max(next.used, next.next);
+    return next;
+}
+
+auto usable_claim(budget_claim const& c, time_point now) -> std::uint32_t
+{
+    if (now - c.renewed_at >= duration{claim_lease})
+        return 0;
+    return now >= c.next_from ? c.next : c.used;
+}
+
+auto coming_claim(budget_claim const& c, time_point now) -> std::uint32_t
+{
+    return now - c.renewed_at >= duration{claim_lease}
+               ? 0
+               : std::max(c.used, c.next);
+}
+
+} // namespace knapweedstream::dispatch
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -78,29 +78,26 @@
     preconnect_all(s, now, out);
 }
 
+/// True if two records differ in their claim only.
+auto is_same_place(instance_record a, instance_record const& b) -> bool
+{
+    a.budget_claim = b.budget_claim;
+    return a == b;
+}
+
 auto set_instance(dispatch_state& s, std::string const& name,
     instance_record const* r) -> void
 {
     auto const known = s.instances.find(name);
     auto const listed = known != s.instances.end();
-    if (r == nullptr ? !listed : listed && known->second == *r)
-        return;
+    auto const changed =
+        r == nullptr ? listed : !listed || !is_same_place(known->second, *r);
     if (r != nullptr)
         s.instances[name] = *r;
-    else
+    else if (listed)
         s.instances.erase(known);
-    invalidate_all_shares(s);
-}
-
-/// Counts the instances after a list of them and divides the retry budgets.
-auto count_instances(dispatch_state& s, time_point now) -> void
-{
-    constexpr auto hold_windows = 2;
-    auto const hold = duration{s.init.bounds.budget_window} * hold_windows;
-    auto const others =
-        s.instances.size() - s.instances.count(s.init.self.name);
-    s.fleet = with_listed(s.fleet, others + 1, hold, now);
-    share_budgets(s);
+    if (changed)
+        invalidate_all_shares(s);
 }
 
 auto apply_object(dispatch_state& s, store_kind kind, stored_object const& o,
@@ -232,18 +229,10 @@
     if (fresh)
     {
         it->second.name = name;
-        it->second.budget = with_share_of({}, s);
     }
     return it->second;
 }
 
-auto share_budgets(dispatch_state& s) -> void
-{
-    auto const shared = with_share_of({}, s);
-    for (auto& [id, it] : s.services)
-        it.budget = with_share(it.budget, shared.share, shared.rounding);
-}
-
 auto apply_list(dispatch_state& s, store_kind kind,
     std::span<stored_object const> objects, store_version version,
     time_point now, commands& out) -> void
@@ -265,8 +254,6 @@
             s.versions[kind].erase(name);
             drop_object(s, kind, name, 0, now, out);
         }
-    if (kind == store_kind::instances)
-        count_instances(s, now);
     if (kind == store_kind::targets)
         preconnect_all(s, now, out);
 }
@@ -281,9 +268,6 @@
     for (auto const& it : changes)
         apply_change(s, kind, it, era, now, outdated, out);
     report_outdated(s, outdated, out);
-    // An incomplete list alone says nothing about how many instances there are.
-    if (kind == store_kind::instances && s.fleet.divisor != 0)
-        count_instances(s, now);
     if (kind == store_kind::targets)
         preconnect_all(s, now, out);
 }
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -14,6 +14,7 @@
 #include <knapweedstream/overloaded.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweedstream::dispatch
 {
@@ -138,16 +139,12 @@
            static_cast<double>(steps);
 }
 
-auto with_share_of(extra_budget const& b, dispatch_state const& s)
-    -> extra_budget
+auto terms_at(dispatch_state const& s, time_point now) -> budget_terms
 {
-    auto const n = s.fleet.divisor;
-    if (n == 0)
-        return with_share(b, 0);
-    auto const rank =
-        rank_of_self(s, [](instance_record const& it) { return it.name; });
-    return with_share(b, budget_share(s.init.bounds, n),
-        budget_rounding(s.init.bounds, std::min(rank, n - 1), n));
+    constexpr auto bits = 32;
+    auto const place = std::ldexp(
+        static_cast<double>(hash_name(s.init.self.name) >> bits), -bits);
+    return terms_of(s.init.bounds, s.claim, place, s.started, now);
 }
 
 dispatcher::dispatcher(dispatcher_init const& init)
@@ -186,7 +183,6 @@
 {
     state_->init.limits = clamped(limits, bounds);
     state_->init.bounds = bounds;
-    share_budgets(*state_);
 }
 
 auto dispatcher::stats() const -> dispatch_stats const&
@@ -203,7 +199,10 @@
     g.connections = state_->links.size();
     g.targets = state_->targets.size();
     g.instances = state_->instances.size();
-    g.budget_instances = state_->fleet.divisor;
+    g.budget_instances = claimants(state_->claim);
+    g.budget_claim = std::max(state_->claim.used, state_->claim.next);
+    for (auto const& [id, it] : state_->services)
+        g.unsettled_extras += it.budget.unsettled;
     g.config_version = state_->config ? state_->config->version : 0;
     g.store_era = state_->contact.era.value_or(0);
     g.ready = state_->ready;
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -76,6 +76,10 @@
     std::uint64_t targets = 0;
     std::uint64_t instances = 0;
     std::uint64_t budget_instances = 0; ///< That share the retry budgets.
+    /// What this instance may use of their fixed part, out of `whole_budget`.
+    std::uint64_t budget_claim = 0;
+    /// Extra requests that their targets may not have read yet.
+    std::uint64_t unsettled_extras = 0;
     std::uint64_t config_version = 0;
     std::uint64_t store_era = 0; ///< 0: the store has not stated one.
     bool ready = false;
--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -9,10 +9,10 @@
 namespace
 {
 
-/// Used part of the bound; the rest covers instances that disagree about how
-/// many instances there are.
+/// Used part of the bound; the rest covers rounding, processes that start, and
+/// requests that are sent again by instances of before.
 constexpr auto used_fraction = 0.9;
-/// The same in the first window of a process.
+/// The same in the first window of a process or of a claim.
 constexpr auto starting_fraction = 0.05;
 
 auto slot_of(dispatch_bounds const& bounds, time_point now) -> std::int64_t
@@ -38,7 +38,7 @@
     return next;
 }
 
-/// Part of the bound that a process may use at an age. In its first window the
+/// Part of the ratio that a process may use at an age. In its first window the
 /// one before it may have spent all that it had.
 auto usable_fraction(dispatch_bounds const& bounds, duration age) -> double
 {
@@ -65,42 +65,38 @@
     return kept;
 }
 
-} // namespace
-
-auto budget_share(dispatch_bounds const& bounds, std::size_t instances)
-    -> double
+/// The fixed part of the budget that a claim gives.
+auto share_of(dispatch_bounds const& bounds, std::uint32_t claim) -> double
 {
-    auto const n = static_cast<double>(std::max<std::size_t>(1, instances));
-    return used_fraction * bounds.retry_budget_extra / n;
+    return static_cast<double>(bounds.retry_budget_extra) * claim /
+           whole_budget;
 }
 
-auto budget_rounding(dispatch_bounds const& bounds, std::size_t rank,
-    std::size_t instances) -> double
+/// The offset at which an instance rounds that holds a claim.
+auto rounding_of(
+    dispatch_bounds const& bounds, std::uint32_t claim, double place) -> double
 {
     // Each instance deviates by half a request at most.
     constexpr auto largest_deviation = 0.5;
     constexpr auto deviations = 3;
-    auto const n = static_cast<double>(std::max<std::size_t>(1, instances));
-    auto const unused = (1 - used_fraction) * bounds.retry_budget_extra;
-    if (unused < deviations * largest_deviation * std::sqrt(n))
+    if (claim == 0)
         return 0;
-    return (static_cast<double>(rank) + 0.5) / n;
+    auto const n = static_cast<double>(whole_budget) / claim;
+    auto const unused = (1 - used_fraction) * bounds.retry_budget_extra;
+    return unused < deviations * largest_deviation * std::sqrt(n) ? 0 : place;
 }
 
-auto with_share(extra_budget const& b, double share, double rounding)
-    -> extra_budget
-{
-    auto next = b;
-    next.share = share;
-    next.rounding = rounding;
-    return next;
-}
+} // namespace
 
-auto with_usable_share(extra_budget const& b, dispatch_bounds const& bounds,
-    time_point started, time_point now) -> extra_budget
+auto terms_of(dispatch_bounds const& bounds, budget_claim const& claim,
+    double place, time_point started, time_point now) -> budget_terms
 {
-    auto const usable = usable_fraction(bounds, now - started);
-    return with_share(b, b.share * usable / used_fraction, b.rounding);
+    auto const usable = usable_claim(claim, now);
+    auto const coming = coming_claim(claim, now);
+    return {usable_fraction(bounds, now - started) * bounds.retry_budget_ratio,
+        std::max(used_fraction * share_of(bounds, usable),
+            starting_fraction * share_of(bounds, coming)),
+        rounding_of(bounds, usable, place)};
 }
 
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
@@ -111,20 +107,28 @@
     return next;
 }
 
-auto with_extra(extra_budget const& b, dispatch_bounds const& bounds,
+auto with_extra(extra_budget const& b) -> extra_budget
+{
+    auto next = b;
+    ++next.unsettled;
+    return next;
+}
+
+auto with_settled(extra_budget const& b, dispatch_bounds const& bounds,
     time_point now) -> extra_budget
 {
     auto next = advanced_to(b, slot_of(bounds, now));
+    next.unsettled -= next.unsettled > 0 ? 1 : 0;
     ++next.slots[index_of(next, next.newest)].extra;
     return next;
 }
 
 auto extra_left(extra_budget const& b, dispatch_bounds const& bounds,
-    time_point started, time_point now) -> double
+    budget_terms const& terms, time_point now) -> double
 {
     auto const present = advanced_to(b, slot_of(bounds, now));
     auto first = 0.0;
-    auto extra = 0.0;
+    auto extra = static_cast<double>(b.unsettled);
     for (auto const& it : present.slots)
     {
         first += it.first;
@@ -132,15 +136,12 @@
     }
     auto const oldest = index_of(present, present.newest + 1);
     first -= present.slots[oldest].first;
-    auto const ratio =
-        usable_fraction(bounds, now - started) * bounds.retry_budget_ratio;
-    return ratio * first + with_usable_share(b, bounds, started, now).share -
-           extra;
+    return terms.ratio * first + terms.share - extra;
 }
 
-auto allows_extra(extra_budget const& b, double left, urgency u) -> bool
+auto allows_extra(budget_terms const& terms, double left, urgency u) -> bool
 {
-    return left + b.rounding >= 1 + reserve(b.share, u);
+    return left + terms.rounding >= 1 + reserve(terms.share, u);
 }
 
 } // namespace knapweedstream::dispatch
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -2,13 +2,16 @@
 /// this instance may send beyond the first request for each part.
 ///
 /// In each window an instance may send `retry_budget_ratio` times its own first
-/// requests in that window, plus its share of `retry_budget_extra`. Since every
-/// instance keeps to this, all instances together keep to the budget. In its
-/// first window a process leaves nearly all of this to the one before it, which
-/// may have spent it in the same window.
+/// requests in that window, plus what its claim gives it of
+/// `retry_budget_extra` (see `budget_claim`). An extra request is charged from
+/// when it is sent until a window after its target is known to have read it, so
+/// that it is charged whenever it arrives. In its first window a process leaves
+/// nearly all of the ratio to the one before it, which may have spent it in the
+/// same window.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 
+#include "core/dispatch/budget_claim.hpp"
 #include "core/dispatch/limits.hpp"
 
 #include <array>
@@ -22,22 +25,20 @@
 /// Slots that a budget window is divided into.
 constexpr auto window_slots = std::size_t{20};
 
-/// Requests sent in one slot.
+/// Requests counted in one slot.
 struct sent_counts
 {
-    std::uint32_t first = 0;
-    std::uint32_t extra = 0;
+    std::uint32_t first = 0; ///< First requests sent.
+    std::uint32_t extra = 0; ///< Extra requests settled.
 
     auto operator<=>(sent_counts const&) const = default;
 };
 
-/// Requests sent to a service in the last window, and the instance's share.
+/// Requests to a service in the last window.
 struct extra_budget
 {
-    /// Extra requests allowed per window even without first requests.
-    double share = 1;
-    /// What is added to a fraction of a request before it is rounded down.
-    double rounding = 0;
+    /// Extra requests that the target may not have read yet.
+    std::uint32_t unsettled = 0;
     std::int64_t newest = 0; ///< Number of the newest slot.
     /// Ring buffer, indexed by slot number. It has one slot more than a window,
     /// so that extra requests count for at least a window and first requests
@@ -56,47 +57,50 @@
     optional, ///< The answer does not need it; later requests may benefit.
 };
 
-/// Share of `dispatch_bounds::retry_budget_extra` that each of `instances` may
-/// send in a window.
-auto budget_share(dispatch_bounds const& bounds, std::size_t instances)
-    -> double;
-
-/// What an instance adds before it rounds down, by its rank among all: evenly
-/// spread, so that the fractions of all instances together are used and no
-/// more. 0 if the unused part of the bound does not cover the deviations.
-auto budget_rounding(dispatch_bounds const& bounds, std::size_t rank,
-    std::size_t instances) -> double;
+/// What an instance may use of the budget at present.
+struct budget_terms
+{
+    double ratio = 0; ///< Extra requests per first request in a window.
+    /// Extra requests allowed per window even without first requests.
+    double share = 0;
+    /// What is added to a fraction of a request before it is rounded down.
+    double rounding = 0;
 
-/// Sets the share and the rounding after the instances have changed.
-auto with_share(extra_budget const& b, double share, double rounding = 0)
-    -> extra_budget;
+    auto operator<=>(budget_terms const&) const = default;
+};
 
-/// The budget with the share that may be used now: in its first window a
-/// process has little of it, and reserves accordingly less.
+/// The terms of an instance. Of a claim whose window has not passed yet, and of
+/// the ratio in the first window of a process, little may be used.
 ///
+/// @param[in] place Evenly distributed among the instances, from 0 to 1: where
+///     this one rounds, so that the fractions of all together are used and no
+///     more. Without effect if the unused part of the bound does not cover the
+///     deviations.
 /// @param[in] started Start time of this process.
-auto with_usable_share(extra_budget const& b, dispatch_bounds const& bounds,
-    time_point started, time_point now) -> extra_budget;
+auto terms_of(dispatch_bounds const& bounds, budget_claim const& claim,
+    double place, time_point started, time_point now) -> budget_terms;
 
 /// Counts the first request of a part.
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
     time_point now) -> extra_budget;
 
-/// Counts an extra request that `allows_extra` has permitted.
-auto with_extra(extra_budget const& b, dispatch_bounds const& bounds,
+/// Charges an extra request that `allows_extra` has permitted.
+auto with_extra(extra_budget const& b) -> extra_budget;
+
+/// The target of an extra request has read it, or never will: it is charged for
+/// one more window.
+auto with_settled(extra_budget const& b, dispatch_bounds const& bounds,
     time_point now) -> extra_budget;
 
 /// Number of extra requests that the budget has left; may be negative.
-///
-/// @param[in] started Start time of this process.
 auto extra_left(extra_budget const& b, dispatch_bounds const& bounds,
-    time_point started, time_point now) -> double;
+    budget_terms const& terms, time_point now) -> double;
 
 /// True if the budget allows an extra request of this urgency: at least one is
 /// left beyond the part that is reserved for more urgent ones.
 ///
 /// @param[in] left Result of `extra_left`.
-auto allows_extra(extra_budget const& b, double left, urgency u) -> bool;
+auto allows_extra(budget_terms const& terms, double left, urgency u) -> bool;
 
 } // namespace knapweedstream::dispatch
 
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -83,6 +83,10 @@
     time_point now) -> follow_step
 {
     auto const stale = may_be_stale(f, policy);
+    auto& pages = std::get<listing>(f.phase);
+    pages.fresh = !stale && (pages.fresh || pages.pages == 0);
+    if (pages.pages == 0)
+        pages.begun = now;
     f.called_at = now;
     auto out = commands{store_list{f.kind, std::move(after), stale}};
     return {std::move(f), std::move(out)};
@@ -305,6 +309,16 @@
     return renewed(next, limits, now);
 }
 
+auto with_fresh_list(follow_state f, time_point due) -> follow_state
+{
+    if (f.failures > 0)
+        return f;
+    f.list_fresh = true;
+    if (auto* it = std::get_if<pausing>(&f.phase))
+        it->until = std::min(it->until, due);
+    return f;
+}
+
 auto restarted(follow_state f, std::uint64_t era, time_point due,
     time_point now) -> follow_state
 {
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -22,6 +22,8 @@
     store_version newest;  ///< Greatest version of the pages read.
     std::size_t pages = 0; ///< Pages read.
     std::vector<stored_object> objects;
+    time_point begun;   ///< When the first page was called.
+    bool fresh = false; ///< No page may be stale.
     auto operator<=>(listing const&) const = default;
 };
 
@@ -182,6 +184,10 @@
 auto relisted(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
+/// The next list must not be stale, and is called at `due` if it would be
+/// called later. Has no effect while calls fail.
+auto with_fresh_list(follow_state f, time_point due) -> follow_state;
+
 /// Reads the kind afresh in an era, from data that is not stale: by a list, or
 /// from the relay that passes it on. What is known of it stays in use.
 ///
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -24,7 +24,7 @@
 {
     auto& b = s.services.at(p.service).budget;
     if (kind != attempt_kind::first)
-        b = with_extra(b, s.init.bounds, now);
+        b = with_settled(with_extra(b), s.init.bounds, now);
     else if (p.first_sent == time_point{})
         b = with_first(b, s.init.bounds, now);
 }
@@ -33,7 +33,7 @@
     -> double
 {
     auto const& b = s.services.at(service).budget;
-    return extra_left(b, s.init.bounds, s.started, now);
+    return extra_left(b, s.init.bounds, terms_at(s, now), now);
 }
 
 auto count_extra(dispatch_stats& stats, attempt_kind kind) -> void
@@ -190,10 +190,8 @@
     auto const it = s.services.find(p.service);
     if (it == s.services.end())
         return false;
-    auto const usable =
-        with_usable_share(it->second.budget, s.init.bounds, s.started, now);
-    return allows_extra(
-        usable, budget_left(s, p.service, now), urgency_of(e, kind, now));
+    return allows_extra(terms_at(s, now), budget_left(s, p.service, now),
+        urgency_of(e, kind, now));
 }
 
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -116,17 +116,60 @@
     return true;
 }
 
+/// This instance's record as the last list held it; empty if it did not.
+auto listed_record(dispatch_state const& s) -> std::optional<stored_claim>
+{
+    auto const& name = s.init.self.name;
+    auto const it = s.instances.find(name);
+    auto const version = known_version(s, store_kind::instances, name);
+    if (it == s.instances.end() || version.era != s.contact.era.value_or(0))
+        return std::nullopt;
+    return stored_claim{it->second.budget_claim, version};
+}
+
+auto write_record(dispatch_state& s, std::optional<std::uint64_t> replaced,
+    commands& out) -> void
+{
+    auto r = s.init.self;
+    r.budget_claim = s.claim.claimed;
+    ++s.record_writes;
+    s.written_claim = r.budget_claim;
+    out.push_back(store_write_record{std::move(r), replaced});
+}
+
 /// Writes this instance's record if the list of instances lacks it or has
 /// another version of it.
 auto ensure_record(dispatch_state& s, commands& out) -> void
 {
-    auto const& self = s.init.self;
-    auto const it = s.instances.find(self.name);
-    auto const version = known_version(s, store_kind::instances, self.name);
-    auto const listed =
-        it != s.instances.end() && version.era == s.contact.era.value_or(0);
-    if (!s.stop.requested && (!listed || it->second != self))
-        out.push_back(store_write_record{self, listed});
+    if (s.stop.requested)
+        return;
+    auto const listed = listed_record(s);
+    auto wanted = s.init.self;
+    wanted.budget_claim = s.claim.claimed;
+    if (!listed)
+        write_record(s, std::nullopt, out);
+    else if (s.instances.at(wanted.name) != wanted)
+        write_record(s, listed->version.revision, out);
+}
+
+/// Reads the list of instances again soon, from data that is not stale.
+auto list_instances_soon(dispatch_state& s, time_point now) -> void
+{
+    auto& f = s.follows[store_kind::instances];
+    f = with_fresh_list(std::move(f), now + s.init.limits.poll_first);
+    if (auto const* it = std::get_if<pausing>(&f.phase))
+        arm(s, it->until, follow_due{store_kind::instances});
+}
+
+/// Counts the claims of a complete list of instances.
+auto count_claims(dispatch_state& s, listing const& l, time_point now) -> void
+{
+    auto others = std::vector<instance_record>{};
+    for (auto const& [name, it] : s.instances)
+        if (name != s.init.self.name)
+            others.push_back(it);
+    s.claim = with_list(s.claim, {others, listed_record(s), l.begun, l.fresh},
+        s.init.bounds.budget_window, now);
 }
 
 /// Lists the orders again if targets of a version have appeared that may be on
@@ -149,11 +192,14 @@
 
 /// Handles a complete list: one of the orders that is not stale explains all
 /// versions that targets have.
-auto after_list(dispatch_state& s, store_kind kind, bool fresh, time_point now,
-    commands& out) -> void
+auto after_list(dispatch_state& s, store_kind kind, listing const& l,
+    bool fresh, time_point now, commands& out) -> void
 {
     if (kind == store_kind::instances)
+    {
+        count_claims(s, l, now);
         ensure_record(s, out);
+    }
     if (kind == store_kind::targets)
         read_orders_if_needed(s, now, out);
     if (kind != store_kind::rollouts || !fresh)
@@ -253,11 +299,13 @@
         auto const all = with_added(*list, e);
         apply_list(s, e.kind, all.objects, all.oldest, now, out);
         report_list(e.kind, all, out);
-        after_list(s, e.kind, before.list_fresh, now, out);
+        after_list(s, e.kind, all, before.list_fresh, now, out);
     }
     auto page =
         with_page(std::move(s.follows[e.kind]), e, follow_limits(s, now), now);
     apply_step(s, std::move(page), out);
+    if (e.kind == store_kind::instances && s.claim.needs_fresh)
+        s.follows[e.kind].list_fresh = true;
     answer_relay_callers(s, now, out);
     update_ready(s, out);
 }
@@ -356,9 +404,36 @@
     update_ready(s, out);
 }
 
-/// Replaces this instance's record if it exists although it was not listed. One
-/// that is missing is created after the next list, in which other failures show
-/// too.
+/// Handles the answer to a write of this instance's record. A record that
+/// exists although it was not listed is replaced; one that is missing is
+/// created after the next list, in which other failures show too.
+auto on_record_written(dispatch_state& s, store_written const& e,
+    time_point now, commands& out) -> void
+{
+    s.record_writes -= s.record_writes > 0 ? 1 : 0;
+    auto const last = s.record_writes == 0;
+    if (e.failure == store_failure::missing)
+        s.versions[e.kind].erase(s.init.self.name);
+    if (s.stop.requested)
+        return;
+    if (e.failure == store_failure::conflict)
+    {
+        if (!listed_record(s))
+            return write_record(s, 0, out);
+        return list_instances_soon(s, now);
+    }
+    if (e.failure || !last)
+        return;
+    // A stale list does not undo what is known of it.
+    auto& r = s.instances[s.init.self.name];
+    r = s.init.self;
+    r.budget_claim = s.written_claim;
+    s.versions[e.kind][r.name] = version_of(e);
+    s.claim = with_stored(s.claim, {s.written_claim, version_of(e)}, now);
+    if (s.written_claim > std::max(s.claim.used, s.claim.next))
+        list_instances_soon(s, now);
+}
+
 auto on_written(
     dispatch_state& s, store_written e, time_point now, commands& out) -> void
 {
@@ -368,10 +443,7 @@
         return on_report_written(s, e, now);
     if (e.kind != store_kind::instances)
         return; // Rollout orders are watched, so their changes arrive anyway.
-    if (e.failure == store_failure::missing)
-        s.versions[e.kind].erase(s.init.self.name);
-    if (!s.stop.requested && e.failure == store_failure::conflict)
-        out.push_back(store_write_record{s.init.self, true});
+    on_record_written(s, e, now, out);
 }
 
 auto on_compacted(
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -5,10 +5,10 @@
 #define KNAPWEEDSTREAM_CORE_DISPATCH_TABLES_HPP
 
 #include "core/adaptive_limit.hpp"
+#include "core/dispatch/budget_claim.hpp"
 #include "core/dispatch/crash_suspicion.hpp"
 #include "core/dispatch/dispatcher.hpp"
 #include "core/dispatch/extra_budget.hpp"
-#include "core/dispatch/fleet_count.hpp"
 #include "core/dispatch/follow.hpp"
 #include "core/dispatch/health.hpp"
 #include "core/dispatch/latency.hpp"
@@ -319,7 +319,10 @@
         versions;
     std::set<std::string> evacuated;
     std::map<std::string, instance_record> instances; ///< By name.
-    fleet_count fleet;
+    budget_claim claim;
+    /// Writes of this instance's record that await their answer.
+    std::uint32_t record_writes = 0;
+    std::uint32_t written_claim = 0; ///< Claim of the last one.
     /// Reports of the other instances, by name.
     std::map<std::string, received_report> reports;
     crash_suspicions suspicions;
@@ -360,13 +363,8 @@
     return n;
 }
 
-/// The retry budget of a service with this instance's share of the fixed part:
-/// 0 until the instances were counted.
-auto with_share_of(extra_budget const& b, dispatch_state const& s)
-    -> extra_budget;
-
-/// Gives the retry budgets of all services the present share.
-auto share_budgets(dispatch_state& s) -> void;
+/// What this instance may use of each service's retry budget.
+auto terms_at(dispatch_state const& s, time_point now) -> budget_terms;
 
 /// Returns a handle that was not used before in this process.
 template <class Handle>
--- a/src/port/dispatch_command.hpp
+++ b/src/port/dispatch_command.hpp
@@ -5,6 +5,8 @@
 
 #include "port/dispatch_fact.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -80,7 +82,8 @@
 struct store_write_record
 {
     instance_record record;
-    bool exists = false; ///< Replaces the record; otherwise creates it.
+    /// Replaces the record of this revision, 0 for any; empty: creates it.
+    std::optional<std::uint64_t> replaced;
     auto operator<=>(store_write_record const&) const = default;
 };
 
--- a/tests/dispatch/budget_fleet.cpp
+++ b/tests/dispatch/budget_fleet.cpp
@@ -32,14 +32,18 @@
     : plan_(plan), receivers_(plan.instances), random_{plan.seed, 0}
 {
     bounds_.retry_budget_extra = plan.extra;
+    constexpr auto startup = seconds{60};
+    access_.resize(plan.instances);
     for (auto i = std::size_t{0}; i < plan.instances; ++i)
-    {
         fleet_.push_back(start(i));
-        fleet_.back()->advance(seconds{30});
-    }
-    now_ += seconds{30};
     for (auto i = std::size_t{0}; i < plan.instances; ++i)
         read_list(i, plan.instances);
+    for (auto const end = now_ + startup; now_ < end; now_ += step_length)
+        for (auto i = std::size_t{0}; i < plan.instances; ++i)
+        {
+            follow_store(i);
+            fleet_[i]->advance(step_length);
+        }
 }
 
 auto budget_fleet::run(duration length, target_faults const& faults) -> void
@@ -48,6 +52,8 @@
     {
         arrivals_.emplace_back();
         submit_step();
+        for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
+            follow_store(i);
         for (auto turn = 0; turn < turns_of_step; ++turn)
             for (auto& it : fleet_)
             {
@@ -63,6 +69,8 @@
     {
         arrivals_.emplace_back();
         submit_step();
+        for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
+            follow_store(i);
         for (auto turn = 0; turn < turns_of_step; ++turn)
             for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
             {
@@ -78,6 +86,9 @@
     auto const before = fleet_.size();
     for (auto i = before; i < before + n; ++i)
         fleet_.push_back(start(i));
+    for (auto i = std::size_t{0}; i < before; ++i)
+        cut_off(i);
+    access_.resize(fleet_.size());
     for (auto i = before; i < before + n; ++i)
         read_list(i, fleet_.size());
     receivers_ = fleet_.size();
@@ -86,16 +97,71 @@
 auto budget_fleet::restart(std::size_t i, bool listed) -> void
 {
     fleet_[i] = start(i);
+    access_[i] = {};
     if (listed)
         read_list(i, fleet_.size());
 }
 
 auto budget_fleet::read_list(std::size_t i, std::size_t n) -> void
 {
-    auto objects = std::vector<stored_object>{};
-    for (auto const& it : records(i, n))
-        objects.push_back({it.name, 1, it});
-    fleet_[i]->feed(store_listed{store_kind::instances, objects, "", 1'000});
+    access_[i].open = n >= fleet_.size();
+    carry_out_writes(i);
+    feed_list(i, n);
+    carry_out_writes(i);
+}
+
+auto budget_fleet::lose_records(std::size_t n) -> void
+{
+    for (auto i = n; i < fleet_.size(); ++i)
+        store_.erase(name_of(i));
+}
+
+/// Carries out an instance's writes, and answers its lists with all records.
+auto budget_fleet::follow_store(std::size_t i) -> void
+{
+    if (!access_[i].open)
+        return;
+    carry_out_writes(i);
+    if (access_[i].lists > access_[i].answered)
+        feed_list(i, fleet_.size());
+}
+
+auto budget_fleet::carry_out_writes(std::size_t i) -> void
+{
+    auto& a = access_[i];
+    for (; a.commands < fleet_[i]->all_commands.size(); ++a.commands)
+    {
+        auto const c = fleet_[i]->all_commands[a.commands];
+        auto const* list = std::get_if<store_list>(&c);
+        a.lists += list != nullptr && list->kind == store_kind::instances;
+        auto const* write = std::get_if<store_write_record>(&c);
+        if (write == nullptr)
+            continue;
+        auto const& name = write->record.name;
+        auto const known = store_.find(name);
+        auto const matches =
+            known == store_.end()
+                ? !write->replaced
+                : write->replaced &&
+                      (*write->replaced == 0 ||
+                          *write->replaced == known->second.revision);
+        if (matches)
+            store_[name] = {name, ++revision_, write->record};
+        fleet_[i]->feed(
+            matches
+                ? store_written{store_kind::instances, name, revision_, {}, {}}
+                : store_written{store_kind::instances, name, 0,
+                      known == store_.end() ? store_failure::missing
+                                            : store_failure::conflict,
+                      {}});
+    }
+}
+
+auto budget_fleet::feed_list(std::size_t i, std::size_t n) -> void
+{
+    access_[i].answered = access_[i].lists;
+    fleet_[i]->feed(
+        store_listed{store_kind::instances, records(i, n), "", revision_});
 }
 
 auto budget_fleet::worst_use_of_budget() const -> double
@@ -129,12 +195,13 @@
 }
 
 auto budget_fleet::records(std::size_t i, std::size_t n) const
-    -> std::vector<instance_record>
+    -> std::vector<stored_object>
 {
-    auto all = std::vector<instance_record>{};
+    auto all = std::vector<stored_object>{};
     for (auto k = std::size_t{0}; k < fleet_.size(); ++k)
-        if (k < n || k == i)
-            all.push_back({name_of(k), "a", "north"});
+        if (auto const it = store_.find(name_of(k));
+            it != store_.end() && (k < n || k == i))
+            all.push_back(it->second);
     return all;
 }
 
--- a/tests/dispatch/budget_fleet.hpp
+++ b/tests/dispatch/budget_fleet.hpp
@@ -69,8 +69,16 @@
     auto restart(std::size_t i, bool listed = true) -> void;
 
     /// An instance reads a list that holds the first `n` instances, and itself.
+    /// From then on it reads lists only by this call, unless it has read one
+    /// of all instances.
     auto read_list(std::size_t i, std::size_t n) -> void;
 
+    /// An instance reaches the store no more, until it reads a list.
+    auto cut_off(std::size_t i) -> void { access_[i].open = false; }
+
+    /// The store loses the records of the instances from the `n`th on.
+    auto lose_records(std::size_t n) -> void;
+
     /// The most extra arrivals in a window, divided by those allowed.
     auto worst_use_of_budget() const -> double;
 
@@ -82,8 +90,11 @@
     auto submit_step() -> void;
     auto hold(harness& from, std::size_t i) -> void;
     auto deliver_held() -> void;
+    auto follow_store(std::size_t i) -> void;
+    auto carry_out_writes(std::size_t i) -> void;
+    auto feed_list(std::size_t i, std::size_t n) -> void;
     auto records(std::size_t i, std::size_t n) const
-        -> std::vector<instance_record>;
+        -> std::vector<stored_object>;
     auto answer(harness& from, target_faults const& faults) -> void;
     auto count(std::string const& request) -> void;
     auto draw() -> double;
@@ -96,7 +107,19 @@
         sent_request sent;
     };
 
+    /// An instance's access to the store.
+    struct store_access
+    {
+        bool open = false;        ///< Its lists and writes are answered.
+        std::size_t commands = 0; ///< Commands of it carried out.
+        std::size_t lists = 0;    ///< Lists that it has called.
+        std::size_t answered = 0; ///< Of those, answered ones.
+    };
+
     fleet_plan plan_;
+    std::map<std::string, stored_object> store_; ///< Records, by name.
+    std::uint64_t revision_ = 1'000;
+    std::vector<store_access> access_;
     dispatch_bounds bounds_;
     std::size_t receivers_ = 0; ///< Instances that get requests.
     std::vector<held_request> held_;
--- a/tests/dispatch/harness.cpp
+++ b/tests/dispatch/harness.cpp
@@ -28,11 +28,24 @@
 }
 
 harness::harness(dispatcher_init const& init, time_point start)
-    : core(init), now(start)
+    : core(init), now(start), self_(init.self)
 {
     carry_out(core.start(now));
 }
 
+auto harness::finish_startup() -> void
+{
+    constexpr auto startup = seconds{30};
+    auto const end = now + startup;
+    auto claiming = self_;
+    claiming.budget_claim = whole_budget;
+    auto const own = stored_object{self_.name, ++revision_, claiming};
+    feed(store_listed{store_kind::instances, {own}, "", revision_});
+    advance(dispatch_limits{}.poll_first + milliseconds{100});
+    feed(store_listed{store_kind::instances, {own}, "", revision_});
+    advance(end - now);
+}
+
 auto harness::feed_lists(routing_config const& c,
     std::vector<target_registration> const& targets,
     std::vector<instance_record> const& fleet) -> void
--- a/tests/dispatch/harness.hpp
+++ b/tests/dispatch/harness.hpp
@@ -51,9 +51,10 @@
     explicit harness(dispatcher_init const& init,
         time_point start = time_point{seconds{100}});
 
-    /// Advances the clock by 30 s, so that limits which grow after a start,
-    /// such as the retry budget, have their full value.
-    auto finish_startup() -> void { advance(seconds{30}); }
+    /// Advances the clock by 30 s, so that limits which grow after a start have
+    /// their full value. The instance claims the whole retry budget: its record
+    /// was in the store when it started.
+    auto finish_startup() -> void;
 
     /// Feeds a complete list of each kind of stored objects; evacuations and
     /// rollouts are empty.
@@ -148,6 +149,7 @@
     std::map<connection_id, std::string> accepted_addresses_;
     std::optional<time_point> wake_;
     std::deque<event> pending_events_;
+    instance_record self_;
     std::uint64_t callers_ = 0;
     std::uint64_t revision_ = 10;
 };
--- a/tests/dispatch/store_calls.cpp
+++ b/tests/dispatch/store_calls.cpp
@@ -55,15 +55,18 @@
     return {kind, std::move(name), 0, why, {}};
 }
 
-/// Replaces an object that must exist, or creates one that must not.
-auto put(store_model& store, store_kind kind, stored_object o, bool exists,
-    time_point now) -> store_written
+/// Replaces an object of a revision (0: any), or creates one that must not
+/// exist.
+auto put(store_model& store, store_kind kind, stored_object o,
+    std::optional<std::uint64_t> replaced, time_point now) -> store_written
 {
     auto const name = o.name;
     auto const* known = store.find(kind, name);
-    if (exists && known == nullptr)
+    if (replaced && known == nullptr)
         return refused(kind, name, store_failure::missing);
-    if (!exists && known != nullptr)
+    if (!replaced && known != nullptr)
+        return refused(kind, name, store_failure::conflict);
+    if (replaced && *replaced != 0 && *replaced != known->revision)
         return refused(kind, name, store_failure::conflict);
     if (known != nullptr && known->value == o.value)
         return success(kind, name, known->revision);
@@ -172,10 +175,10 @@
 {
     if (auto const* it = std::get_if<store_write_record>(&c))
         return put(store, store_kind::instances,
-            {it->record.name, 0, it->record}, it->exists, now);
+            {it->record.name, 0, it->record}, it->replaced, now);
     if (auto const* it = std::get_if<store_write_report>(&c))
         return put(store, store_kind::reports, {it->report.name, 0, it->report},
-            it->exists, now);
+            it->exists ? std::optional{std::uint64_t{0}} : std::nullopt, now);
     if (auto const* it = std::get_if<store_write_order_state>(&c))
         return put_state(store, *it, now);
     if (auto const* it = std::get_if<store_delete_record>(&c))
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -39,15 +39,47 @@
     return bounds.retry_budget_ratio * most + bounds.retry_budget_extra;
 }
 
+/// An equal share of the budget that has been confirmed long ago.
+auto confirmed_share(std::size_t instances, ks::time_point now) -> budget_claim
+{
+    auto c = budget_claim{};
+    c.claimed = ks::whole_budget / static_cast<std::uint32_t>(instances);
+    c.used = c.claimed;
+    c.next = c.claimed;
+    c.renewed_at = now;
+    return c;
+}
+
 /// Retry budget of one instance for one service.
 struct simulated_instance
 {
     extra_budget budget;
     ks::time_point started;
     bool greedy = false; ///< Sends all extra requests that it may.
-    std::size_t rank = 0;
+    double place = 0;
 };
 
+auto terms(dispatch_bounds const& bounds, simulated_instance const& it,
+    std::size_t instances, ks::time_point now) -> budget_terms
+{
+    auto c = confirmed_share(instances, now);
+    c.used = 0;
+    c.next_from = it.started + ks::duration{bounds.budget_window};
+    return terms_of(bounds, c, it.place, it.started, now);
+}
+
+/// Sends extra requests while they are allowed. All arrive at once.
+auto spend(extra_budget b, dispatch_bounds const& bounds, budget_terms const& t,
+    ks::time_point now, std::uint32_t& sent) -> extra_budget
+{
+    while (allows_extra(t, extra_left(b, bounds, t, now), urgency::needed))
+    {
+        b = with_settled(with_extra(b), bounds, now);
+        ++sent;
+    }
+    return b;
+}
+
 } // namespace
 
 TEST_CASE("budget: all instances together stay within it in every window")
@@ -61,9 +93,8 @@
             auto fleet = std::vector<simulated_instance>(n);
             for (auto& it : fleet)
             {
-                it.rank = static_cast<std::size_t>(&it - fleet.data());
-                it.budget = with_share({}, budget_share(bounds, n),
-                    budget_rounding(bounds, it.rank, n));
+                auto const rank = static_cast<double>(&it - fleet.data());
+                it.place = (rank + 0.5) / static_cast<double>(n);
                 it.greedy = *rc::gen::inRange(0, 4) != 0;
             }
             auto first = counts{};
@@ -80,8 +111,7 @@
                 if (*rc::gen::inRange(0, 20) == 0)
                 { // A process is killed and restarts.
                     auto& it = fleet[*rc::gen::inRange(std::size_t{0}, n)];
-                    it.budget = with_share({}, budget_share(bounds, n),
-                        budget_rounding(bounds, it.rank, n));
+                    it.budget = {};
                     it.started = now;
                 }
                 for (auto& it : fleet)
@@ -89,14 +119,9 @@
                     auto const own = *rc::gen::inRange(0, rate + 1);
                     for (auto k = 0; k < own; ++k, ++first.back())
                         it.budget = with_first(it.budget, bounds, now);
-                    while (it.greedy &&
-                           allows_extra(it.budget,
-                               extra_left(it.budget, bounds, it.started, now),
-                               urgency::needed))
-                    {
-                        it.budget = with_extra(it.budget, bounds, now);
-                        ++extra.back();
-                    }
+                    if (it.greedy)
+                        it.budget = spend(it.budget, bounds,
+                            terms(bounds, it, n, now), now, extra.back());
                 }
             }
             for (auto i = std::size_t{0}; i < extra.size(); ++i)
@@ -109,28 +134,39 @@
 TEST_CASE("budget: spent requests are available again after a window")
 {
     auto const bounds = dispatch_bounds{};
-    auto b = with_share({}, 3);
+    auto b = extra_budget{};
     auto now = ks::time_point{ks::seconds{100}};
-    auto const spend = [&]
+    auto const spend_all = [&]
     {
-        auto n = 0;
-        while (allows_extra(b, extra_left(b, bounds, {}, now), urgency::needed))
-        {
-            b = with_extra(b, bounds, now);
-            ++n;
-        }
+        auto n = 0u;
+        b = spend(b, bounds, {0.2, 3, 0}, now, n);
         return n;
     };
-    CHECK(spend() == 3);
+    CHECK(spend_all() == 3);
     now += ks::seconds{9};
-    CHECK(spend() == 0);
+    CHECK(spend_all() == 0);
     now += ks::seconds{2};
-    CHECK(spend() == 3);
+    CHECK(spend_all() == 3);
+}
+
+TEST_CASE("budget: a request that its target has not read stays charged")
+{
+    auto const bounds = dispatch_bounds{};
+    auto const t = budget_terms{0.2, 3, 0};
+    auto now = ks::time_point{ks::seconds{100}};
+    auto b = with_extra(with_extra(with_extra({})));
+    now += ks::seconds{60};
+    CHECK(extra_left(b, bounds, t, now) == 0);
+    b = with_settled(b, bounds, now);
+    now += ks::seconds{9};
+    CHECK(extra_left(b, bounds, t, now) == 0);
+    now += ks::seconds{2};
+    CHECK(extra_left(b, bounds, t, now) == 1);
 }
 
 TEST_CASE("budget: probes leave a reserve to hedges, and hedges to retries")
 {
-    auto const b = with_share({}, 8);
+    auto const b = budget_terms{0.2, 8, 0};
     CHECK(allows_extra(b, 1, urgency::needed));
     CHECK(!allows_extra(b, 1, urgency::useful));
     CHECK(allows_extra(b, 2, urgency::useful));
@@ -322,31 +358,34 @@
     bounds.retry_budget_extra = 600;
     auto const n = std::size_t{300};
     auto const now = ks::time_point{ks::seconds{100}};
-    auto sent = std::size_t{0};
-    for (auto rank = std::size_t{0}; rank < n; ++rank)
+    auto sent = std::uint32_t{0};
+    for (auto i = std::size_t{0}; i < n; ++i)
     {
-        auto b = with_share(
-            {}, budget_share(bounds, n), budget_rounding(bounds, rank, n));
-        for (; allows_extra(b, extra_left(b, bounds, {}, now), urgency::needed);
-             ++sent)
-            b = with_extra(b, bounds, now);
+        auto const it = simulated_instance{
+            {}, {}, true, (static_cast<double>(i) + 0.5) / n};
+        spend({}, bounds, terms(bounds, it, n, now), now, sent);
     }
     CHECK(sent <= 600);
     CHECK(sent >= 530);
     bounds.retry_budget_extra = 50;
-    CHECK(budget_rounding(bounds, n - 1, n) == 0);
+    CHECK(terms_of(bounds, confirmed_share(n, now), 1, {}, now).rounding == 0);
 }
 
 TEST_CASE("budget: a process that has just started may probe suspended targets")
 {
     auto const bounds = dispatch_bounds{};
     auto const now = ks::time_point{ks::seconds{100}};
-    auto const started = now - ks::seconds{5};
-    auto b = with_share({}, budget_share(bounds, 2));
+    auto b = extra_budget{};
     for (auto i = 0; i < 500; ++i)
         b = with_first(b, bounds, now);
-    auto const usable = with_usable_share(b, bounds, started, now);
-    auto const left = extra_left(b, bounds, started, now);
-    CHECK(allows_extra(usable, left, urgency::optional));
-    CHECK(!allows_extra(b, left, urgency::optional));
+    // The claim of the process before has been confirmed, its window lasts.
+    auto claim = confirmed_share(2, now);
+    claim.used = 0;
+    claim.next_from = now + ks::seconds{5};
+    auto const started = now - ks::seconds{5};
+    auto const t = terms_of(bounds, claim, 0, started, now);
+    CHECK(allows_extra(t, extra_left(b, bounds, t, now), urgency::optional));
+    auto const full = terms_of(bounds, confirmed_share(2, now), 0, {}, now);
+    CHECK(
+        !allows_extra(full, extra_left(b, bounds, t, now), urgency::optional));
 }
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -1,8 +1,11 @@
-#include "core/dispatch/fleet_count.hpp"
+#include "core/dispatch/budget_claim.hpp"
 #include "dispatch/budget_fleet.hpp"
 
 #include <doctest/doctest.h>
 
+#include <cstdlib>
+#include <vector>
+
 namespace ks = knapweedstream;
 using namespace knapweedstream::dispatch;
 using ks::milliseconds;
@@ -104,40 +107,85 @@
     CHECK(fleet.worst_use_of_budget() <= 1);
 }
 
-TEST_CASE("budget sums: fewer listed instances count only after a while")
+TEST_CASE("budget sums: a claim that is no longer listed counts for a while")
 {
-    auto const hold = ks::duration{seconds{20}};
+    auto const window = ks::duration{seconds{10}};
     auto const t = ks::time_point{seconds{100}};
-    auto c = with_listed({}, 40, hold, t);
-    CHECK(c.divisor == 40);
-    c = with_listed(c, 20, hold, t + seconds{1});
-    c = with_listed(c, 30, hold, t + seconds{11});
-    c = with_listed(c, 25, hold, t + seconds{20});
-    CHECK(c.divisor == 40);
-    c = with_listed(c, 25, hold, t + seconds{21});
-    CHECK(c.divisor == 30);
-    c = with_listed(c, 50, hold, t + seconds{22});
-    CHECK(c.divisor == 50);
-    // A list that holds all of them again ends the wait.
-    c = with_listed(c, 10, hold, t + seconds{23});
-    c = with_listed(c, 50, hold, t + seconds{30});
-    c = with_listed(c, 10, hold, t + seconds{44});
-    CHECK(c.divisor == 50);
+    auto const quarter = ks::whole_budget / 4;
+    auto others = std::vector<ks::instance_record>{};
+    for (auto const* name : {"a", "b", "c"})
+        others.push_back({name, "z", "r", "", quarter});
+    auto const own = stored_claim{quarter, {0, 1}};
+    auto const listed = [&](std::size_t n, ks::time_point at)
+    {
+        return claim_list{{others.data(), n}, own, at, true};
+    };
+    auto c = with_list({}, listed(3, t), window, t);
+    c = with_list(c, listed(3, t + seconds{1}), window, t + seconds{1});
+    CHECK(c.claimed == quarter);
+    CHECK(usable_claim(c, t + seconds{10}) == 0);
+    CHECK(usable_claim(c, t + seconds{11}) == quarter);
+    // Two are gone: what they claimed is free after the hold.
+    c = with_list(c, listed(1, t + seconds{30}), window, t + seconds{30});
+    c = with_list(c, listed(1, t + seconds{60}), window, t + seconds{60});
+    CHECK(claimants(c) == 4);
+    CHECK(c.claimed == quarter);
+    c = with_list(c, listed(1, t + seconds{62}), window, t + seconds{62});
+    CHECK(claimants(c) == 2);
+    CHECK(c.claimed == 2 * quarter);
+    // It is not used until the store is known to hold it, and for a window.
+    auto const more = stored_claim{2 * quarter, {0, 2}};
+    c = with_stored(c, more, t + seconds{63});
+    CHECK(usable_claim(c, t + seconds{64}) == quarter);
+    auto const last =
+        claim_list{{others.data(), 1}, more, t + seconds{64}, true};
+    c = with_list(c, last, window, t + seconds{64});
+    CHECK(usable_claim(c, t + seconds{73}) == quarter);
+    CHECK(usable_claim(c, t + seconds{74}) == 2 * quarter);
+    // Without a list it is used no longer than for the lease.
+    CHECK(usable_claim(c, t + seconds{103}) == 2 * quarter);
+    CHECK(usable_claim(c, t + seconds{104}) == 0);
+}
+
+TEST_CASE("budget sums: of two claims that are too large the later list knows")
+{
+    auto const window = ks::duration{seconds{10}};
+    auto const t = ks::time_point{seconds{100}};
+    auto const most = ks::whole_budget * 3 / 4;
+    auto const list_of = [&](char const* other, std::uint32_t claim,
+                             std::vector<ks::instance_record>& all, int at)
+    {
+        all = {{other, "z", "r", "", claim}};
+        return claim_list{
+            all, stored_claim{most, {0, 1}}, t + seconds{at}, true};
+    };
+    auto all = std::vector<ks::instance_record>{};
+    auto a = with_list({}, list_of("b", 0, all, 0), window, t);
+    auto b = with_list({}, list_of("a", most, all, 0), window, t);
+    a = with_list(a, list_of("b", 0, all, 1), window, t + seconds{1});
+    b = with_list(b, list_of("a", most, all, 2), window, t + seconds{2});
+    auto const sum =
+        usable_claim(a, t + seconds{20}) + usable_claim(b, t + seconds{20});
+    CHECK(sum <= ks::whole_budget);
+    CHECK(usable_claim(b, t + seconds{20}) == ks::whole_budget - most);
 }
 
 TEST_CASE("budget sums: restarted instances list a part of the fleet for long")
 {
-    for (auto const listed : {4, 3})
+    for (auto const listed : {4, 3, -4, -3}) // Negative: records are lost.
         for (auto const late : {4, 9, 15, 40})
         {
             CAPTURE(listed);
             CAPTURE(late);
             auto fleet = budget_fleet{};
             fleet.run(seconds{20}, refusing);
+            if (listed < 0)
+                fleet.lose_records(0);
             for (auto i = std::size_t{0}; i < fleet_size; ++i)
                 fleet.restart(i, false);
             for (auto i = std::size_t{0}; i < fleet_size; ++i)
-                fleet.read_list(i, i / listed + 1);
+                fleet.read_list(
+                    i, i / static_cast<std::size_t>(std::abs(listed)) + 1);
             fleet.run(seconds{late}, refusing);
             for (auto i = std::size_t{0}; i < fleet_size; ++i)
                 fleet.read_list(i, fleet_size);
@@ -148,12 +196,15 @@
 
 TEST_CASE("budget sums: a third is cut off, the others list two thirds")
 {
-    for (auto const length : {9, 19, 25, 40})
+    for (auto const length : {9, 19, 25, 40, 90})
     {
         CAPTURE(length);
         auto fleet = budget_fleet{};
         fleet.run(seconds{20}, refusing);
         auto const rest = 2 * fleet_size / 3;
+        fleet.lose_records(rest);
+        for (auto i = rest; i < fleet_size; ++i)
+            fleet.cut_off(i);
         for (auto k = 0; k < length; ++k)
         {
             for (auto i = std::size_t{0}; i < rest; ++i)
@@ -169,18 +220,32 @@
 
 TEST_CASE("budget sums: all restart after a cut, two thirds list two thirds")
 {
-    auto fleet = budget_fleet{};
-    fleet.run(seconds{20}, refusing);
-    auto const rest = 2 * fleet_size / 3;
-    for (auto i = std::size_t{0}; i < rest; ++i)
-        fleet.read_list(i, rest);
-    fleet.run(seconds{9}, refusing);
-    for (auto i = std::size_t{0}; i < fleet_size; ++i)
-        fleet.restart(i, false);
-    for (auto i = std::size_t{0}; i < fleet_size; ++i)
-        fleet.read_list(i, i < rest ? rest : fleet_size);
-    fleet.run(seconds{40}, refusing);
-    CHECK(fleet.worst_use_of_budget() <= 1);
+    for (auto const cut_remains : {false, true})
+    {
+        CAPTURE(cut_remains);
+        auto fleet = budget_fleet{};
+        fleet.run(seconds{20}, refusing);
+        auto const rest = 2 * fleet_size / 3;
+        for (auto i = rest; i < fleet_size; ++i)
+            fleet.cut_off(i);
+        for (auto i = std::size_t{0}; i < rest; ++i)
+            fleet.read_list(i, rest);
+        fleet.run(seconds{9}, refusing);
+        if (cut_remains)
+            fleet.lose_records(rest);
+        for (auto i = std::size_t{0}; i < fleet_size; ++i)
+            fleet.restart(i, false);
+        for (auto i = std::size_t{0}; i < fleet_size; ++i)
+            if (i < rest || !cut_remains)
+                fleet.read_list(i, i < rest ? rest : fleet_size);
+        for (auto k = 0; k < 40; ++k)
+        {
+            fleet.run(seconds{1}, refusing);
+            for (auto i = std::size_t{0}; cut_remains && i < rest; ++i)
+                fleet.read_list(i, rest);
+        }
+        CHECK(fleet.worst_use_of_budget() <= 1);
+    }
 }
 
 TEST_CASE("budget sums: a fleet has grown and the older ones do not list it")
--- a/tests/dispatch/test_odd_lists.cpp
+++ b/tests/dispatch/test_odd_lists.cpp
@@ -24,7 +24,7 @@
 auto instance_without_targets() -> harness
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed(store_listed{store_kind::configuration,
         {{"main", 1, config_of(single_route("s"))}}, "", 9});
     r.submit("first"); // Callers are served: targets are in demand.
--- a/tests/dispatch/test_queue.cpp
+++ b/tests/dispatch/test_queue.cpp
@@ -9,7 +9,7 @@
 TEST_CASE("queue: a part that waits for a connection does not end a gather")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     auto targets = two_shard_targets();
     r.feed_lists(
         config_of(shard_route({"s0", "s1"}, 1.0)), three_targets("s0"));
--- a/tests/dispatch/test_restored_targets.cpp
+++ b/tests/dispatch/test_restored_targets.cpp
@@ -32,7 +32,7 @@
 {
     instance_with_targets()
     {
-        r.finish_startup();
+        r.advance(ks::seconds{30});
         r.feed(store_listed{store_kind::configuration,
             {{"main", 90, config_of(single_route("s"), 5)}}, "", 100, false,
             restored_era - 1});
--- a/tests/dispatch/test_stale_lists.cpp
+++ b/tests/dispatch/test_stale_lists.cpp
@@ -27,7 +27,7 @@
 auto instance_without_targets() -> harness
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed(store_listed{ks::store_kind::configuration,
         {{"main", 1, config_of(single_route("s"))}}, "", 1});
     return r;
@@ -202,7 +202,7 @@
 TEST_CASE("store: an instance that a stale list does not hold yet stays known")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     auto const record = [](std::string const& name, std::uint64_t revision)
     {
         return ks::stored_object{
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -36,7 +36,7 @@
     for (auto const late : {false, true})
     {
         auto r = harness{};
-        r.finish_startup();
+        r.advance(ks::seconds{30});
         r.feed_lists(config_of(single_route("s")), three_targets("s"));
         r.feed(store_failed{
             ks::store_kind::targets, ks::store_failure::unreachable});
@@ -61,7 +61,7 @@
 TEST_CASE("store: during an outage only one kind of object is requested")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     for (auto const k : {ks::store_kind::targets, ks::store_kind::evacuations,
              ks::store_kind::configuration, ks::store_kind::rollouts})
@@ -98,30 +98,34 @@
 TEST_CASE("store: an instance records itself until it is listed")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     REQUIRE(r.commands_of<store_write_record>().size() == 1);
-    CHECK(!r.commands_of<store_write_record>()[0].exists);
+    CHECK(!r.commands_of<store_write_record>()[0].replaced);
     // The list was stale: the record of an earlier start exists.
     r.feed(store_written{
         ks::store_kind::instances, "me", 0, ks::store_failure::conflict});
     REQUIRE(r.commands_of<store_write_record>().size() == 2);
-    CHECK(r.commands_of<store_write_record>()[1].exists);
+    CHECK(r.commands_of<store_write_record>()[1].replaced);
     r.advance(milliseconds{1'600});
     r.feed(store_listed{ks::store_kind::instances,
         {{"me", 1, ks::instance_record{"me", "a", "north"}}}, "", 5});
-    CHECK(r.commands_of<store_write_record>().size() == 2);
+    // It is the only one: it claims the whole retry budget.
+    REQUIRE(r.commands_of<store_write_record>().size() == 3);
+    auto const claim = r.commands_of<store_write_record>()[2];
+    CHECK(claim.record.budget_claim == ks::whole_budget);
+    CHECK(claim.replaced == 1u);
     // The record has been removed.
     r.advance(milliseconds{3'100});
     r.feed(store_listed{ks::store_kind::instances, {}, "", 6});
-    CHECK(r.commands_of<store_write_record>().size() == 3);
+    CHECK(r.commands_of<store_write_record>().size() == 4);
 }
 
 TEST_CASE(
     "store: a watch that no longer returns changes is detected by a check")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     auto const watches = r.commands_of<store_watch>().size();
     r.advance(ks::seconds{6});
@@ -152,7 +156,7 @@
 TEST_CASE("store: a check that returns no changes has no effect")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     r.advance(ks::seconds{6});
     auto const watches = r.commands_of<store_watch>().size();
@@ -170,7 +174,7 @@
           "connection, and logged")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     r.advance(ks::seconds{6});
     auto const watches = r.commands_of<store_watch>().size();
@@ -190,7 +194,7 @@
           "discarded the changes since its revision")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     r.advance(ks::seconds{2});
     auto const watches = r.commands_of<store_watch>().size();
@@ -208,7 +212,7 @@
           "fails")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     r.feed(store_failed{
         ks::store_kind::configuration, ks::store_failure::timeout});
@@ -222,7 +226,7 @@
           "renewed once the store answers")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     r.feed(store_failed{
         ks::store_kind::configuration, ks::store_failure::timeout});
@@ -242,7 +246,7 @@
           "of the others each time")
 {
     auto r = harness{};
-    r.finish_startup();
+    r.advance(ks::seconds{30});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     auto renewals = 0;
     for (auto i = 0; i < 20; ++i)
@@ -268,7 +272,7 @@
         auto bounds = dispatch_bounds{};
         bounds.drain = drain;
         r.core.reconfigure({}, bounds);
-        r.finish_startup();
+        r.advance(ks::seconds{30});
         r.feed_lists(config_of(single_route("s")), three_targets("s"));
         // The check is sent after a quarter of the bound, whatever the time at
         // which the watch began to wait, and may take another quarter.
--- a/tests/unit/test_store_connections.cpp
+++ b/tests/unit/test_store_connections.cpp
@@ -63,7 +63,7 @@
     {
         return call_of("/watch");
     };
-    c.record = [](auto const&, bool)
+    c.record = [](auto const&, auto const&)
     {
         return call_of("/record");
     };
@@ -101,7 +101,7 @@
         }};
     auto const watch = ks::dispatch::store_watch{
         ks::store_kind::targets, 1, milliseconds{1}, false, milliseconds{100}};
-    auto const write = ks::dispatch::store_write_record{{}, true};
+    auto const write = ks::dispatch::store_write_record{{}, 0};
     client.run(watch);
     client.run(write);
     REQUIRE(l.run_until([&] { return changed == 1 && written == 1; }));
--- a/tests/unit/test_store_names.cpp
+++ b/tests/unit/test_store_names.cpp
@@ -89,7 +89,7 @@
     for (auto const kind : {ks::store_kind::instances, ks::store_kind::reports})
         good &= receive(dialect.remove(kind, name)) ==
                 received_call{path{"objects", kind_of_list(kind), name}, {}};
-    good &= receive(dialect.record({name, "a", "r"}, true)).path ==
+    good &= receive(dialect.record({name, "a", "r"}, 0)).path ==
             path{"objects", kind_of_list(ks::store_kind::instances), name};
     good &= receive(dialect.report({name, {}, {}}, true)).path ==
             path{"objects", kind_of_list(ks::store_kind::reports), name};
