--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/answers.hpp"
 #include "core/dispatch/attempt_outcome.hpp"
+#include "core/dispatch/charges.hpp"
 #include "core/dispatch/concurrency_limit.hpp"
 #include "core/dispatch/crashes.hpp"
 #include "core/dispatch/hear_notices.hpp"
@@ -170,6 +171,7 @@
 {
     auto const m = outcome_of_loss(s, l, e, now);
     s.attempts.erase(a.id);
+    settle(s, a, now);
     remove_link(s, l);
     auto& t = s.targets.at(l.target);
     if (m.how == attempt_end::lost)
@@ -273,6 +275,8 @@
     s.stats.overload_replies += refused ? 1 : 0;
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
     s.attempts.erase(a.id);
+    settle(s, a, now);
+    settle_unread(s, t, a.sent_at, now);
     if (m.how == attempt_end::wrong_target)
         displace(s, t, out);
     if (e.reusable && is_usable(t, now))
@@ -321,6 +325,7 @@
                    : without_request(t.health);
     record_unanswered(s, t, a, now);
     s.attempts.erase(a.id);
+    keep_unread(s, t, a, now);
     close_link(s, a.connection, out);
     report_condition(s, t, now, out);
     serve_queue(s, t.service, now, out);
--- a/src/core/dispatch/catalog.cpp
+++ b/src/core/dispatch/catalog.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/catalog.hpp"
 
+#include "core/dispatch/charges.hpp"
 #include "core/dispatch/eras.hpp"
 #include "core/dispatch/link_shares.hpp"
 #include "core/dispatch/placing.hpp"
@@ -280,6 +281,7 @@
         return;
     if (now >= it->second.lapses_at)
         return remove_target(s, e.target, now, out);
+    settle_expired(s, it->second, now);
     preconnect(s, it->second, now, out);
     serve_queue(s, it->second.service, now, out);
 }
--- /dev/null
+++ b/src/core/dispatch/charges.cpp
@@ -0,0 +1,61 @@
+#include "core/dispatch/charges.hpp"
+
+#include <algorithm>
+
+namespace knapweedstream::dispatch
+{
+
+namespace
+{
+
+auto settle_one(dispatch_state& s, service_id service, time_point now) -> void
+{
+    auto const it = s.services.find(service);
+    if (it != s.services.end())
+        it->second.budget = with_settled(it->second.budget, s.init.bounds, now);
+}
+
+/// How long a charge is kept for a target that is silent.
+auto unread_time(dispatch_state const& s) -> duration
+{
+    return s.init.bounds.budget_window;
+}
+
+} // namespace
+
+auto settle(dispatch_state& s, attempt const& a, time_point now) -> void
+{
+    if (!a.charged)
+        return;
+    auto const first = s.attempts.find(a.first);
+    if (first != s.attempts.end() && !first->second.charged)
+        first->second.charged = true;
+    else
+        settle_one(s, s.targets.at(a.target).service, now);
+}
+
+auto keep_unread(dispatch_state& s, target_entry& t, attempt const& a,
+    time_point now) -> void
+{
+    if (!a.charged)
+        return;
+    t.unread.push_back(now);
+    arm(s, now + unread_time(s), target_due{t.id});
+}
+
+auto settle_unread(dispatch_state& s, target_entry& t, time_point sent_at,
+    time_point now) -> void
+{
+    auto const before =
+        std::upper_bound(t.unread.begin(), t.unread.end(), sent_at);
+    for (auto it = t.unread.begin(); it != before; ++it)
+        settle_one(s, t.service, now);
+    t.unread.erase(t.unread.begin(), before);
+}
+
+auto settle_expired(dispatch_state& s, target_entry& t, time_point now) -> void
+{
+    settle_unread(s, t, now - unread_time(s), now);
+}
+
+} // namespace knapweedstream::dispatch
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -24,7 +24,7 @@
 {
     auto& b = s.services.at(p.service).budget;
     if (kind != attempt_kind::first)
-        b = with_settled(with_extra(b), s.init.bounds, now);
+        b = with_extra(b);
     else if (p.first_sent == time_point{})
         b = with_first(b, s.init.bounds, now);
 }
@@ -99,6 +99,11 @@
     if (now < t.cold_until)
         t.warmup = with_sent(t.warmup);
     t.notices = with_sent(t.notices);
+    a.charged = kind != attempt_kind::first;
+    if (a.charged)
+        a.first = p.first_attempt;
+    else
+        p.first_attempt = a.id;
     record_send(s, e, p, t, a, now, out);
     p = with_attempt(p, a);
     s.attempts.emplace(a.id, a);
--- a/src/core/dispatch/registrations.cpp
+++ b/src/core/dispatch/registrations.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/registrations.hpp"
 
+#include "core/dispatch/charges.hpp"
 #include "core/dispatch/crashes.hpp"
 #include "core/dispatch/eras.hpp"
 #include "core/dispatch/link_shares.hpp"
@@ -145,6 +146,7 @@
         return;
     auto& t = it->second;
     close_idle(s, t, out);
+    settle_unread(s, t, now, now);
     remember_departed(s, t, now);
     note_ended(s, t, now, out);
     report_target(t, target_condition::gone, out);
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -86,6 +86,9 @@
     /// No reply came within `hedge_delay`, and the target's health records it.
     bool overdue = false;
     bool abandoned = false; ///< The reply is no longer wanted.
+    bool charged = false;   ///< It is charged to the retry budget.
+    /// First attempt of the part; set in the others only.
+    attempt_id first;
 
     auto operator<=>(attempt const&) const = default;
 };
@@ -119,6 +122,7 @@
     /// Attempts that a target may have run.
     std::uint32_t runs = 0;
     std::array<attempt_id, max_running> running{};
+    attempt_id first_attempt;
     std::array<target_id, max_tried> tried{};
     /// Connections on which a target has replied to it without success.
     std::vector<connection_id> replied_on;
@@ -192,6 +196,8 @@
     time_point lapses_at = time_point::max();
     time_point cold_until;  ///< End of its warm-up.
     token_bucket warmup;    ///< Used until `cold_until`.
+    /// When charged attempts were given up that it may still read.
+    std::vector<time_point> unread;
     target_notices notices; ///< Of its present start.
     /// Timer armed for the next request that its stated limit allows.
     time_point allowance_due;
