--- a/src/adapter/call_channel.cpp
+++ b/src/adapter/call_channel.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-call_channel::call_channel(event_base* base, std::string const& address)
+call_channel::call_channel(loop_ref base, std::string const& address)
     : base_(base), address_(address),
       timeout_(base, [this] { fail(link_end::reset, false); })
 {
--- a/src/adapter/call_channel.hpp
+++ b/src/adapter/call_channel.hpp
@@ -18,7 +18,7 @@
     /// @param how `refused` if the call got no answer in time.
     using failure_handler = std::function<void(link_end how, bool in_time)>;
 
-    call_channel(event_base* base, std::string const& address);
+    call_channel(loop_ref base, std::string const& address);
 
     /// Sends a request over the open connection, or a new one.
     ///
@@ -39,7 +39,7 @@
     auto fail(link_end how, bool in_time) -> void;
     auto drop_link() -> void;
 
-    event_base* base_;
+    loop_ref base_;
     std::string address_;
     std::unique_ptr<http_link> link_;
     loop_event timeout_;
--- a/src/adapter/caller_server.cpp
+++ b/src/adapter/caller_server.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-caller_server::caller_server(event_base* base, node_limits const& limits,
+caller_server::caller_server(loop_ref base, node_limits const& limits,
     event_sink sink, operator_pages pages)
     : http_(evhtp_new(base, nullptr)), limits_(limits), sink_(std::move(sink)),
       pages_(std::move(pages))
--- a/src/adapter/caller_server.hpp
+++ b/src/adapter/caller_server.hpp
@@ -28,7 +28,7 @@
 class caller_server
 {
 public:
-    caller_server(event_base* base, node_limits const& limits, event_sink sink,
+    caller_server(loop_ref base, node_limits const& limits, event_sink sink,
         operator_pages pages);
     ~caller_server();
     caller_server(caller_server const&) = delete;
--- a/src/adapter/dispatch_metrics.cpp
+++ b/src/adapter/dispatch_metrics.cpp
@@ -24,6 +24,7 @@
         std::uint64_t d::*member;
     };
     constexpr auto table = std::array{entry{"requests_total", &d::requests},
+        entry{"requests_read_late_total", &d::read_late},
         entry{"requests_complete_total", &d::complete},
         entry{"requests_partial_total", &d::partial},
         entry{"requests_refused_total", &d::refused},
--- a/src/adapter/event_loop.cpp
+++ b/src/adapter/event_loop.cpp
@@ -7,16 +7,6 @@
 namespace knapweedstream
 {
 
-namespace
-{
-
-auto run_callback(evutil_socket_t, short, void* arg) -> void
-{
-    (*static_cast<loop_event::callback*>(arg))();
-}
-
-} // namespace
-
 auto make_event_base(timer_precision precision) -> event_base_ptr
 {
     auto* config = event_config_new();
@@ -27,21 +17,60 @@
     return base;
 }
 
-loop_event::loop_event(event_base* base, callback f)
-    : callback_(std::move(f)),
-      event_(event_new(base, -1, 0, run_callback, &callback_))
+turn_clock::turn_clock(event_base* base)
+    : end_event_(event_new(base, -1, 0, on_end, this))
+{
+}
+
+auto turn_clock::enter(time_point now) -> void
+{
+    if (running_)
+        return;
+    running_ = true;
+    times_ = with_turn(times_, ended_, now);
+    event_active(end_event_.get(), 0, 0);
+}
+
+auto turn_clock::on_end(evutil_socket_t, short, void* arg) -> void
 {
+    auto* self = static_cast<turn_clock*>(arg);
+    self->running_ = false;
+    self->ended_ = steady_now();
 }
 
-loop_event::loop_event(
-    event_base* base, int fd_or_signal, short what, callback f)
-    : callback_(std::move(f)),
-      event_(event_new(base, fd_or_signal,
-          static_cast<short>(what | EV_PERSIST), run_callback, &callback_))
+auto enter_turn(loop_ref const& loop) -> void
+{
+    if (loop.turns != nullptr)
+        loop.turns->enter(steady_now());
+}
+
+auto earliest_arrival(loop_ref const& loop) -> time_point
+{
+    return loop.turns == nullptr ? steady_now()
+                                 : earliest_arrival(loop.turns->times());
+}
+
+loop_event::loop_event(loop_ref loop, callback f)
+    : loop_(loop), callback_(std::move(f)),
+      event_(event_new(loop, -1, 0, on_event, this))
+{
+}
+
+loop_event::loop_event(loop_ref loop, int fd_or_signal, short what, callback f)
+    : loop_(loop), callback_(std::move(f)),
+      event_(event_new(loop, fd_or_signal,
+          static_cast<short>(what | EV_PERSIST), on_event, this))
 {
     event_add(event_.get(), nullptr);
 }
 
+auto loop_event::on_event(evutil_socket_t, short, void* arg) -> void
+{
+    auto* self = static_cast<loop_event*>(arg);
+    enter_turn(self->loop_);
+    self->callback_();
+}
+
 auto loop_event::after(duration wait) -> void
 {
     auto const us = std::max<duration::rep>(0, wait.count());
--- a/src/adapter/event_loop.hpp
+++ b/src/adapter/event_loop.hpp
@@ -2,6 +2,8 @@
 #ifndef KNAPWEEDSTREAM_ADAPTER_EVENT_LOOP_HPP
 #define KNAPWEEDSTREAM_ADAPTER_EVENT_LOOP_HPP
 
+#include "adapter/loop_turns.hpp"
+
 #include <knapweedstream/time.hpp>
 
 #include <event2/event.h>
@@ -39,6 +41,43 @@
 auto make_event_base(timer_precision precision = timer_precision::fine)
     -> event_base_ptr;
 
+/// Follows the turns of a loop. Callbacks that may begin a turn call `enter`.
+class turn_clock
+{
+public:
+    explicit turn_clock(event_base* base);
+
+    /// A callback of the loop runs.
+    auto enter(time_point now) -> void;
+
+    auto times() const -> turn_times const& { return times_; }
+
+private:
+    static auto on_end(evutil_socket_t, short, void* arg) -> void;
+
+    turn_times times_;
+    time_point ended_; ///< End of the last turn.
+    bool running_ = false;
+    event_ptr end_event_; ///< Runs after the events of a turn.
+};
+
+/// A loop, and its turns if they are followed.
+struct loop_ref
+{
+    // Converts, so that a loop whose turns nobody follows can be passed.
+    loop_ref(event_base* b, turn_clock* t = nullptr) : base(b), turns(t) {}
+    operator event_base*() const { return base; }
+
+    event_base* base;
+    turn_clock* turns;
+};
+
+/// Notes that a callback of the loop runs.
+auto enter_turn(loop_ref const& loop) -> void;
+
+/// Earliest time at which input can have arrived that is read now.
+auto earliest_arrival(loop_ref const& loop) -> time_point;
+
 /// A callback that the loop runs after a time, on a signal or when a
 /// descriptor becomes readable.
 class loop_event
@@ -47,12 +86,12 @@
     using callback = std::function<void()>;
 
     /// Timer: `after` or `activate` makes the callback run once.
-    loop_event(event_base* base, callback f);
+    loop_event(loop_ref loop, callback f);
 
     /// Runs the callback on each signal, or while the descriptor is readable.
     ///
     /// @param[in] what libevent flags: `EV_SIGNAL` or `EV_READ`.
-    loop_event(event_base* base, int fd_or_signal, short what, callback f);
+    loop_event(loop_ref loop, int fd_or_signal, short what, callback f);
 
     loop_event(loop_event const&) = delete;
     auto operator=(loop_event const&) -> loop_event& = delete;
@@ -68,6 +107,9 @@
     auto activate() -> void;
 
 private:
+    static auto on_event(evutil_socket_t, short, void* arg) -> void;
+
+    loop_ref loop_;
     callback callback_;
     event_ptr event_;
 };
--- a/src/adapter/http_client.cpp
+++ b/src/adapter/http_client.cpp
@@ -58,7 +58,7 @@
     return message_ == nullptr ? std::string_view{} : message_->body;
 }
 
-http_connection::http_connection(event_base* base, std::string const& address,
+http_connection::http_connection(loop_ref base, std::string const& address,
     duration timeout, http_connection_callbacks f)
     : base_(base), address_(address), timeout_(timeout),
       callbacks_(std::move(f)), timer_(base, [this] { refuse_reply(); }),
--- a/src/adapter/http_client.hpp
+++ b/src/adapter/http_client.hpp
@@ -72,8 +72,8 @@
 
     /// @param[in] address IP address and port.
     /// @param[in] timeout Limit for each reply, with connecting.
-    http_connection(event_base* base, std::string const& address,
-        duration timeout, http_connection_callbacks f = {});
+    http_connection(loop_ref base, std::string const& address, duration timeout,
+        http_connection_callbacks f = {});
     http_connection(http_connection const&) = delete;
     auto operator=(http_connection const&) -> http_connection& = delete;
 
@@ -102,7 +102,7 @@
     auto on_ended() -> void;
     auto finish(http_message const* m) -> void;
 
-    event_base* base_;
+    loop_ref base_;
     std::string address_;
     duration timeout_;
     http_connection_callbacks callbacks_;
--- a/src/adapter/http_link.cpp
+++ b/src/adapter/http_link.cpp
@@ -5,7 +5,7 @@
 namespace knapweedstream
 {
 
-http_link::http_link(event_base* base, std::string const& address,
+http_link::http_link(loop_ref base, std::string const& address,
     stream_options const& options, read_limits const& limits, callbacks f)
     : callbacks_(std::move(f)), reader_(message_kind::response, limits),
       stream_(base, address, options,
--- a/src/adapter/http_link.hpp
+++ b/src/adapter/http_link.hpp
@@ -40,7 +40,7 @@
         std::function<void()> grew = {};
     };
 
-    http_link(event_base* base, std::string const& address,
+    http_link(loop_ref base, std::string const& address,
         stream_options const& options, read_limits const& limits, callbacks f);
 
     /// Sends a request; no other may be in flight.
--- a/src/adapter/leaf_client.cpp
+++ b/src/adapter/leaf_client.cpp
@@ -83,7 +83,7 @@
 
 } // namespace
 
-leaf_client::leaf_client(event_base* base, event_sink sink)
+leaf_client::leaf_client(loop_ref base, event_sink sink)
     : base_(base), sink_(std::move(sink))
 {
 }
--- a/src/adapter/leaf_client.hpp
+++ b/src/adapter/leaf_client.hpp
@@ -20,7 +20,7 @@
 class leaf_client
 {
 public:
-    leaf_client(event_base* base, event_sink sink);
+    leaf_client(loop_ref base, event_sink sink);
 
     auto run(leaf_open const& c) -> void;
     auto run(leaf_close const& c) -> void;
@@ -42,7 +42,7 @@
     /// Refuses the reply to a cancellation if it is too large.
     auto limit_cancel(std::string const& address) -> void;
 
-    event_base* base_;
+    loop_ref base_;
     event_sink sink_;
     std::unordered_map<connection_id, std::unique_ptr<http_connection>>
         connections_;
--- a/src/adapter/page_server.cpp
+++ b/src/adapter/page_server.cpp
@@ -5,7 +5,7 @@
 namespace knapweedstream
 {
 
-page_server::page_server(event_base* base, page_table pages)
+page_server::page_server(loop_ref base, page_table pages)
     : pages_(std::move(pages)), http_(evhttp_new(base))
 {
     evhttp_set_gencb(http_.get(), on_request, this);
--- a/src/adapter/page_server.hpp
+++ b/src/adapter/page_server.hpp
@@ -32,7 +32,7 @@
 class page_server
 {
 public:
-    page_server(event_base* base, page_table pages);
+    page_server(loop_ref base, page_table pages);
 
     /// Starts to listen on an IP address and port; `listen_error` on failure.
     ///
--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -51,8 +51,7 @@
     return text + "]]";
 }
 
-peer_link::peer_link(
-    event_base* base, instance_info const& self, event_sink sink)
+peer_link::peer_link(loop_ref base, instance_info const& self, event_sink sink)
     : base_(base), self_(self), sink_(std::move(sink))
 {
 }
--- a/src/adapter/peer_link.hpp
+++ b/src/adapter/peer_link.hpp
@@ -37,7 +37,7 @@
 class peer_link
 {
 public:
-    peer_link(event_base* base, instance_info const& self, event_sink sink);
+    peer_link(loop_ref base, instance_info const& self, event_sink sink);
     peer_link(peer_link const&) = delete;
     auto operator=(peer_link const&) -> peer_link& = delete;
 
@@ -57,7 +57,7 @@
 private:
     auto receive() -> void;
 
-    event_base* base_;
+    loop_ref base_;
     instance_info self_;
     event_sink sink_;
     nng_socket receive_socket_ = NNG_SOCKET_INITIALIZER;
--- a/src/adapter/platform_client.cpp
+++ b/src/adapter/platform_client.cpp
@@ -52,7 +52,7 @@
            std::to_string(bucket.shard.value);
 }
 
-platform_client::platform_client(event_base* base, std::string const& address,
+platform_client::platform_client(loop_ref base, std::string const& address,
     instance_info const& self, event_sink sink)
     : base_(base), address_(address), self_(self), sink_(std::move(sink)),
       control_connection_(base, address, call_timeout),
--- a/src/adapter/platform_client.hpp
+++ b/src/adapter/platform_client.hpp
@@ -13,7 +13,7 @@
 class platform_client
 {
 public:
-    platform_client(event_base* base, std::string const& address,
+    platform_client(loop_ref base, std::string const& address,
         instance_info const& self, event_sink sink);
 
     /// Announces this instance and starts to read the list of instances.
@@ -50,7 +50,7 @@
     auto on_claims(claim_bucket bucket, http_reply const& r) -> void;
     auto connection_for(claim_bucket bucket) -> http_connection&;
 
-    event_base* base_;
+    loop_ref base_;
     std::string address_;
     instance_info self_;
     event_sink sink_;
--- a/src/adapter/relay_link.cpp
+++ b/src/adapter/relay_link.cpp
@@ -69,7 +69,7 @@
         text, "relay reply", &dispatch::relay_reply::updates);
 }
 
-relay_client::relay_client(event_base* base, dispatch_sink sink)
+relay_client::relay_client(loop_ref base, dispatch_sink sink)
     : base_(base), sink_(std::move(sink))
 {
 }
@@ -108,7 +108,7 @@
         it.free_closed();
 }
 
-relay_server::relay_server(event_base* base, dispatch_sink sink)
+relay_server::relay_server(loop_ref base, dispatch_sink sink)
     : sink_(std::move(sink)), http_(evhttp_new(base))
 {
     evhttp_set_max_body_size(http_.get(), max_question_bytes);
--- a/src/adapter/relay_link.hpp
+++ b/src/adapter/relay_link.hpp
@@ -17,7 +17,7 @@
 class relay_client
 {
 public:
-    relay_client(event_base* base, dispatch_sink sink);
+    relay_client(loop_ref base, dispatch_sink sink);
 
     auto run(dispatch::ask_relay const& c) -> void;
 
@@ -25,7 +25,7 @@
     auto free_closed() -> void;
 
 private:
-    event_base* base_;
+    loop_ref base_;
     dispatch_sink sink_;
     std::map<std::string, call_channel> channels_; ///< By address.
 };
@@ -34,7 +34,7 @@
 class relay_server
 {
 public:
-    relay_server(event_base* base, dispatch_sink sink);
+    relay_server(loop_ref base, dispatch_sink sink);
 
     /// Starts to listen on an IP address and port; `listen_error` on failure.
     auto start(std::string const& address) -> leaf::result<void>;
--- a/src/adapter/route_server.cpp
+++ b/src/adapter/route_server.cpp
@@ -56,6 +56,9 @@
     session_id id = 0;
     session_state state = session_state::idle;
     time_point state_since; ///< When `state` began.
+    /// Earliest time at which the first byte of the request that is being read
+    /// can have arrived.
+    time_point arrived;
     http_reader reader;
     std::unique_ptr<tcp_stream> stream;
     std::string unparsed; ///< Received but not yet parsed.
@@ -72,7 +75,7 @@
 };
 
 route_server::route_server(
-    event_base* base, caller_codec codec, dispatch_sink sink)
+    loop_ref base, caller_codec codec, dispatch_sink sink)
     : base_(base), codec_(std::move(codec)), sink_(std::move(sink)),
       listener_(base, [this](int fd) { accept(fd); }),
       sweep_(base, [this] { sweep(); })
@@ -102,7 +105,10 @@
                 on_ended(id);
             }});
     ++stats_.accepted;
-    sessions_.emplace(id, std::move(s));
+    auto& stream = *sessions_.emplace(id, std::move(s)).first->second->stream;
+    // A request that has waited with its connection is read in the same turn,
+    // which knows for how long.
+    stream.read_now();
 }
 
 auto route_server::on_received(session_id id, std::string_view bytes) -> void
@@ -113,6 +119,8 @@
     auto& s = *it->second;
     if (s.state == session_state::closing)
         return;
+    if (s.unparsed.empty() && s.state != session_state::reading)
+        s.arrived = earliest_arrival(base_);
     s.unparsed.append(bytes);
     if (s.state == session_state::answering)
     {
@@ -161,15 +169,17 @@
 auto route_server::submit(session& s) -> void
 {
     auto m = s.reader.take();
+    auto const now = steady_now();
     s.state = session_state::answering;
-    s.state_since = steady_now();
+    s.state_since = now;
     s.close_after_answer = !m.keep_alive;
     s.head_request = m.method == "HEAD";
     s.continue_sent = false;
     auto request =
         std::make_shared<routed_request const>(codec_.decode(std::move(m)));
     s.request_id = request->id;
-    sink_(dispatch::caller_request{caller_id{s.id}, std::move(request)});
+    sink_(dispatch::caller_request{
+        caller_id{s.id}, std::move(request), now - s.arrived});
 }
 
 auto route_server::reject(session& s, std::uint32_t status) -> void
--- a/src/adapter/route_server.hpp
+++ b/src/adapter/route_server.hpp
@@ -41,7 +41,7 @@
 class route_server
 {
 public:
-    route_server(event_base* base, caller_codec codec, dispatch_sink sink);
+    route_server(loop_ref base, caller_codec codec, dispatch_sink sink);
     ~route_server();
     route_server(route_server const&) = delete;
     auto operator=(route_server const&) -> route_server& = delete;
@@ -89,7 +89,7 @@
     /// state. Waiting for the dispatcher's answer has no limit here.
     auto is_overdue(session const& s, time_point now) const -> bool;
 
-    event_base* base_;
+    loop_ref base_;
     caller_codec codec_;
     dispatch_sink sink_;
     caller_limits limits_;
--- a/src/adapter/store_client.cpp
+++ b/src/adapter/store_client.cpp
@@ -61,7 +61,7 @@
 
 } // namespace
 
-store_client::store_client(event_base* base, std::string const& address,
+store_client::store_client(loop_ref base, std::string const& address,
     store_codec codec, dispatch_sink sink)
     : base_(base), address_(address), codec_(std::move(codec)),
       sink_(std::move(sink))
--- a/src/adapter/store_client.hpp
+++ b/src/adapter/store_client.hpp
@@ -48,8 +48,8 @@
 class store_client
 {
 public:
-    store_client(event_base* base, std::string const& address,
-        store_codec codec, dispatch_sink sink);
+    store_client(loop_ref base, std::string const& address, store_codec codec,
+        dispatch_sink sink);
 
     auto run(dispatch::store_list const& c) -> void;
     auto run(dispatch::store_watch const& c) -> void;
@@ -78,7 +78,7 @@
     /// deliver nothing more either.
     auto drop_idle() -> void;
 
-    event_base* base_;
+    loop_ref base_;
     std::string address_;
     store_codec codec_;
     dispatch_sink sink_;
--- a/src/adapter/target_links.cpp
+++ b/src/adapter/target_links.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 target_links::target_links(
-    event_base* base, target_codec codec, dispatch_sink sink)
+    loop_ref base, target_codec codec, dispatch_sink sink)
     : base_(base), codec_(std::move(codec)), sink_(std::move(sink))
 {
 }
--- a/src/adapter/target_links.hpp
+++ b/src/adapter/target_links.hpp
@@ -47,7 +47,7 @@
 class target_links
 {
 public:
-    target_links(event_base* base, target_codec codec, dispatch_sink sink);
+    target_links(loop_ref base, target_codec codec, dispatch_sink sink);
 
     auto run(dispatch::open_connection const& c) -> void;
     auto run(dispatch::close_connection const& c) -> void;
@@ -74,7 +74,7 @@
     auto limit_reply(connection_id id) -> void;
     auto release(connection_id id) -> void;
 
-    event_base* base_;
+    loop_ref base_;
     target_codec codec_;
     dispatch_sink sink_;
     routed_request_ptr common_request_; ///< Request of `common_text_`.
--- a/src/adapter/tcp_stream.cpp
+++ b/src/adapter/tcp_stream.cpp
@@ -65,7 +65,7 @@
 
 } // namespace
 
-tcp_stream::tcp_stream(event_base* base, std::string const& address,
+tcp_stream::tcp_stream(loop_ref base, std::string const& address,
     stream_options const& options, callbacks f)
     : base_(base), callbacks_(std::move(f)),
       fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
@@ -91,7 +91,7 @@
     event_active(fail_event_.get(), 0, 0);
 }
 
-tcp_stream::tcp_stream(event_base* base, int fd, callbacks f)
+tcp_stream::tcp_stream(loop_ref base, int fd, callbacks f)
     : base_(base), callbacks_(std::move(f)), fd_(fd)
 {
     apply_options(fd_, {});
@@ -116,6 +116,7 @@
 auto tcp_stream::on_event(evutil_socket_t, short what, void* arg) -> void
 {
     auto* self = static_cast<tcp_stream*>(arg);
+    enter_turn(self->base_);
     if ((what & EV_READ) != 0)
         self->on_readable();
     else
@@ -225,7 +226,7 @@
     close();
 }
 
-tcp_listener::tcp_listener(event_base* base, on_accept f)
+tcp_listener::tcp_listener(loop_ref base, on_accept f)
     : base_(base), on_accept_(std::move(f))
 {
 }
--- a/src/adapter/tcp_stream.hpp
+++ b/src/adapter/tcp_stream.hpp
@@ -50,11 +50,11 @@
     };
 
     /// Connects to an IP address and port; failures are reported by `ended`.
-    tcp_stream(event_base* base, std::string const& address,
+    tcp_stream(loop_ref base, std::string const& address,
         stream_options const& options, callbacks f);
 
     /// Takes ownership of an accepted, non-blocking socket.
-    tcp_stream(event_base* base, int fd, callbacks f);
+    tcp_stream(loop_ref base, int fd, callbacks f);
 
     ~tcp_stream();
     tcp_stream(tcp_stream const&) = delete;
@@ -63,6 +63,9 @@
     /// Queues bytes and writes as many as the socket accepts at once.
     auto write(std::string_view bytes) -> void;
 
+    /// Reads what has arrived, without waiting for the loop.
+    auto read_now() -> void { on_readable(); }
+
     /// Closes the sending direction after the queued bytes; still receives.
     auto shut_down() -> void;
 
@@ -87,7 +90,7 @@
     auto flush() -> void;
     auto end(stream_end how) -> void;
 
-    event_base* base_;
+    loop_ref base_;
     callbacks callbacks_;
     int fd_ = -1;
     bool connecting_ = false;
@@ -109,7 +112,7 @@
 public:
     using on_accept = std::function<void(int fd)>;
 
-    tcp_listener(event_base* base, on_accept f);
+    tcp_listener(loop_ref base, on_accept f);
     ~tcp_listener();
     tcp_listener(tcp_listener const&) = delete;
     auto operator=(tcp_listener const&) -> tcp_listener& = delete;
@@ -123,7 +126,7 @@
 private:
     auto accept_all() -> void;
 
-    event_base* base_;
+    loop_ref base_;
     on_accept on_accept_;
     int fd_ = -1;
     std::unique_ptr<loop_event> event_;
--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -34,32 +34,29 @@
 dispatch_runtime::dispatch_runtime(
     dispatch_settings const& settings, std::string path)
     : settings_(settings), settings_path_(std::move(path)),
-      base_(make_event_base(timer_precision::coarse)),
+      base_(make_event_base(timer_precision::coarse)), turns_(base_.get()),
       dispatcher_(make_init(settings)),
-      targets_(base_.get(), platform::make_target_dialect(),
+      targets_(loop(), platform::make_target_dialect(),
           [this](dispatch::event e) { push(std::move(e)); }),
-      store_(base_.get(), settings.platform_address,
-          platform::make_store_dialect(),
+      store_(loop(), settings.platform_address, platform::make_store_dialect(),
           [this](dispatch::event e) { push(std::move(e)); }),
-      relays_(base_.get(), [this](dispatch::event e) { push(std::move(e)); }),
-      relay_server_(
-          base_.get(), [this](dispatch::event e) { push(std::move(e)); }),
-      callers_(base_.get(), platform::make_caller_dialect(),
+      relays_(loop(), [this](dispatch::event e) { push(std::move(e)); }),
+      relay_server_(loop(), [this](dispatch::event e) { push(std::move(e)); }),
+      callers_(loop(), platform::make_caller_dialect(),
           [this](dispatch::event e) { push(std::move(e)); }),
-      readiness_server_(
-          base_.get(), {{platform::names::readiness_path,
-                           [this]
-                           {
-                               return page{ready_ ? 200u : 503u, {}};
-                           }}}),
-      metrics_server_(base_.get(), {{metrics_path,
-                                       [this]
-                                       {
-                                           return metrics_page();
-                                       }}}),
-      tick_timer_(base_.get(), [this] { push(dispatch::tick{}); }),
-      end_turn_event_(base_.get(), [this] { end_turn(); }),
-      log_timer_(base_.get(),
+      readiness_server_(loop(), {{platform::names::readiness_path,
+                                    [this]
+                                    {
+                                        return page{ready_ ? 200u : 503u, {}};
+                                    }}}),
+      metrics_server_(loop(), {{metrics_path,
+                                  [this]
+                                  {
+                                      return metrics_page();
+                                  }}}),
+      tick_timer_(loop(), [this] { push(dispatch::tick{}); }),
+      end_turn_event_(loop(), [this] { end_turn(); }),
+      log_timer_(loop(),
           [this]
           {
               flush_log();
@@ -90,9 +87,9 @@
         log(log_level::info, "node", "Stop requested.");
         push(dispatch::stop_requested{});
     };
-    auto const term = loop_event{base_.get(), SIGTERM, EV_SIGNAL, stop};
-    auto const interrupt = loop_event{base_.get(), SIGINT, EV_SIGNAL, stop};
-    auto const hang_up = loop_event{base_.get(), SIGHUP, EV_SIGNAL,
+    auto const term = loop_event{loop(), SIGTERM, EV_SIGNAL, stop};
+    auto const interrupt = loop_event{loop(), SIGINT, EV_SIGNAL, stop};
+    auto const hang_up = loop_event{loop(), SIGHUP, EV_SIGNAL,
         [this]
         {
             reload();
--- a/src/app/dispatch_runtime.hpp
+++ b/src/app/dispatch_runtime.hpp
@@ -41,11 +41,13 @@
     /// frees closed connections, none of whose callbacks can be running.
     auto end_turn() -> void;
     auto metrics_page() const -> page;
+    auto loop() -> loop_ref { return {base_.get(), &turns_}; }
     auto start_page_servers() -> leaf::result<void>;
 
     dispatch_settings settings_;
     std::string settings_path_;
     event_base_ptr base_;
+    turn_clock turns_;
     dispatch::dispatcher dispatcher_;
     target_links targets_;
     store_client store_;
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -30,6 +30,7 @@
 struct dispatch_stats
 {
     std::uint64_t requests = 0;
+    std::uint64_t read_late = 0; ///< Requests that had waited unread for long.
     std::uint64_t complete = 0;
     std::uint64_t partial = 0;
     std::uint64_t refused = 0;
--- a/src/core/dispatch/requests.cpp
+++ b/src/core/dispatch/requests.cpp
@@ -25,6 +25,8 @@
 constexpr auto connecting_recheck = milliseconds{10};
 /// Interval of tries to hedge a part; the budget may have refilled meanwhile.
 constexpr auto hedge_retry_pause = milliseconds{40};
+/// A request that may have waited unread for longer counts as read late.
+constexpr auto late_read = milliseconds{100};
 /// How long an idempotent attempt may go on after its caller hung up.
 constexpr auto hang_up_timeout = milliseconds{200};
 
@@ -55,16 +57,17 @@
     auto const allowed = time_allowed(*e.request, r);
     auto const objective = duration{r.latency_objective};
     auto const margin = duration{s.init.limits.answer_margin};
+    auto const begun = now - e.waited;
     auto v = open_request{};
     v.caller = e.caller;
     v.request = e.request;
     v.config = s.config;
     v.matched_route = &r;
-    v.started = now;
+    v.started = begun;
     v.deadline = std::min(exit_deadline(s) - margin,
-        now + std::max(duration{0}, allowed - margin));
+        begun + std::max(duration{0}, allowed - margin));
     v.objective =
-        std::min(v.deadline, now + std::max(duration{0}, objective - margin));
+        std::min(v.deadline, begun + std::max(duration{0}, objective - margin));
     v.queue_until = std::min(v.deadline, now + objective / queue_divisor);
     return v;
 }
@@ -222,6 +225,7 @@
     time_point now, commands& out) -> void
 {
     ++s.stats.requests;
+    s.stats.read_late += e.waited >= duration{late_read} ? 1 : 0;
     s.last_request = now;
     if (s.config == nullptr || is_closing(s, now))
         return refuse(s, e, nullptr,
@@ -242,6 +246,11 @@
             {refusal_reason::not_ready,
                 retry_delay(s, refusal_reason::not_ready)},
             out);
+    if (entry.value.deadline <= now)
+        return refuse(s, e, r,
+            {refusal_reason::overloaded,
+                retry_delay(s, refusal_reason::overloaded)},
+            out);
     for (auto const& name : needed_services(s, *r))
     {
         auto p = part{};
--- a/src/port/dispatch_event.hpp
+++ b/src/port/dispatch_event.hpp
@@ -19,6 +19,9 @@
 {
     caller_id caller;
     routed_request_ptr request;
+    /// Longest time for which it may have waited unread, or has been read. The
+    /// caller's time limit runs meanwhile.
+    duration waited{0};
     auto operator<=>(caller_request const&) const = default;
 };
 
