--- a/src/core/dispatch/budget_claim.cpp
+++ b/src/core/dispatch/budget_claim.cpp
@@ -114,8 +114,10 @@
         next = with_stored(next, *l.own, now);
     if (l.own)
         next.renewed_at = l.begun;
-    // Before the fleet has been read once, most of it may be missing.
-    if (c.listed)
+    // While nobody claims anything, the fleet starts: most of it is missing in
+    // the first list.
+    auto const established = left_by_others(next) < whole_budget;
+    if (c.listed || established)
         next = with_new_claim(std::move(next));
     next.needs_fresh = next.claimed > std::max(next.used, next.next);
     return next;
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -194,8 +194,8 @@
     /// When it is removed, if its registration vanished during or shortly after
     /// a store outage; otherwise `max()`.
     time_point lapses_at = time_point::max();
-    time_point cold_until;  ///< End of its warm-up.
-    token_bucket warmup;    ///< Used until `cold_until`.
+    time_point cold_until; ///< End of its warm-up.
+    token_bucket warmup;   ///< Used until `cold_until`.
     /// When charged attempts were given up that it may still read.
     std::vector<time_point> unread;
     target_notices notices; ///< Of its present start.
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <optional>
 #include <vector>
 
 namespace ks = knapweedstream;
@@ -147,6 +148,21 @@
     CHECK(usable_claim(c, t + seconds{104}) == 0);
 }
 
+TEST_CASE("budget sums: a process that starts in a fleet claims at once")
+{
+    auto const t = ks::time_point{seconds{100}};
+    auto const window = ks::duration{seconds{10}};
+    auto const third = ks::whole_budget / 3;
+    auto const others = std::vector<ks::instance_record>{
+        {"a", "z", "r", "", third}, {"b", "z", "r", "", third}};
+    auto c = with_list({}, {others, std::nullopt, t, false}, window, t);
+    CHECK(c.claimed == third);
+    CHECK(usable_claim(c, t + seconds{30}) == 0);
+    // Of a fleet that starts the first list may hold few.
+    c = with_list({}, {{}, std::nullopt, t, false}, window, t);
+    CHECK(c.claimed == 0);
+}
+
 TEST_CASE("budget sums: of two claims that are too large the later list knows")
 {
     auto const window = ks::duration{seconds{10}};
