--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -144,7 +144,7 @@
     constexpr auto bits = 32;
     auto const place = std::ldexp(
         static_cast<double>(hash_name(s.init.self.name) >> bits), -bits);
-    return terms_of(s.init.bounds, s.claim, place, s.started, now);
+    return terms_of(s.init.bounds, s.claim, place, now);
 }
 
 dispatcher::dispatcher(dispatcher_init const& init)
@@ -162,7 +162,6 @@
 auto dispatcher::start(time_point now) -> commands
 {
     auto out = commands{};
-    state_->started = now;
     start_following(*state_, now, out);
     request_tick(*state_, now, out);
     return out;
--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace knapweedstream::dispatch
 {
@@ -9,10 +10,10 @@
 namespace
 {
 
-/// Used part of the bound; the rest covers rounding, processes that start, and
-/// requests that are sent again by instances of before.
+/// Used part of the bound; the rest covers rounding, first requests counted
+/// from shortly before a span, and claims whose window has not passed.
 constexpr auto used_fraction = 0.9;
-/// The same in the first window of a process or of a claim.
+/// The same of a claim until its window has passed.
 constexpr auto starting_fraction = 0.05;
 
 auto slot_of(dispatch_bounds const& bounds, time_point now) -> std::int64_t
@@ -38,14 +39,6 @@
     return next;
 }
 
-/// Part of the ratio that a process may use at an age. In its first window the
-/// one before it may have spent all that it had.
-auto usable_fraction(dispatch_bounds const& bounds, duration age) -> double
-{
-    return age < duration{bounds.budget_window} ? starting_fraction
-                                                : used_fraction;
-}
-
 /// Part of the share that is kept for more urgent requests.
 auto reserve(double share, urgency u) -> double
 {
@@ -89,11 +82,11 @@
 } // namespace
 
 auto terms_of(dispatch_bounds const& bounds, budget_claim const& claim,
-    double place, time_point started, time_point now) -> budget_terms
+    double place, time_point now) -> budget_terms
 {
     auto const usable = usable_claim(claim, now);
     auto const coming = coming_claim(claim, now);
-    return {usable_fraction(bounds, now - started) * bounds.retry_budget_ratio,
+    return {used_fraction * bounds.retry_budget_ratio,
         std::max(used_fraction * share_of(bounds, usable),
             starting_fraction * share_of(bounds, coming)),
         rounding_of(bounds, usable, place)};
@@ -127,16 +120,21 @@
     budget_terms const& terms, time_point now) -> double
 {
     auto const present = advanced_to(b, slot_of(bounds, now));
-    auto first = 0.0;
-    auto extra = static_cast<double>(b.unsettled);
-    for (auto const& it : present.slots)
+    auto const at = [&](std::size_t age) -> sent_counts const&
     {
-        first += it.first;
-        extra += it.extra;
+        return present.slots[index_of(
+            present, present.newest - static_cast<std::int64_t>(age))];
+    };
+    auto first = static_cast<double>(at(0).first);
+    auto extra = static_cast<double>(b.unsettled);
+    auto least = std::numeric_limits<double>::max();
+    for (auto age = std::size_t{0}; age <= window_slots; ++age)
+    { // The span that begins in the slot of this age.
+        first += at(age + 1).first;
+        extra += at(age).extra;
+        least = std::min(least, terms.ratio * first + terms.share - extra);
     }
-    auto const oldest = index_of(present, present.newest + 1);
-    first -= present.slots[oldest].first;
-    return terms.ratio * first + terms.share - extra;
+    return least;
 }
 
 auto allows_extra(budget_terms const& terms, double left, urgency u) -> bool
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -1,13 +1,14 @@
 /// Retry budget of a service: how many extra requests (hedges, retries, probes)
 /// this instance may send beyond the first request for each part.
 ///
-/// In each window an instance may send `retry_budget_ratio` times its own first
-/// requests in that window, plus what its claim gives it of
-/// `retry_budget_extra` (see `budget_claim`). An extra request is charged from
-/// when it is sent until a window after its target is known to have read it, so
-/// that it is charged whenever it arrives. In its first window a process leaves
-/// nearly all of the ratio to the one before it, which may have spent it in the
-/// same window.
+/// In each span of time up to a window, an instance may send
+/// `retry_budget_ratio` times its own first requests in that span, plus what
+/// its claim gives it of `retry_budget_extra` (see `budget_claim`). Since this
+/// holds from any moment on, the first requests of all instances add up to
+/// those of one window, also if callers move to other instances or processes
+/// are replaced meanwhile. An extra request is charged from when it is sent
+/// until a window after its target is known to have read it, so that it is
+/// charged whenever it arrives.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_EXTRA_BUDGET_HPP
 
@@ -40,10 +41,9 @@
     /// Extra requests that the target may not have read yet.
     std::uint32_t unsettled = 0;
     std::int64_t newest = 0; ///< Number of the newest slot.
-    /// Ring buffer, indexed by slot number. It has one slot more than a window,
-    /// so that extra requests count for at least a window and first requests
-    /// for at most a window.
-    std::array<sent_counts, window_slots + 1> slots{};
+    /// Ring buffer, indexed by slot number. A window lies in one slot more than
+    /// it has, and first requests count from one more slot before a span.
+    std::array<sent_counts, window_slots + 2> slots{};
 
     auto operator<=>(extra_budget const&) const = default;
 };
@@ -60,7 +60,7 @@
 /// What an instance may use of the budget at present.
 struct budget_terms
 {
-    double ratio = 0; ///< Extra requests per first request in a window.
+    double ratio = 0; ///< Extra requests per first request.
     /// Extra requests allowed per window even without first requests.
     double share = 0;
     /// What is added to a fraction of a request before it is rounded down.
@@ -69,16 +69,15 @@
     auto operator<=>(budget_terms const&) const = default;
 };
 
-/// The terms of an instance. Of a claim whose window has not passed yet, and of
-/// the ratio in the first window of a process, little may be used.
+/// The terms of an instance. Of a claim whose window has not passed yet little
+/// may be used.
 ///
 /// @param[in] place Evenly distributed among the instances, from 0 to 1: where
 ///     this one rounds, so that the fractions of all together are used and no
 ///     more. Without effect if the unused part of the bound does not cover the
 ///     deviations.
-/// @param[in] started Start time of this process.
 auto terms_of(dispatch_bounds const& bounds, budget_claim const& claim,
-    double place, time_point started, time_point now) -> budget_terms;
+    double place, time_point now) -> budget_terms;
 
 /// Counts the first request of a part.
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -299,7 +299,6 @@
 {
     dispatcher_init init;
     dispatch_stats stats;
-    time_point started;
     random_state random;
     std::uint64_t next_id = 1;
     stop_progress stop;
--- a/tests/dispatch/budget_fleet.hpp
+++ b/tests/dispatch/budget_fleet.hpp
@@ -61,7 +61,8 @@
     /// Adds instances, which list all; those before do not list them.
     auto grow(std::size_t n) -> void;
 
-    /// Callers send to the first `n` instances only.
+    /// Callers send to the first `n` instances only, as many requests as
+    /// before.
     auto send_to(std::size_t n) -> void { receivers_ = n; }
 
     /// Replaces the process of an instance. The new one reads the configuration
