--- a/src/core/dispatch/budget_claim.cpp
+++ b/src/core/dispatch/budget_claim.cpp
@@ -67,9 +67,20 @@
     return l.fresh && c.stored == l.own && c.stored_at <= l.begun;
 }
 
+/// True if the fleet has hardly grown since the list before. One that starts
+/// grows with each list; where some claim already, it has started.
+auto has_settled(budget_claim const& before, budget_claim const& c) -> bool
+{
+    constexpr auto growth = 0.05;
+    auto const known = static_cast<double>(before.others.size());
+    return before.listed
+               ? static_cast<double>(c.others.size()) <= known * (1 + growth)
+               : left_by_others(c) < whole_budget;
+}
+
 /// Brings the claim nearer to an equal share. A larger one must be confirmed
 /// before it is used.
-auto with_new_claim(budget_claim c) -> budget_claim
+auto with_new_claim(budget_claim c, bool settled) -> budget_claim
 {
     auto const equal = equal_share(c);
     auto const most = std::min(equal, left_by_others(c));
@@ -78,7 +89,7 @@
         c.claimed = equal;
         c = limited(std::move(c), equal);
     }
-    else if (most > c.claimed && c.claimed < equal * (1 - lack_kept))
+    else if (settled && most > c.claimed && c.claimed < equal * (1 - lack_kept))
         c.claimed = most;
     return c;
 }
@@ -114,12 +125,10 @@
         next = with_stored(next, *l.own, now);
     if (l.own)
         next.renewed_at = l.begun;
-    // While nobody claims anything, the fleet starts: most of it is missing in
-    // the first list.
-    auto const established = left_by_others(next) < whole_budget;
-    if (c.listed || established)
-        next = with_new_claim(std::move(next));
+    auto const settled = has_settled(c, next);
+    next = with_new_claim(std::move(next), settled);
     next.needs_fresh = next.claimed > std::max(next.used, next.next);
+    next.needs_list = c.listed && !settled;
     return next;
 }
 
--- a/src/core/dispatch/budget_claim.hpp
+++ b/src/core/dispatch/budget_claim.hpp
@@ -74,6 +74,7 @@
     time_point renewed_at;    ///< Begin of the last list that held the claim.
     bool listed = false;      ///< A complete list was read.
     bool needs_fresh = false; ///< The next list must not be stale.
+    bool needs_list = false;  ///< The next list is needed soon.
 
     auto operator<=>(budget_claim const&) const = default;
 };
--- a/src/core/dispatch/follow.cpp
+++ b/src/core/dispatch/follow.cpp
@@ -309,11 +309,11 @@
     return renewed(next, limits, now);
 }
 
-auto with_fresh_list(follow_state f, time_point due) -> follow_state
+auto with_list_due(follow_state f, time_point due, bool fresh) -> follow_state
 {
     if (f.failures > 0)
         return f;
-    f.list_fresh = true;
+    f.list_fresh = f.list_fresh || fresh;
     if (auto* it = std::get_if<pausing>(&f.phase))
         it->until = std::min(it->until, due);
     return f;
--- a/src/core/dispatch/follow.hpp
+++ b/src/core/dispatch/follow.hpp
@@ -184,9 +184,11 @@
 auto relisted(follow_state const& f, dispatch_limits const& limits,
     time_point now) -> follow_step;
 
-/// The next list must not be stale, and is called at `due` if it would be
-/// called later. Has no effect while calls fail.
-auto with_fresh_list(follow_state f, time_point due) -> follow_state;
+/// The next list is called at `due` if it would be called later. Has no effect
+/// while calls fail.
+///
+/// @param[in] fresh The list must not be stale.
+auto with_list_due(follow_state f, time_point due, bool fresh) -> follow_state;
 
 /// Reads the kind afresh in an era, from data that is not stale: by a list, or
 /// from the relay that passes it on. What is known of it stays in use.
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -152,11 +152,11 @@
         write_record(s, listed->version.revision, out);
 }
 
-/// Reads the list of instances again soon, from data that is not stale.
-auto list_instances_soon(dispatch_state& s, time_point now) -> void
+/// Reads the list of instances again soon.
+auto list_instances_soon(dispatch_state& s, bool fresh, time_point now) -> void
 {
     auto& f = s.follows[store_kind::instances];
-    f = with_fresh_list(std::move(f), now + s.init.limits.poll_first);
+    f = with_list_due(std::move(f), now + s.init.limits.poll_first, fresh);
     if (auto const* it = std::get_if<pausing>(&f.phase))
         arm(s, it->until, follow_due{store_kind::instances});
 }
@@ -306,6 +306,8 @@
     apply_step(s, std::move(page), out);
     if (e.kind == store_kind::instances && s.claim.needs_fresh)
         s.follows[e.kind].list_fresh = true;
+    if (e.kind == store_kind::instances && s.claim.needs_list)
+        list_instances_soon(s, s.claim.needs_fresh, now);
     answer_relay_callers(s, now, out);
     update_ready(s, out);
 }
@@ -420,7 +422,7 @@
     {
         if (!listed_record(s))
             return write_record(s, 0, out);
-        return list_instances_soon(s, now);
+        return list_instances_soon(s, true, now);
     }
     if (e.failure || !last)
         return;
@@ -431,7 +433,7 @@
     s.versions[e.kind][r.name] = version_of(e);
     s.claim = with_stored(s.claim, {s.written_claim, version_of(e)}, now);
     if (s.written_claim > std::max(s.claim.used, s.claim.next))
-        list_instances_soon(s, now);
+        list_instances_soon(s, true, now);
 }
 
 auto on_written(
