--- a/src/app/dispatch_runtime.cpp
+++ b/src/app/dispatch_runtime.cpp
@@ -190,7 +190,8 @@
             BOOST_LEAF_AUTO(any, parse_any_settings(settings_path_, text));
             if (auto const* next = std::get_if<dispatch_settings>(&any))
             {
-                dispatcher_.reconfigure(next->limits, next->bounds);
+                dispatcher_.reconfigure(
+                    next->limits, next->bounds, steady_now());
                 log(log_level::info, "node", "Settings reloaded.");
             }
             return {};
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -177,9 +177,12 @@
     return out;
 }
 
-auto dispatcher::reconfigure(
-    dispatch_limits const& limits, dispatch_bounds const& bounds) -> void
+auto dispatcher::reconfigure(dispatch_limits const& limits,
+    dispatch_bounds const& bounds, time_point now) -> void
 {
+    if (bounds.budget_window != state_->init.bounds.budget_window)
+        for (auto& [id, it] : state_->services)
+            it.budget = with_window_changed(it.budget, bounds, now);
     state_->init.limits = clamped(limits, bounds);
     state_->init.bounds = bounds;
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -112,8 +112,8 @@
     auto handle(event const& e, time_point now) -> commands;
 
     /// Applies changed settings; open connections and requests are kept.
-    auto reconfigure(
-        dispatch_limits const& limits, dispatch_bounds const& bounds) -> void;
+    auto reconfigure(dispatch_limits const& limits,
+        dispatch_bounds const& bounds, time_point now) -> void;
 
     auto stats() const -> dispatch_stats const&;
     auto gauges() const -> dispatch_gauges;
--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -116,6 +116,18 @@
     return next;
 }
 
+auto with_window_changed(extra_budget const& b, dispatch_bounds const& changed,
+    time_point now) -> extra_budget
+{
+    auto next = extra_budget{};
+    next.unsettled = b.unsettled;
+    next.newest = slot_of(changed, now);
+    auto& present = next.slots[index_of(next, next.newest)];
+    for (auto const& it : b.slots)
+        present.extra += it.extra;
+    return next;
+}
+
 auto extra_left(extra_budget const& b, dispatch_bounds const& bounds,
     budget_terms const& terms, time_point now) -> double
 {
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -91,6 +91,11 @@
 auto with_settled(extra_budget const& b, dispatch_bounds const& bounds,
     time_point now) -> extra_budget;
 
+/// The budget after the length of the window has changed: all extra requests
+/// count as settled now, and no first requests count.
+auto with_window_changed(extra_budget const& b, dispatch_bounds const& changed,
+    time_point now) -> extra_budget;
+
 /// Number of extra requests that the budget has left; may be negative.
 auto extra_left(extra_budget const& b, dispatch_bounds const& bounds,
     budget_terms const& terms, time_point now) -> double;
--- a/tests/dispatch/test_budget.cpp
+++ b/tests/dispatch/test_budget.cpp
@@ -149,6 +149,24 @@
     CHECK(spend_all() == 3);
 }
 
+TEST_CASE("budget: a reload that changes the window forgets no charge")
+{
+    auto const now = ks::time_point{ks::seconds{100}};
+    auto const t = budget_terms{0.2, 3, 0};
+    auto bounds = dispatch_bounds{};
+    auto sent = 0u;
+    auto b = spend({}, bounds, t, now, sent);
+    REQUIRE(sent == 3);
+    for (auto const window : {milliseconds{1'000}, milliseconds{60'000}})
+    {
+        bounds.budget_window = window;
+        b = with_window_changed(b, bounds, now);
+        CHECK(extra_left(b, bounds, t, now) == 0);
+        CHECK(extra_left(b, bounds, t, now + window * 9 / 10) == 0);
+        CHECK(extra_left(b, bounds, t, now + window * 6 / 5) == 3);
+    }
+}
+
 TEST_CASE("budget: a request that its target has not read stays charged")
 {
     auto const bounds = dispatch_bounds{};
@@ -341,13 +359,13 @@
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     auto bounds = dispatch_bounds{};
     bounds.retry_budget_extra = 0;
-    r.core.reconfigure({}, bounds);
+    r.core.reconfigure({}, bounds, r.now);
     r.submit("q");
     r.reply(r.take_sent().at(0), ks::reply_overloaded{});
     r.advance(milliseconds{500});
     CHECK(r.core.stats().retries == 0);
     bounds.retry_budget_extra = 50;
-    r.core.reconfigure({}, bounds);
+    r.core.reconfigure({}, bounds, r.now);
     r.advance(milliseconds{100});
     CHECK(r.core.stats().retries > 0);
 }
--- a/tests/dispatch/test_store.cpp
+++ b/tests/dispatch/test_store.cpp
@@ -271,7 +271,7 @@
         auto r = harness{};
         auto bounds = dispatch_bounds{};
         bounds.drain = drain;
-        r.core.reconfigure({}, bounds);
+        r.core.reconfigure({}, bounds, r.now);
         r.advance(ks::seconds{30});
         r.feed_lists(config_of(single_route("s")), three_targets("s"));
         // The check is sent after a quarter of the bound, whatever the time at
@@ -297,7 +297,7 @@
     auto r = harness{};
     auto bounds = dispatch_bounds{};
     bounds.drain = ks::seconds{20};
-    r.core.reconfigure({}, bounds);
+    r.core.reconfigure({}, bounds, r.now);
     r.advance(milliseconds{100});
     r.feed_lists(config_of(single_route("s")), three_targets("s"));
     notify_change(r, 1'000);
@@ -321,7 +321,7 @@
         auto r = harness{};
         auto bounds = dispatch_bounds{};
         bounds.drain = drain;
-        r.core.reconfigure({}, bounds);
+        r.core.reconfigure({}, bounds, r.now);
         r.advance(milliseconds{100});
         r.feed_lists(config_of(single_route("s")), three_targets("s"));
         notify_change(r, 1'000);
