--- a/src/core/dispatch/budget_claim.cpp
+++ b/src/core/dispatch/budget_claim.cpp
@@ -10,7 +10,7 @@
 
 /// A claim that is larger than an equal share by less than this is kept.
 constexpr auto excess_kept = 0.05;
-/// The same for one that is smaller.
+/// The same for one that is smaller, and for use that is less than the claim.
 constexpr auto lack_kept = 0.1;
 
 auto equal_share(budget_claim const& c) -> std::uint32_t
@@ -127,7 +127,8 @@
         next.renewed_at = l.begun;
     auto const settled = has_settled(c, next);
     next = with_new_claim(std::move(next), settled);
-    next.needs_fresh = next.claimed > std::max(next.used, next.next);
+    next.needs_fresh =
+        std::max(next.used, next.next) < next.claimed * (1 - lack_kept);
     next.needs_list = c.listed && !settled;
     return next;
 }
