--- a/src/core/dispatch/budget_claim.cpp
+++ b/src/core/dispatch/budget_claim.cpp
@@ -118,8 +118,10 @@
     if (l.own && !c.stored && c.claimed == 0)
         next.claimed = l.own->claim; // Of the process before.
     if (confirms(next, l))
-        next = with_allowed(std::move(next),
-            std::min(l.own->claim, left_by_others(next)), l.begun, window, now);
+    {
+        auto const allowed = std::min(l.own->claim, left_by_others(next));
+        next = with_allowed(std::move(next), allowed, l.begun, window, now);
+    }
     else if (l.own && next.stored != l.own &&
              (l.fresh || !next.stored || next.stored->version < l.own->version))
         next = with_stored(next, *l.own, now);
