--- a/src/core/dispatch/budget_claim.cpp
+++ b/src/core/dispatch/budget_claim.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/budget_claim.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace knapweedstream::dispatch
 {
@@ -28,13 +29,45 @@
                               std::min<std::uint64_t>(whole_budget, sum));
 }
 
-auto with_others(budget_claim c, std::span<instance_record const> listed,
-    time_point now) -> budget_claim
+/// True if the store has lost what raised a claim: it is smaller than in an
+/// earlier era, and its owner may not know it yet.
+auto is_rolled_back(
+    listed_claim const& known, std::uint32_t claim, std::uint64_t era) -> bool
+{
+    return era > known.era && claim < known.claim;
+}
+
+/// Marks the claims that a list does not confirm, and drops those that have
+/// been gone for long.
+auto with_gone(budget_claim c, claim_list const& l, time_point now)
+    -> budget_claim
 {
-    for (auto const& it : listed)
-        c.others[it.name] = {std::min(it.budget_claim, whole_budget), now};
+    auto listed = std::map<std::string_view, std::uint32_t>{};
+    for (auto const& it : l.others)
+        listed[it.name] = it.budget_claim;
+    for (auto& [name, it] : c.others)
+    {
+        auto const found = listed.find(name);
+        if (found == listed.end() || is_rolled_back(it, found->second, l.era))
+            it.gone_since = std::min(it.gone_since, now);
+    }
     std::erase_if(c.others, [&](auto const& it)
-        { return now - it.second.listed_at >= duration{claim_hold}; });
+        { return now - it.second.gone_since >= duration{claim_hold}; });
+    return c;
+}
+
+auto with_others(budget_claim c, claim_list const& l, time_point now)
+    -> budget_claim
+{
+    c = with_gone(std::move(c), l, now);
+    for (auto const& it : l.others)
+    {
+        auto const claim = std::min(it.budget_claim, whole_budget);
+        auto const known = c.others.find(it.name);
+        if (known == c.others.end() ||
+            !is_rolled_back(known->second, claim, l.era))
+            c.others[it.name] = {claim, l.era, time_point::max()};
+    }
     return c;
 }
 
@@ -61,6 +94,25 @@
     return c;
 }
 
+/// Takes note of this instance's record. What the store holds of the claim is
+/// all that may be used.
+auto with_own(budget_claim c, claim_list const& l, time_point now)
+    -> budget_claim
+{
+    if (!l.own)
+    {
+        c.lost = c.lost || c.stored.has_value();
+        return c;
+    }
+    if (!c.stored && c.claimed == 0)
+        c.claimed = l.own->claim; // Of the process before.
+    if (c.stored && l.own->version < c.stored->version)
+        return c;
+    if (c.stored != l.own)
+        c = with_stored(c, *l.own, now);
+    return limited(std::move(c), l.own->claim);
+}
+
 /// True if the list was begun when the store was known to hold the claim.
 auto confirms(budget_claim const& c, claim_list const& l) -> bool
 {
@@ -113,19 +165,18 @@
 auto with_list(budget_claim const& c, claim_list const& l, duration window,
     time_point now) -> budget_claim
 {
-    auto next = with_others(c, l.others, now);
+    auto next = with_others(c, l, now);
     next.listed = true;
-    if (l.own && !c.stored && c.claimed == 0)
-        next.claimed = l.own->claim; // Of the process before.
-    if (confirms(next, l))
+    if (now - c.renewed_at >= duration{claim_lease})
+        next = limited(std::move(next), 0);
+    next = with_own(std::move(next), l, now);
+    if (confirms(c, l))
     {
         auto const allowed = std::min(l.own->claim, left_by_others(next));
         next = with_allowed(std::move(next), allowed, l.begun, window, now);
+        next.lost = false;
     }
-    else if (l.own && next.stored != l.own &&
-             (l.fresh || !next.stored || next.stored->version < l.own->version))
-        next = with_stored(next, *l.own, now);
-    if (l.own)
+    if (l.own && !next.lost)
         next.renewed_at = l.begun;
     auto const settled = has_settled(c, next);
     next = with_new_claim(std::move(next), settled);
--- a/src/core/dispatch/budget_claim.hpp
+++ b/src/core/dispatch/budget_claim.hpp
@@ -6,9 +6,9 @@
 /// had been stored. Of two instances the one whose list is later sees the claim
 /// of the other, so that what is used never adds up to more than the whole,
 /// whatever the instances know of each other. The store may lose records when
-/// it comes back from an older copy: a claim that is no longer listed is
-/// counted on for `claim_hold`, and its owner stops using it sooner, once it
-/// has not been listed for `claim_lease`.
+/// it comes back from an older copy: a claim that is not listed any more, or is
+/// smaller in a later era, counts on for `claim_hold`, and its owner stops
+/// using it sooner, once it has not been listed for `claim_lease`.
 #ifndef KNAPWEEDSTREAM_CORE_DISPATCH_BUDGET_CLAIM_HPP
 #define KNAPWEEDSTREAM_CORE_DISPATCH_BUDGET_CLAIM_HPP
 
@@ -28,15 +28,17 @@
 
 /// How long a claim may be used without being listed again.
 constexpr auto claim_lease = milliseconds{40'000};
-/// How long a claim that is no longer listed counts: the lease, the longest
-/// budget window and the age of a stale list.
-constexpr auto claim_hold = milliseconds{60'000};
+/// How long a claim counts from when it is listed no more: the lease and the
+/// age of a stale list.
+constexpr auto claim_hold = milliseconds{50'000};
 
 /// Claim of another instance.
 struct listed_claim
 {
     std::uint32_t claim = 0; ///< Out of `whole_budget`.
-    time_point listed_at;    ///< When a list last held it.
+    std::uint64_t era = 0;   ///< Of the list that held it.
+    /// When a list first did not hold it; `max()`: the last one did.
+    time_point gone_since = time_point::max();
 
     auto operator<=>(listed_claim const&) const = default;
 };
@@ -55,8 +57,9 @@
 {
     std::span<instance_record const> others;
     std::optional<stored_claim> own; ///< Empty: this instance is not listed.
-    time_point begun;                ///< When the list was called.
-    bool fresh = false;              ///< The list was not stale.
+    std::uint64_t era = 0;
+    time_point begun;   ///< When the list was called.
+    bool fresh = false; ///< The list was not stale.
 };
 
 /// Claims of the instances, and what this one may use.
@@ -71,7 +74,9 @@
     std::uint32_t used = 0;
     std::uint32_t next = 0;
     time_point next_from;
-    time_point renewed_at;    ///< Begin of the last list that held the claim.
+    time_point renewed_at; ///< Begin of the last list that held the claim.
+    /// The store has lost the claim, which has not been confirmed since.
+    bool lost = false;
     bool listed = false;      ///< A complete list was read.
     bool needs_fresh = false; ///< The next list must not be stale.
     bool needs_list = false;  ///< The next list is needed soon.
--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -168,7 +168,8 @@
     for (auto const& [name, it] : s.instances)
         if (name != s.init.self.name)
             others.push_back(it);
-    s.claim = with_list(s.claim, {others, listed_record(s), l.begun, l.fresh},
+    s.claim = with_list(s.claim,
+        {others, listed_record(s), l.oldest.era, l.begun, l.fresh},
         s.init.bounds.budget_window, now);
 }
 
