--- a/src/adapter/event_loop.cpp
+++ b/src/adapter/event_loop.cpp
@@ -31,6 +31,12 @@
     event_active(end_event_.get(), 0, 0);
 }
 
+auto turn_clock::leave(time_point now) -> void
+{
+    if (!running_)
+        ended_ = now;
+}
+
 auto turn_clock::on_end(evutil_socket_t, short, void* arg) -> void
 {
     auto* self = static_cast<turn_clock*>(arg);
@@ -64,11 +70,15 @@
     event_add(event_.get(), nullptr);
 }
 
-auto loop_event::on_event(evutil_socket_t, short, void* arg) -> void
+auto loop_event::on_event(evutil_socket_t, short what, void* arg) -> void
 {
     auto* self = static_cast<loop_event*>(arg);
-    enter_turn(self->loop_);
+    auto* turns = self->loop_.turns;
+    if (what != 0)
+        enter_turn(self->loop_);
     self->callback_();
+    if (what == 0 && turns != nullptr)
+        turns->leave(steady_now());
 }
 
 auto loop_event::after(duration wait) -> void
--- a/src/adapter/event_loop.hpp
+++ b/src/adapter/event_loop.hpp
@@ -47,9 +47,13 @@
 public:
     explicit turn_clock(event_base* base);
 
-    /// A callback of the loop runs.
+    /// A callback of an event that the loop has waited for runs.
     auto enter(time_point now) -> void;
 
+    /// A callback that was activated in the turn has run, maybe after all
+    /// others.
+    auto leave(time_point now) -> void;
+
     auto times() const -> turn_times const& { return times_; }
 
 private:
--- a/tests/unit/test_late_requests.cpp
+++ b/tests/unit/test_late_requests.cpp
@@ -69,9 +69,12 @@
     answering = &server;
     REQUIRE(server.start("127.0.0.1:" + std::to_string(port)));
     auto fd = -1;
+    auto after_turn = ks::loop_event{loop, [] {
+                                     }};
     auto long_turn = ks::loop_event{loop, [&]
         {
             run_long_turn(fd);
+            after_turn.activate();
         }};
     for (auto k = 0; k < 2; ++k)
     {
