--- a/src/core/dispatch/store_events.cpp
+++ b/src/core/dispatch/store_events.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/catalog.hpp"
 #include "core/dispatch/eras.hpp"
+#include "core/dispatch/own_record.hpp"
 #include "core/dispatch/relays.hpp"
 #include "core/dispatch/reports.hpp"
 #include "core/dispatch/stop.hpp"
@@ -116,63 +117,6 @@
     return true;
 }
 
-/// This instance's record as the last list held it; empty if it did not.
-auto listed_record(dispatch_state const& s) -> std::optional<stored_claim>
-{
-    auto const& name = s.init.self.name;
-    auto const it = s.instances.find(name);
-    auto const version = known_version(s, store_kind::instances, name);
-    if (it == s.instances.end() || version.era != s.contact.era.value_or(0))
-        return std::nullopt;
-    return stored_claim{it->second.budget_claim, version};
-}
-
-auto write_record(dispatch_state& s, std::optional<std::uint64_t> replaced,
-    commands& out) -> void
-{
-    auto r = s.init.self;
-    r.budget_claim = s.claim.claimed;
-    ++s.record_writes;
-    s.written_claim = r.budget_claim;
-    out.push_back(store_write_record{std::move(r), replaced});
-}
-
-/// Writes this instance's record if the list of instances lacks it or has
-/// another version of it.
-auto ensure_record(dispatch_state& s, commands& out) -> void
-{
-    if (s.stop.requested)
-        return;
-    auto const listed = listed_record(s);
-    auto wanted = s.init.self;
-    wanted.budget_claim = s.claim.claimed;
-    if (!listed)
-        write_record(s, std::nullopt, out);
-    else if (s.instances.at(wanted.name) != wanted)
-        write_record(s, listed->version.revision, out);
-}
-
-/// Reads the list of instances again soon.
-auto list_instances_soon(dispatch_state& s, bool fresh, time_point now) -> void
-{
-    auto& f = s.follows[store_kind::instances];
-    f = with_list_due(std::move(f), now + s.init.limits.poll_first, fresh);
-    if (auto const* it = std::get_if<pausing>(&f.phase))
-        arm(s, it->until, follow_due{store_kind::instances});
-}
-
-/// Counts the claims of a complete list of instances.
-auto count_claims(dispatch_state& s, listing const& l, time_point now) -> void
-{
-    auto others = std::vector<instance_record>{};
-    for (auto const& [name, it] : s.instances)
-        if (name != s.init.self.name)
-            others.push_back(it);
-    s.claim = with_list(s.claim,
-        {others, listed_record(s), l.oldest.era, l.begun, l.fresh},
-        s.init.bounds.budget_window, now);
-}
-
 /// Lists the orders again if targets of a version have appeared that may be on
 /// trial.
 auto read_orders_if_needed(dispatch_state& s, time_point now, commands& out)
@@ -407,36 +351,6 @@
     update_ready(s, out);
 }
 
-/// Handles the answer to a write of this instance's record. A record that
-/// exists although it was not listed is replaced; one that is missing is
-/// created after the next list, in which other failures show too.
-auto on_record_written(dispatch_state& s, store_written const& e,
-    time_point now, commands& out) -> void
-{
-    s.record_writes -= s.record_writes > 0 ? 1 : 0;
-    auto const last = s.record_writes == 0;
-    if (e.failure == store_failure::missing)
-        s.versions[e.kind].erase(s.init.self.name);
-    if (s.stop.requested)
-        return;
-    if (e.failure == store_failure::conflict)
-    {
-        if (!listed_record(s))
-            return write_record(s, 0, out);
-        return list_instances_soon(s, true, now);
-    }
-    if (e.failure || !last)
-        return;
-    // A stale list does not undo what is known of it.
-    auto& r = s.instances[s.init.self.name];
-    r = s.init.self;
-    r.budget_claim = s.written_claim;
-    s.versions[e.kind][r.name] = version_of(e);
-    s.claim = with_stored(s.claim, {s.written_claim, version_of(e)}, now);
-    if (s.written_claim > std::max(s.claim.used, s.claim.next))
-        list_instances_soon(s, true, now);
-}
-
 auto on_written(
     dispatch_state& s, store_written e, time_point now, commands& out) -> void
 {
--- a/tests/dispatch/test_requests.cpp
+++ b/tests/dispatch/test_requests.cpp
@@ -382,33 +382,3 @@
     r.submit("again");
     CHECK(r.take_sent()[0].target == "s-a");
 }
-
-TEST_CASE(
-    "routed: a target is handed no more time than the caller of a request "
-    "that was read late has left")
-{
-    auto r = harness{};
-    r.finish_startup();
-    r.feed_lists(config_of(single_route("s")), three_targets("s"));
-    auto const read_late = [&](int caller, milliseconds waited)
-    {
-        auto q = ks::routed_request{};
-        q.id = "late" + std::to_string(caller);
-        q.method = "GET";
-        q.target = "/p/x";
-        q.host = "h";
-        q.deadline = milliseconds{900};
-        r.feed(caller_request{ks::caller_id{static_cast<std::uint64_t>(caller)},
-            std::make_shared<ks::routed_request const>(q), waited});
-        return r.take_sent();
-    };
-    auto const sent = read_late(901, milliseconds{600});
-    REQUIRE(sent.size() == 1);
-    CHECK(sent[0].time_left <= milliseconds{300});
-    CHECK(sent[0].time_left > milliseconds{200});
-    // Its caller has given up: it is refused and not sent.
-    CHECK(read_late(902, milliseconds{900}).empty());
-    CHECK(refusal_of(r, ks::caller_id{902}).reason ==
-          ks::refusal_reason::overloaded);
-    CHECK(r.core.stats().read_late == 2);
-}
--- a/tests/unit/test_late_requests.cpp
+++ b/tests/unit/test_late_requests.cpp
@@ -1,6 +1,7 @@
 /// Requests that wait unread while a turn of the event loop lasts.
 #include "adapter/event_loop.hpp"
 #include "adapter/route_server.hpp"
+#include "dispatch/harness.hpp"
 #include "platform/ingress.hpp"
 
 #include <doctest/doctest.h>
@@ -102,3 +103,35 @@
     turns = ks::with_turn(turns, after(310), after(900));
     CHECK(ks::earliest_arrival(turns) == after(900));
 }
+
+TEST_CASE(
+    "routed: a target is handed no more time than the caller of a request "
+    "that was read late has left")
+{
+    auto r = ks::dispatch::harness{};
+    r.finish_startup();
+    r.feed_lists(ks::dispatch::config_of(ks::dispatch::single_route("s")),
+        ks::dispatch::three_targets("s"));
+    auto const read_late = [&](int caller, milliseconds waited)
+    {
+        auto q = ks::routed_request{};
+        q.id = "late" + std::to_string(caller);
+        q.method = "GET";
+        q.target = "/p/x";
+        q.host = "h";
+        q.deadline = milliseconds{900};
+        r.feed(ks::dispatch::caller_request{
+            ks::caller_id{static_cast<std::uint64_t>(caller)},
+            std::make_shared<ks::routed_request const>(q), waited});
+        return r.take_sent();
+    };
+    auto const sent = read_late(901, milliseconds{600});
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].time_left <= milliseconds{300});
+    CHECK(sent[0].time_left > milliseconds{200});
+    // Its caller has given up: it is refused and not sent.
+    CHECK(read_late(902, milliseconds{900}).empty());
+    CHECK(ks::dispatch::refusal_of(r, ks::caller_id{902}).reason ==
+          ks::refusal_reason::overloaded);
+    CHECK(r.core.stats().read_late == 2);
+}
