--- a/tests/dispatch/harness.cpp
+++ b/tests/dispatch/harness.cpp
@@ -37,6 +37,7 @@
 {
     constexpr auto startup = seconds{30};
     auto const end = now + startup;
+    claiming_ = true;
     auto claiming = self_;
     claiming.budget_claim = whole_budget;
     auto const own = stored_object{self_.name, ++revision_, claiming};
@@ -51,8 +52,13 @@
     std::vector<instance_record> const& fleet) -> void
 {
     auto records = std::vector<stored_object>{};
-    for (auto const& it : fleet)
+    for (auto it : fleet)
+    {
+        if (claiming_)
+            it.budget_claim =
+                whole_budget / static_cast<std::uint32_t>(fleet.size());
         records.push_back({it.name, ++revision_, it});
+    }
     feed(store_listed{store_kind::instances, records, "", revision_});
     auto objects = std::vector<stored_object>{};
     for (auto const& it : targets)
--- a/tests/dispatch/harness.hpp
+++ b/tests/dispatch/harness.hpp
@@ -150,6 +150,7 @@
     std::optional<time_point> wake_;
     std::deque<event> pending_events_;
     instance_record self_;
+    bool claiming_ = false; ///< The fleet's records state equal claims.
     std::uint64_t callers_ = 0;
     std::uint64_t revision_ = 10;
 };
