--- a/src/core/dispatch/budget_claim.hpp
+++ b/src/core/dispatch/budget_claim.hpp
@@ -32,6 +32,9 @@
 /// age of a stale list.
 constexpr auto claim_hold = milliseconds{50'000};
 
+/// How long a target that is silent may still read what was sent to it.
+constexpr auto unread_hold = milliseconds{60'000};
+
 /// Claim of another instance.
 struct listed_claim
 {
--- a/src/core/dispatch/charges.cpp
+++ b/src/core/dispatch/charges.cpp
@@ -15,12 +15,6 @@
         it->second.budget = with_settled(it->second.budget, s.init.bounds, now);
 }
 
-/// How long a charge is kept for a target that is silent.
-auto unread_time(dispatch_state const& s) -> duration
-{
-    return s.init.bounds.budget_window;
-}
-
 } // namespace
 
 auto settle(dispatch_state& s, attempt const& a, time_point now) -> void
@@ -40,7 +34,7 @@
     if (!a.charged)
         return;
     t.unread.push_back(now);
-    arm(s, now + unread_time(s), target_due{t.id});
+    arm(s, now + duration{unread_hold}, target_due{t.id});
 }
 
 auto settle_unread(dispatch_state& s, target_entry& t, time_point sent_at,
@@ -55,7 +49,7 @@
 
 auto settle_expired(dispatch_state& s, target_entry& t, time_point now) -> void
 {
-    settle_unread(s, t, now - unread_time(s), now);
+    settle_unread(s, t, now - duration{unread_hold}, now);
 }
 
 } // namespace knapweedstream::dispatch
--- a/tests/dispatch/budget_fleet.cpp
+++ b/tests/dispatch/budget_fleet.cpp
@@ -78,7 +78,6 @@
                 fleet_[i]->advance(step_length / turns_of_step);
             }
     }
-    deliver_held();
 }
 
 auto budget_fleet::grow(std::size_t n) -> void
@@ -209,7 +208,10 @@
 {
     for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
         if (plan_.request_share >= 1 || draw() < plan_.request_share)
+        {
             fleet_[i % receivers_]->submit("q" + std::to_string(requests_++));
+            ++arrivals_.back().first;
+        }
 }
 
 auto budget_fleet::hold(harness& from, std::size_t i) -> void
@@ -218,7 +220,7 @@
         held_.push_back({i, it});
 }
 
-auto budget_fleet::deliver_held() -> void
+auto budget_fleet::deliver_unread() -> void
 {
     for (auto const& it : held_)
     {
@@ -245,8 +247,7 @@
 
 auto budget_fleet::count(std::string const& request) -> void
 {
-    auto& c = arrivals_.back();
-    ++(arrived_.insert(request).second ? c.first : c.extra);
+    arrivals_.back().extra += arrived_.insert(request).second ? 0 : 1;
 }
 
 auto budget_fleet::draw() -> double
--- a/tests/dispatch/budget_fleet.hpp
+++ b/tests/dispatch/budget_fleet.hpp
@@ -15,11 +15,11 @@
 namespace knapweedstream::dispatch
 {
 
-/// Requests that the targets of the service got in one step.
+/// Requests for the service, and what its targets got, in one step.
 struct arrival_counts
 {
-    std::uint32_t first = 0; ///< First arrivals of their request.
-    std::uint32_t extra = 0; ///< Further arrivals.
+    std::uint32_t first = 0; ///< Requests of callers, arrived or not.
+    std::uint32_t extra = 0; ///< Arrivals beyond the first of a request.
 
     auto operator<=>(arrival_counts const&) const = default;
 };
@@ -54,10 +54,12 @@
     /// Lets each instance send a request per step for a while.
     auto run(duration length, target_faults const& faults) -> void;
 
-    /// The same while the targets read nothing. All that was sent to them
-    /// arrives at the end, and is answered.
+    /// The same while the targets read nothing.
     auto run_silent(duration length) -> void;
 
+    /// All that the targets have not read arrives, and is answered.
+    auto deliver_unread() -> void;
+
     /// Adds instances, which list all; those before do not list them.
     auto grow(std::size_t n) -> void;
 
@@ -90,7 +92,6 @@
     auto start(std::size_t i) -> std::unique_ptr<harness>;
     auto submit_step() -> void;
     auto hold(harness& from, std::size_t i) -> void;
-    auto deliver_held() -> void;
     auto follow_store(std::size_t i) -> void;
     auto carry_out_writes(std::size_t i) -> void;
     auto feed_list(std::size_t i, std::size_t n) -> void;
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -321,17 +321,38 @@
 
 TEST_CASE("budget sums: targets stood still and then read all at once")
 {
-    for (auto const length : {3, 6, 9})
+    for (auto const length : {3, 6, 9, 15, 30, 45})
     {
         CAPTURE(length);
         auto fleet = budget_fleet{};
         fleet.run(seconds{20}, calm);
         fleet.run_silent(seconds{length});
+        fleet.deliver_unread();
         fleet.run(seconds{30}, refusing);
         CHECK(fleet.worst_use_of_budget() <= 1);
     }
 }
 
+TEST_CASE("budget sums: a fleet grows while targets stand still")
+{
+    for (auto const before : {1, 4, 8})
+        for (auto const after : {1, 6, 12, 20})
+        {
+            CAPTURE(before);
+            CAPTURE(after);
+            auto fleet = budget_fleet{};
+            fleet.run(seconds{20}, calm);
+            fleet.run_silent(seconds{before});
+            fleet.grow(fleet_size);
+            for (auto i = std::size_t{0}; i < fleet.instances(); ++i)
+                fleet.read_list(i, fleet.instances());
+            fleet.run_silent(seconds{after});
+            fleet.deliver_unread();
+            fleet.run(seconds{30}, refusing);
+            CHECK(fleet.worst_use_of_budget() <= 1);
+        }
+}
+
 TEST_CASE("budget sums: halves of the fleet restart in turns")
 {
     for (auto const length : {2, 5, 8})
