--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -276,6 +276,7 @@
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
     s.attempts.erase(a.id);
     settle(s, a, now);
+    note_first_reply(t, now);
     settle_unread(s, t, a.sent_at, now);
     if (m.how == attempt_end::wrong_target)
         displace(s, t, out);
--- a/src/core/dispatch/budget_claim.cpp
+++ b/src/core/dispatch/budget_claim.cpp
@@ -104,8 +104,11 @@
         c.lost = c.lost || c.stored.has_value();
         return c;
     }
-    if (!c.stored && c.claimed == 0)
-        c.claimed = l.own->claim; // Of the process before.
+    if (!c.stored && c.claimed == 0 && l.own->claim != 0)
+    { // Of the process before.
+        c.claimed = l.own->claim;
+        c.inherited_until = now + duration{unread_hold};
+    }
     if (c.stored && l.own->version < c.stored->version)
         return c;
     if (c.stored != l.own)
@@ -186,6 +189,11 @@
     return next;
 }
 
+auto has_inherited(budget_claim const& c, time_point now) -> bool
+{
+    return !c.listed || now < c.inherited_until;
+}
+
 auto usable_claim(budget_claim const& c, time_point now) -> std::uint32_t
 {
     if (now - c.renewed_at >= duration{claim_lease})
--- a/src/core/dispatch/budget_claim.hpp
+++ b/src/core/dispatch/budget_claim.hpp
@@ -78,6 +78,9 @@
     std::uint32_t next = 0;
     time_point next_from;
     time_point renewed_at; ///< Begin of the last list that held the claim.
+    /// Until then silent targets may read what the process before has sent,
+    /// whose claim this one has.
+    time_point inherited_until;
     /// The store has lost the claim, which has not been confirmed since.
     bool lost = false;
     bool listed = false;      ///< A complete list was read.
@@ -101,6 +104,9 @@
 auto with_list(budget_claim const& c, claim_list const& l, duration window,
     time_point now) -> budget_claim;
 
+/// True if targets may still read what a process before this one has sent.
+auto has_inherited(budget_claim const& c, time_point now) -> bool;
+
 /// What may be used now, out of `whole_budget`; 0 after the lease.
 auto usable_claim(budget_claim const& c, time_point now) -> std::uint32_t;
 
--- a/src/core/dispatch/charges.cpp
+++ b/src/core/dispatch/charges.cpp
@@ -47,6 +47,25 @@
     t.unread.erase(t.unread.begin(), before);
 }
 
+auto note_first_reply(target_entry& t, time_point now) -> void
+{
+    if (t.first_reply == time_point{})
+        t.first_reply = now;
+}
+
+auto has_read_late(
+    dispatch_state const& s, target_entry const& t, time_point now) -> bool
+{
+    constexpr auto still = seconds{2}; ///< Shorter ones are slow replies.
+    if (t.first_sent == time_point{})
+        return false;
+    auto const replied = t.first_reply != time_point{};
+    auto const waited = (replied ? t.first_reply : now) - t.first_sent;
+    auto const window = duration{s.init.bounds.budget_window};
+    return waited >= duration{still} &&
+           (!replied || now - t.first_reply < window);
+}
+
 auto settle_expired(dispatch_state& s, target_entry& t, time_point now) -> void
 {
     settle_unread(s, t, now - duration{unread_hold}, now);
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/attempts.hpp"
 #include "core/dispatch/catalog.hpp"
+#include "core/dispatch/charges.hpp"
 #include "core/dispatch/eras.hpp"
 #include "core/dispatch/pool.hpp"
 #include "core/dispatch/relays.hpp"
@@ -139,12 +140,18 @@
            static_cast<double>(steps);
 }
 
-auto terms_at(dispatch_state const& s, time_point now) -> budget_terms
+auto terms_at(dispatch_state const& s, service_id service, time_point now)
+    -> budget_terms
 {
+    auto const late = [&](target_id it)
+    {
+        return has_read_late(s, s.targets.at(it), now);
+    };
     constexpr auto bits = 32;
     auto const place = std::ldexp(
         static_cast<double>(hash_name(s.init.self.name) >> bits), -bits);
-    return terms_of(s.init.bounds, s.claim, place, now);
+    return terms_of(s.init.bounds, s.claim,
+        std::ranges::any_of(s.services.at(service).targets, late), place, now);
 }
 
 dispatcher::dispatcher(dispatcher_init const& init)
--- a/src/core/dispatch/extra_budget.cpp
+++ b/src/core/dispatch/extra_budget.cpp
@@ -82,13 +82,15 @@
 } // namespace
 
 auto terms_of(dispatch_bounds const& bounds, budget_claim const& claim,
-    double place, time_point now) -> budget_terms
+    bool late, double place, time_point now) -> budget_terms
 {
     auto const usable = usable_claim(claim, now);
-    auto const coming = coming_claim(claim, now);
+    auto const coming =
+        starting_fraction * share_of(bounds, coming_claim(claim, now));
+    if (late && has_inherited(claim, now))
+        return {used_fraction * bounds.retry_budget_ratio, coming, 0};
     return {used_fraction * bounds.retry_budget_ratio,
-        std::max(used_fraction * share_of(bounds, usable),
-            starting_fraction * share_of(bounds, coming)),
+        std::max(used_fraction * share_of(bounds, usable), coming),
         rounding_of(bounds, usable, place)};
 }
 
--- a/src/core/dispatch/extra_budget.hpp
+++ b/src/core/dispatch/extra_budget.hpp
@@ -69,15 +69,18 @@
     auto operator<=>(budget_terms const&) const = default;
 };
 
-/// The terms of an instance. Of a claim whose window has not passed yet little
-/// may be used.
+/// The terms of an instance. Little may be used of a claim whose window has not
+/// passed yet, or which the process before had while targets may still read
+/// what that one has sent.
 ///
+/// @param[in] late A target of the service has read what was sent before this
+///     process late, or not yet (see `has_read_late`).
 /// @param[in] place Evenly distributed among the instances, from 0 to 1: where
 ///     this one rounds, so that the fractions of all together are used and no
 ///     more. Without effect if the unused part of the bound does not cover the
 ///     deviations.
 auto terms_of(dispatch_bounds const& bounds, budget_claim const& claim,
-    double place, time_point now) -> budget_terms;
+    bool late, double place, time_point now) -> budget_terms;
 
 /// Counts the first request of a part.
 auto with_first(extra_budget const& b, dispatch_bounds const& bounds,
--- a/src/core/dispatch/placing.cpp
+++ b/src/core/dispatch/placing.cpp
@@ -33,7 +33,7 @@
     -> double
 {
     auto const& b = s.services.at(service).budget;
-    return extra_left(b, s.init.bounds, terms_at(s, now), now);
+    return extra_left(b, s.init.bounds, terms_at(s, service, now), now);
 }
 
 auto count_extra(dispatch_stats& stats, attempt_kind kind) -> void
@@ -96,6 +96,8 @@
     l.attempt = a.id;
     l.since = now;
     t.health = with_sent(t.health, now);
+    if (t.first_sent == time_point{})
+        t.first_sent = now;
     if (now < t.cold_until)
         t.warmup = with_sent(t.warmup);
     t.notices = with_sent(t.notices);
@@ -195,8 +197,8 @@
     auto const it = s.services.find(p.service);
     if (it == s.services.end())
         return false;
-    return allows_extra(terms_at(s, now), budget_left(s, p.service, now),
-        urgency_of(e, kind, now));
+    return allows_extra(terms_at(s, p.service, now),
+        budget_left(s, p.service, now), urgency_of(e, kind, now));
 }
 
 auto place(dispatch_state& s, part_key const& key, attempt_kind kind,
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -198,6 +198,10 @@
     token_bucket warmup;   ///< Used until `cold_until`.
     /// When charged attempts were given up that it may still read.
     std::vector<time_point> unread;
+    /// When this process sent the first request to it, and when it first
+    /// replied; 0: not yet.
+    time_point first_sent;
+    time_point first_reply;
     target_notices notices; ///< Of its present start.
     /// Timer armed for the next request that its stated limit allows.
     time_point allowance_due;
@@ -369,7 +373,8 @@
 }
 
 /// What this instance may use of each service's retry budget.
-auto terms_at(dispatch_state const& s, time_point now) -> budget_terms;
+auto terms_at(dispatch_state const& s, service_id service, time_point now)
+    -> budget_terms;
 
 /// Returns a handle that was not used before in this process.
 template <class Handle>
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -333,6 +333,25 @@
     }
 }
 
+TEST_CASE("budget sums: all restart while targets stand still")
+{
+    for (auto const before : {1, 8, 20})
+        for (auto const after : {1, 3, 12, 45})
+        {
+            CAPTURE(before);
+            CAPTURE(after);
+            auto fleet = budget_fleet{};
+            fleet.run(seconds{20}, calm);
+            fleet.run_silent(seconds{before});
+            for (auto i = std::size_t{0}; i < fleet_size; ++i)
+                fleet.restart(i);
+            fleet.run_silent(seconds{after});
+            fleet.deliver_unread();
+            fleet.run(seconds{30}, refusing);
+            CHECK(fleet.worst_use_of_budget() <= 1);
+        }
+}
+
 TEST_CASE("budget sums: a fleet grows while targets stand still")
 {
     for (auto const before : {1, 4, 8})
--- a/tests/dispatch/test_extra_budget.cpp
+++ b/tests/dispatch/test_extra_budget.cpp
@@ -64,7 +64,7 @@
     auto c = confirmed_share(instances, now);
     c.used = 0;
     c.next_from = it.started + ks::duration{bounds.budget_window};
-    return terms_of(bounds, c, it.place, now);
+    return terms_of(bounds, c, false, it.place, now);
 }
 
 /// Sends extra requests while they are allowed. All arrive at once.
@@ -206,7 +206,8 @@
     CHECK(sent <= 600);
     CHECK(sent >= 530);
     bounds.retry_budget_extra = 50;
-    CHECK(terms_of(bounds, confirmed_share(n, now), 1, now).rounding == 0);
+    CHECK(
+        terms_of(bounds, confirmed_share(n, now), false, 1, now).rounding == 0);
 }
 
 TEST_CASE("budget: a process that has just started may probe suspended targets")
@@ -220,9 +221,28 @@
     auto claim = confirmed_share(2, now);
     claim.used = 0;
     claim.next_from = now + ks::seconds{5};
-    auto const t = terms_of(bounds, claim, 0, now);
+    auto const t = terms_of(bounds, claim, false, 0, now);
     CHECK(allows_extra(t, extra_left(b, bounds, t, now), urgency::optional));
-    auto const full = terms_of(bounds, confirmed_share(2, now), 0, now);
+    auto const full = terms_of(bounds, confirmed_share(2, now), false, 0, now);
     CHECK(
         !allows_extra(full, extra_left(b, bounds, t, now), urgency::optional));
 }
+
+TEST_CASE("budget: little of an inherited claim while a target has read late")
+{
+    auto const bounds = dispatch_bounds{};
+    auto const now = ks::time_point{ks::seconds{100}};
+    auto claim = confirmed_share(1, now);
+    claim.listed = true;
+    auto const extra = static_cast<double>(bounds.retry_budget_extra);
+    auto const share = [&](bool late, ks::time_point at)
+    {
+        return terms_of(bounds, claim, late, 0, at).share;
+    };
+    CHECK(share(true, now) > 0.8 * extra);
+    claim.inherited_until = now + ks::seconds{60};
+    CHECK(share(false, now) > 0.8 * extra);
+    CHECK(share(true, now) < 0.1 * extra);
+    claim.renewed_at = now + ks::seconds{60};
+    CHECK(share(true, now + ks::seconds{60}) > 0.8 * extra);
+}
