--- a/src/core/dispatch/attempts.cpp
+++ b/src/core/dispatch/attempts.cpp
@@ -174,6 +174,7 @@
     settle(s, a, now);
     remove_link(s, l);
     auto& t = s.targets.at(l.target);
+    note_heard(t, now);
     if (m.how == attempt_end::lost)
     {
         ++s.stats.lost_attempts;
@@ -276,7 +277,7 @@
     s.stats.unusable_replies += m.how == attempt_end::unusable ? 1 : 0;
     s.attempts.erase(a.id);
     settle(s, a, now);
-    note_first_reply(t, now);
+    note_heard(t, now);
     settle_unread(s, t, a.sent_at, now);
     if (m.how == attempt_end::wrong_target)
         displace(s, t, out);
--- a/src/core/dispatch/charges.cpp
+++ b/src/core/dispatch/charges.cpp
@@ -47,10 +47,10 @@
     t.unread.erase(t.unread.begin(), before);
 }
 
-auto note_first_reply(target_entry& t, time_point now) -> void
+auto note_heard(target_entry& t, time_point now) -> void
 {
-    if (t.first_reply == time_point{})
-        t.first_reply = now;
+    if (t.first_heard == time_point{})
+        t.first_heard = now;
 }
 
 auto has_read_late(
@@ -59,11 +59,11 @@
     constexpr auto still = seconds{2}; ///< Shorter ones are slow replies.
     if (t.first_sent == time_point{})
         return false;
-    auto const replied = t.first_reply != time_point{};
-    auto const waited = (replied ? t.first_reply : now) - t.first_sent;
+    auto const heard = t.first_heard != time_point{};
+    auto const waited = (heard ? t.first_heard : now) - t.first_sent;
     auto const window = duration{s.init.bounds.budget_window};
     return waited >= duration{still} &&
-           (!replied || now - t.first_reply < window);
+           (!heard || now - t.first_heard < window);
 }
 
 auto settle_expired(dispatch_state& s, target_entry& t, time_point now) -> void
--- a/src/core/dispatch/charges.hpp
+++ b/src/core/dispatch/charges.hpp
@@ -23,8 +23,9 @@
 auto settle_unread(dispatch_state& s, target_entry& t, time_point sent_at,
     time_point now) -> void;
 
-/// Notes the first reply of a target to this process.
-auto note_first_reply(target_entry& t, time_point now) -> void;
+/// Notes that a target has replied to this process, or closed the connection of
+/// a request.
+auto note_heard(target_entry& t, time_point now) -> void;
 
 /// True if a target stood still as this process sent it the first request, and
 /// has read what was sent to it before within the last window, or not yet.
--- a/src/core/dispatch/tables.hpp
+++ b/src/core/dispatch/tables.hpp
@@ -199,9 +199,9 @@
     /// When charged attempts were given up that it may still read.
     std::vector<time_point> unread;
     /// When this process sent the first request to it, and when it first
-    /// replied; 0: not yet.
+    /// replied or closed the connection of a request; 0: not yet.
     time_point first_sent;
-    time_point first_reply;
+    time_point first_heard;
     target_notices notices; ///< Of its present start.
     /// Timer armed for the next request that its stated limit allows.
     time_point allowance_due;
--- a/tests/dispatch/test_budget_sums.cpp
+++ b/tests/dispatch/test_budget_sums.cpp
@@ -352,6 +352,17 @@
         }
 }
 
+TEST_CASE("budget sums: a target that resets all requests does not stand still")
+{
+    auto fleet = budget_fleet{};
+    fleet.run(seconds{20}, calm);
+    for (auto i = std::size_t{0}; i < fleet_size; ++i)
+        fleet.restart(i);
+    fleet.run(seconds{30}, {1, 0});
+    CHECK(fleet.worst_use_of_budget() <= 1);
+    CHECK(fleet.worst_use_of_budget() > 0.5);
+}
+
 TEST_CASE("budget sums: a fleet grows while targets stand still")
 {
     for (auto const before : {1, 4, 8})
