--- a/src/adapter/loop_turns.hpp
+++ b/src/adapter/loop_turns.hpp
@@ -1,6 +1,6 @@
 /// Turns of an event loop: a turn runs the callbacks of all events that one
 /// wait has found. Input that arrives while a turn runs is read in a later one;
-/// this tells how long it may have waited.
+/// these times bound how long it has been pending.
 #ifndef KNAPWEEDSTREAM_ADAPTER_LOOP_TURNS_HPP
 #define KNAPWEEDSTREAM_ADAPTER_LOOP_TURNS_HPP
 
