--- a/tests/dispatch/budget_fleet.cpp
+++ b/tests/dispatch/budget_fleet.cpp
@@ -32,6 +32,7 @@
     : plan_(plan), receivers_(plan.instances), random_{plan.seed, 0}
 {
     bounds_.retry_budget_extra = plan.extra;
+    bounds_.retry_budget_ratio = plan.ratio;
     constexpr auto startup = seconds{60};
     access_.resize(plan.instances);
     for (auto i = std::size_t{0}; i < plan.instances; ++i)
@@ -55,11 +56,14 @@
         for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
             follow_store(i);
         for (auto turn = 0; turn < turns_of_step; ++turn)
-            for (auto& it : fleet_)
+        {
+            answer_late();
+            for (auto i = std::size_t{0}; i < fleet_.size(); ++i)
             {
-                answer(*it, faults);
-                it->advance(step_length / turns_of_step);
+                answer(i, faults);
+                fleet_[i]->advance(step_length / turns_of_step);
             }
+        }
     }
 }
 
@@ -182,14 +186,10 @@
     init.bounds = bounds_;
     init.seed = i + 1;
     auto made = std::make_unique<harness>(init, now_);
-    auto r = single_route("s");
-    r.max_attempts = 3;
     made->feed(store_listed{
-        store_kind::configuration, {{"main", 2, config_of(r)}}, "", 2});
-    auto targets = std::vector<stored_object>{};
-    for (auto const& it : three_targets("s"))
-        targets.push_back({it.name, 3, it});
-    made->feed(store_listed{store_kind::targets, targets, "", 3});
+        store_kind::configuration, {configuration()}, "", registrations_});
+    made->feed(store_listed{
+        store_kind::targets, registered_targets(), "", registrations_});
     return made;
 }
 
@@ -210,44 +210,141 @@
         if (plan_.request_share >= 1 || draw() < plan_.request_share)
         {
             fleet_[i % receivers_]->submit("q" + std::to_string(requests_++));
-            ++arrivals_.back().first;
+            arrivals_.back().first += service_ == "s" ? 1 : 0;
         }
 }
 
 auto budget_fleet::hold(harness& from, std::size_t i) -> void
 {
     for (auto const& it : from.take_sent())
-        held_.push_back({i, it});
+        held_.push_back({i, it, {}});
 }
 
 auto budget_fleet::deliver_unread() -> void
 {
     for (auto const& it : held_)
     {
-        count(it.sent.request);
+        count(it.sent);
         fleet_[it.instance]->succeed(it.sent);
     }
     held_.clear();
 }
 
-auto budget_fleet::answer(harness& from, target_faults const& faults) -> void
+auto budget_fleet::answer(std::size_t i, target_faults const& faults) -> void
 {
-    for (auto const& it : from.take_sent())
+    for (auto const& it : fleet_[i]->take_sent())
+        answer(i, it, faults);
+}
+
+auto budget_fleet::answer(
+    std::size_t i, sent_request const& it, target_faults const& faults) -> void
+{
+    constexpr auto late = milliseconds{600};
+    auto& from = *fleet_[i];
+    if (it.target == faults.mute)
+        return held_.push_back({i, it, {}});
+    auto drawn = draw();
+    auto const happens = [&](double share)
+    {
+        drawn -= share;
+        return drawn < 0;
+    };
+    if (happens(faults.unsent))
+        return from.feed(
+            connection_closed{it.connection, connection_end::closed, true});
+    count(it);
+    if (happens(faults.reset))
+        from.break_connection(it);
+    else if (happens(faults.refuse))
+    {
+        arrived_[it.request].erase(it.target);
+        from.reply(it, reply_overloaded{});
+    }
+    else if (happens(faults.displaced))
     {
-        count(it.request);
-        auto const drawn = draw();
-        if (drawn < faults.reset)
-            from.break_connection(it);
-        else if (drawn < faults.reset + faults.refuse)
-            from.reply(it, reply_overloaded{});
-        else
-            from.succeed(it);
+        arrived_[it.request].erase(it.target);
+        from.reply(it, reply_wrong_target{});
     }
+    else if (happens(faults.fail))
+        from.reply(it, reply_failure{{500, {}, {}, "x"}});
+    else if (happens(faults.late))
+        late_.push_back({i, it, now_ + late});
+    else
+        from.succeed(it);
+}
+
+auto budget_fleet::answer_late() -> void
+{
+    for (auto const& it : late_)
+        if (now_ >= it.due)
+            fleet_[it.instance]->succeed(it.sent);
+    std::erase_if(
+        late_, [&](held_request const& it) { return now_ >= it.due; });
 }
 
-auto budget_fleet::count(std::string const& request) -> void
+auto budget_fleet::count(sent_request const& it) -> void
 {
-    arrivals_.back().extra += arrived_.insert(request).second ? 0 : 1;
+    if (!it.target.starts_with("s-"))
+        return;
+    auto const [known, first] = arrived_.try_emplace(it.request);
+    known->second.insert(it.target);
+    arrivals_.back().extra += first ? 0 : 1;
+}
+
+auto budget_fleet::most_runs() const -> std::size_t
+{
+    auto most = std::size_t{0};
+    for (auto const& [request, targets] : arrived_)
+        most = std::max(most, targets.size());
+    return most;
+}
+
+auto budget_fleet::extra_sends(attempt_kind k) const -> std::size_t
+{
+    auto n = std::size_t{0};
+    for (auto const& it : fleet_)
+        for (auto const& f : it->facts<extra_sent>())
+            n += f.kind == k ? 1 : 0;
+    return n;
+}
+
+auto budget_fleet::ends(attempt_end e) const -> std::size_t
+{
+    auto n = std::size_t{0};
+    for (auto const& it : fleet_)
+        for (auto const& f : it->facts<attempt_failed>())
+            n += f.how == e ? 1 : 0;
+    return n;
+}
+
+auto budget_fleet::route_to(std::string const& service) -> void
+{
+    service_ = service;
+    ++registrations_;
+    for (auto& it : fleet_)
+    {
+        auto changes = std::vector<stored_change>{};
+        for (auto const& o : registered_targets())
+            changes.push_back({o, false});
+        it->feed(store_changed{store_kind::targets, changes, registrations_});
+        it->feed(store_changed{store_kind::configuration,
+            {{configuration(), false}}, registrations_});
+    }
+}
+
+auto budget_fleet::configuration() const -> stored_object
+{
+    auto r = single_route(service_);
+    r.max_attempts = 3;
+    return {"main", registrations_, config_of(r, registrations_)};
+}
+
+auto budget_fleet::registered_targets() const -> std::vector<stored_object>
+{
+    auto all = std::vector<stored_object>{};
+    for (auto const& it : three_targets(service_))
+        all.push_back({it.name, registrations_, it});
+    return all;
 }
 
 auto budget_fleet::draw() -> double
--- a/tests/dispatch/budget_fleet.hpp
+++ b/tests/dispatch/budget_fleet.hpp
@@ -27,8 +27,13 @@
 /// How a simulated target treats requests.
 struct target_faults
 {
-    double reset = 0;  ///< Share of requests after which it resets.
-    double refuse = 0; ///< Share of requests that it refuses.
+    double reset = 0;      ///< Share of requests after which it resets.
+    double refuse = 0;     ///< Share of requests that it refuses.
+    double fail = 0;       ///< Share of requests that it fails.
+    double unsent = 0;     ///< Share of connections that end before a request.
+    double late = 0;       ///< Share of requests that it answers late.
+    double displaced = 0;  ///< Share that another target gets in its place.
+    std::string mute = {}; ///< Target that reads and answers nothing.
 
     auto operator<=>(target_faults const&) const = default;
 };
@@ -41,6 +46,7 @@
     /// Probability that an instance gets a request in a step.
     double request_share = 1;
     std::uint64_t seed = 1;
+    double ratio = 0.2; ///< Of the retry budget.
 
     auto operator<=>(fleet_plan const&) const = default;
 };
@@ -85,6 +91,19 @@
     /// The most extra arrivals in a window, divided by those allowed.
     auto worst_use_of_budget() const -> double;
 
+    /// The most targets that have run one request.
+    auto most_runs() const -> std::size_t;
+
+    /// How many extra requests of a kind the present processes have sent.
+    auto extra_sends(attempt_kind k) const -> std::size_t;
+
+    /// How many attempts of the present processes have ended in a way.
+    auto ends(attempt_end e) const -> std::size_t;
+
+    /// All instances read a configuration whose route leads to a service. Its
+    /// targets register again.
+    auto route_to(std::string const& service) -> void;
+
     auto instances() const -> std::size_t { return fleet_.size(); }
     auto bounds() const -> dispatch_bounds const& { return bounds_; }
 
@@ -97,8 +116,13 @@
     auto feed_list(std::size_t i, std::size_t n) -> void;
     auto records(std::size_t i, std::size_t n) const
         -> std::vector<stored_object>;
-    auto answer(harness& from, target_faults const& faults) -> void;
-    auto count(std::string const& request) -> void;
+    auto answer(std::size_t i, target_faults const& faults) -> void;
+    auto answer(std::size_t i, sent_request const& it,
+        target_faults const& faults) -> void;
+    auto answer_late() -> void;
+    auto count(sent_request const& it) -> void;
+    auto configuration() const -> stored_object;
+    auto registered_targets() const -> std::vector<stored_object>;
     auto draw() -> double;
     auto allowed_from(std::size_t step) const -> double;
 
@@ -107,6 +131,7 @@
     {
         std::size_t instance = 0;
         sent_request sent;
+        time_point due; ///< Of its answer, if it was read.
     };
 
     /// An instance's access to the store.
@@ -125,9 +150,13 @@
     dispatch_bounds bounds_;
     std::size_t receivers_ = 0; ///< Instances that get requests.
     std::vector<held_request> held_;
+    std::vector<held_request> late_; ///< Read, but not answered yet.
+    std::string service_ = "s";      ///< To which the route leads.
+    std::uint64_t registrations_ = 3;
     std::vector<std::unique_ptr<harness>> fleet_;
     std::vector<arrival_counts> arrivals_; ///< By step.
-    std::set<std::string> arrived_;        ///< Requests that have arrived.
+    /// Targets that have run a request that arrived at the service "s".
+    std::map<std::string, std::set<std::string>> arrived_;
     random_state random_;
     time_point now_{seconds{100}};
     std::uint64_t requests_ = 0;
