--- a/tests/standin/routed.cpp
+++ b/tests/standin/routed.cpp
@@ -56,12 +56,30 @@
     auto one = settings_.target_defaults;
     one.port = static_cast<std::uint16_t>(settings_.first_target_port + i);
     one.name = name_of(i);
+    one.on_deadly = [this, i]
+    {
+        end_by_request(i);
+    };
     one.seed = settings_.target_defaults.seed * 1'000 + i + start_counts_[i];
     targets_[i].reset();
     targets_[i] = std::make_unique<routed_target>(base_, one);
     register_target(i, "ready");
 }
 
+auto routed_deployment::end_by_request(std::size_t i) -> void
+{
+    constexpr auto restart_time = ks::milliseconds{1'000};
+    store_.table().put("ended", std::to_string(++ended_), "spec",
+        json::object{{"target", name_of(i)}}, {});
+    auto const later = [&](ks::duration d, std::function<void()> f)
+    {
+        ends_.push_back(std::make_unique<ks::loop_event>(base_, std::move(f)));
+        ends_.back()->after(d);
+    };
+    later(ks::duration{0}, [this, i] { kill(i); });
+    later(ks::duration{restart_time}, [this, i] { restart(i); });
+}
+
 auto routed_deployment::kill(std::size_t i) -> void
 {
     targets_.at(i).reset();
--- a/tests/standin/routed.hpp
+++ b/tests/standin/routed.hpp
@@ -51,6 +51,10 @@
     /// Restarts a target under a new name and replaces its registration.
     auto restart(std::size_t i) -> void;
 
+    /// A target ends as it begins to run a request, and restarts soon. The
+    /// store gets an object of the kind `ended`, named by their number.
+    auto end_by_request(std::size_t i) -> void;
+
     auto is_up(std::size_t i) const -> bool
     {
         return targets_.at(i) != nullptr;
@@ -64,7 +68,9 @@
     event_base* base_;
     std::vector<std::unique_ptr<routed_target>> targets_;
     std::vector<std::uint32_t> start_counts_; ///< By target.
-    std::uint64_t sequence_ = 0;              ///< Of the last registration.
+    std::vector<std::unique_ptr<ks::loop_event>> ends_;
+    std::size_t ended_ = 0;      ///< Targets that a request has ended.
+    std::uint64_t sequence_ = 0; ///< Of the last registration.
 };
 
 /// Load that callers send.
--- a/tests/standin/routed_target.cpp
+++ b/tests/standin/routed_target.cpp
@@ -79,6 +79,8 @@
 
 auto routed_target::start(job j) -> void
 {
+    if (j.request.target == deadly_path && settings_.on_deadly)
+        settings_.on_deadly();
     auto const request_id =
         std::string{ks::find_field(j.request, "X-Request-Id")};
     j.stamp = settings_.name + "." + request_id + "." + std::to_string(next_);
--- a/tests/standin/routed_target.hpp
+++ b/tests/standin/routed_target.hpp
@@ -5,8 +5,10 @@
 #include "wire_server.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
+#include <string_view>
 
 namespace standin
 {
@@ -28,6 +30,9 @@
     no_reply,       ///< The request runs without a reply.
 };
 
+/// Path of the requests that end each target that begins to run them.
+constexpr auto deadly_path = std::string_view{"/one/deadly"};
+
 /// A request that a target has run.
 struct run_record
 {
@@ -56,6 +61,8 @@
     std::size_t body_bytes = 160; ///< Rounded up to whole 16-byte records.
     std::uint64_t seed = 1;
     run_log* runs = nullptr; ///< Records the runs; may be null.
+    /// Called as it begins to run a request for `deadly_path`.
+    std::function<void()> on_deadly = {};
 };
 
 /// A target on loopback.
