--- a/tests/unit/test_cli.cpp
+++ b/tests/unit/test_cli.cpp
@@ -60,11 +60,10 @@
 public:
     explicit temporary_file(std::string const& text)
     {
-        char name[] = "/tmp/ks-cli-XXXXXX";
-        auto const fd = mkstemp(name);
+        path = "/tmp/ks-cli-" + std::string(6, 'X');
+        auto const fd = mkstemp(path.data());
         REQUIRE(fd >= 0);
         std::fclose(fdopen(fd, "w"));
-        path = name;
         std::ofstream{path} << text;
     }
     ~temporary_file() { std::remove(path.c_str()); }
